--- /dev/null
+++ b/cmd/lentildeckd/main.go
@@ -0,0 +1,79 @@
+// Command lentildeckd is one entry instance.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	logjson "github.com/apex/log/handlers/json"
+	logtext "github.com/apex/log/handlers/text"
+	"github.com/lentildeck/lentildeck/internal/kern/build"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/node/daemon"
+	"github.com/lentildeck/lentildeck/internal/node/setup"
+	"github.com/peterbourgon/ff/v3"
+
+	_ "github.com/lentildeck/lentildeck/internal/state/kvhttp"
+)
+
+// The exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	flags := flag.NewFlagSet("lentildeckd", flag.ContinueOnError)
+	path := flags.String("config", "", "settings file, JSON with comments")
+	check := flags.Bool("check", false, "check the settings and stop")
+	version := flags.Bool("version", false, "print the version and stop")
+	if err := ff.Parse(flags, os.Args[1:], ff.WithEnvVarPrefix("LENTILDECKD")); err != nil {
+		return exitUsage
+	}
+	if *version {
+		fmt.Println("lentildeckd", build.Version())
+		return 0
+	}
+	settings, err := setup.Load(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lentildeckd:", err)
+		return exitUsage
+	}
+	if *check {
+		fmt.Println("the settings are valid")
+		return 0
+	}
+	return serve(settings)
+}
+
+func serve(settings setup.Settings) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	d, err := daemon.New(settings, logFor(settings.Log), time.Now)
+	if err == nil {
+		err = d.Run(ctx)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lentildeckd:", err)
+		return exitFailed
+	}
+	return 0
+}
+
+func logFor(s setup.Log) *event.Log {
+	var handler log.Handler = logjson.New(os.Stderr)
+	if s.Format == "text" {
+		handler = logtext.New(os.Stderr)
+	}
+	return event.NewLog(&log.Logger{Handler: handler, Level: log.MustParseLevel(s.Level)})
+}
--- /dev/null
+++ b/internal/kern/build/doc.go
@@ -0,0 +1,2 @@
+// Package build tells which release this is.
+package build
--- /dev/null
+++ b/internal/kern/event/doc.go
@@ -0,0 +1,2 @@
+// Package event writes numbered log events; docs/LOGS.md is their catalogue.
+package event
--- /dev/null
+++ b/internal/kern/event/event.go
@@ -0,0 +1,103 @@
+package event
+
+import (
+	"fmt"
+
+	"github.com/apex/log"
+)
+
+// Level is how much an event matters.
+type Level = log.Level
+
+// Kind is one numbered event.
+type Kind struct {
+	Number  int
+	Name    string
+	Level   Level
+	Meaning string
+}
+
+// Fields are the values of one event.
+type Fields map[string]any
+
+// The events. Numbers are never used again.
+var (
+	Started          = define(100, "started", log.InfoLevel, "The daemon serves; the fields give its addresses.")
+	Stopping         = define(101, "stopping", log.InfoLevel, "A planned stop began; readiness is off and nothing in flight is cut.")
+	Stopped          = define(102, "stopped", log.InfoLevel, "Everything in flight has ended and the owner lease was handed back.")
+	PartFailed       = define(103, "partFailed", log.ErrorLevel, "A part of the daemon ended with an error.")
+	Routed           = define(200, "routed", log.DebugLevel, "A quick request was sent to a backend server; `why` gives the rule that chose it.")
+	NotRouted        = define(201, "notRouted", log.InfoLevel, "A quick request got no whole answer; `error` says whether it may have run.")
+	ServerSilent     = define(202, "serverSilent", log.WarnLevel, "A backend server did not answer a ping; its idle connections were closed and new ones are tried.")
+	ClaimNotRecorded = define(203, "claimNotRecorded", log.WarnLevel, "The outcome of a non-idempotent request could not be recorded; a repeat is told that it may have run.")
+	Submitted        = define(300, "submitted", log.InfoLevel, "A job was recorded.")
+	Refused          = define(301, "refused", log.InfoLevel, "A job or request was refused; it did not run.")
+	Placed           = define(302, "placed", log.InfoLevel, "A job was given workers; `why` gives the rule.")
+	StopAsked        = define(303, "stopAsked", log.InfoLevel, "A running job was told to stop; `why` gives the cause.")
+	JobEnded         = define(304, "jobEnded", log.InfoLevel, "A job ended; its outcome is recorded.")
+	StartFailed      = define(305, "startFailed", log.WarnLevel, "Not every member of a gang could be started, so none runs; the job waits again.")
+	Waits            = define(306, "waits", log.DebugLevel, "A decision left a job waiting; `why` gives the reason.")
+	ClaimLost        = define(307, "claimLost", log.InfoLevel, "Another data centre took the job first.")
+	OwnerTaken       = define(400, "ownerTaken", log.InfoLevel, "This instance decides for its data centre from now on, under the epoch.")
+	OwnerLost        = define(401, "ownerLost", log.WarnLevel, "This instance no longer decides for its data centre.")
+	OwnerReady       = define(402, "ownerReady", log.InfoLevel, "The new owner has heard from the workers and starts tasks.")
+	WorkerLost       = define(403, "workerLost", log.WarnLevel, "A worker was silent for longer than its lease; what it held is lost.")
+	WorkerBack       = define(404, "workerBack", log.InfoLevel, "A lost worker answers again.")
+	PermitLost       = define(405, "permitLost", log.WarnLevel, "Nothing proves that the data centre is not drained, so no task starts.")
+	PermitBack       = define(406, "permitBack", log.InfoLevel, "There is fresh proof again that the data centre is not drained.")
+	ConfigInForce    = define(500, "configInForce", log.InfoLevel, "A higher revision of the configuration is in force on this instance.")
+	ConfigBad        = define(501, "configBad", log.ErrorLevel, "A revision could not be used; the one before stays in force.")
+	Commanded        = define(502, "commanded", log.InfoLevel, "An operator's command was carried out or refused.")
+	StoreLost        = define(600, "storeLost", log.WarnLevel, "The key-value service does not answer.")
+	StoreBack        = define(601, "storeBack", log.InfoLevel, "The key-value service answers again.")
+	ListLost         = define(602, "listLost", log.WarnLevel, "The instance list could not be read; the last one stays in use.")
+	RecordBad        = define(603, "recordBad", log.ErrorLevel, "A stored value can't be understood; it was left as it is.")
+)
+
+var catalogue []Kind
+
+func define(number int, name string, level Level, meaning string) Kind {
+	kind := Kind{Number: number, Name: name, Level: level, Meaning: meaning}
+	catalogue = append(catalogue, kind)
+	return kind
+}
+
+// Catalogue returns all events in the order of their numbers.
+func Catalogue() []Kind { return append([]Kind(nil), catalogue...) }
+
+// Markdown returns the catalogue as the page docs/LOGS.md.
+func Markdown() string {
+	page := "# Log events\n\nEvery line carries `event` (the number) and `name`. Lines of one event always have the same fields.\n\n| event | name | level | meaning |\n| --- | --- | --- | --- |\n"
+	for _, kind := range catalogue {
+		page += fmt.Sprintf("| %d | %s | %s | %s |\n", kind.Number, kind.Name, kind.Level, kind.Meaning)
+	}
+	return page
+}
+
+// Log writes events.
+type Log struct {
+	out log.Interface
+}
+
+// NewLog returns a log that writes to out.
+func NewLog(out log.Interface) *Log { return &Log{out: out} }
+
+// Discard returns a log that writes nothing.
+func Discard() *Log {
+	return &Log{out: &log.Logger{Handler: log.HandlerFunc(func(*log.Entry) error { return nil }), Level: log.FatalLevel}}
+}
+
+// Emit writes one event.
+func (l *Log) Emit(kind Kind, fields Fields) {
+	entry := l.out.WithFields(log.Fields(fields)).WithField("event", kind.Number)
+	switch kind.Level {
+	case log.DebugLevel:
+		entry.Debug(kind.Name)
+	case log.InfoLevel:
+		entry.Info(kind.Name)
+	case log.WarnLevel:
+		entry.Warn(kind.Name)
+	default:
+		entry.Error(kind.Name)
+	}
+}
--- /dev/null
+++ b/internal/node/daemon/callers.go
@@ -0,0 +1,164 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/google/uuid"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/route/quick"
+)
+
+// The headers that callers use.
+const (
+	headerRequestID      = "X-Request-Id"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerIdempotent     = "X-Idempotent"
+	headerClass          = "X-Class"
+)
+
+const (
+	// readTimeout bounds the reading of a request, so that slow callers hold nothing for long.
+	readTimeout = 10 * time.Second
+	// idleTimeout closes callers' connections that nothing used.
+	idleTimeout = 60 * time.Second
+	// maxConnections bounds the callers' connections.
+	maxConnections = 4096
+	// maxHeader bounds the headers of a request.
+	maxHeader = 16 << 10
+	// maxNameLength bounds IDs and names.
+	maxNameLength = 128
+)
+
+// Problem is the body of every refusal and failure.
+type Problem struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	// NotRun is true only if the request surely had no effect.
+	NotRun bool `json:"notRun"`
+}
+
+func newApp(bodyLimit int) *fiber.App {
+	return fiber.New(fiber.Config{
+		DisableStartupMessage: true, BodyLimit: bodyLimit, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Concurrency: maxConnections, ReadBufferSize: maxHeader, ErrorHandler: answerError,
+	})
+}
+
+// answerError turns errors of the HTTP library into the usual body; they arise before anything has run.
+func answerError(c *fiber.Ctx, err error) error {
+	status := fiber.StatusInternalServerError
+	var known *fiber.Error
+	if errors.As(err, &known) {
+		status = known.Code
+	}
+	return problem(c, status, "bad_request", err.Error(), status < fiber.StatusInternalServerError)
+}
+
+func problem(c *fiber.Ctx, status int, code, message string, notRun bool) error {
+	return c.Status(status).JSON(Problem{Code: code, Message: message, NotRun: notRun})
+}
+
+// callerApp serves quick requests and jobs.
+func (d *Daemon) callerApp() *fiber.App {
+	app := newApp(d.settings.Quick.MaxBodyBytes)
+	app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok") })
+	app.Get("/readyz", d.readiness)
+	app.Use(func(c *fiber.Ctx) error {
+		if d.stopping.Load() {
+			return refuse(c, fiber.StatusServiceUnavailable, "stopping", "this instance is stopping; repeat the request", time.Second)
+		}
+		return c.Next()
+	})
+	app.Post("/v1/quick/*", d.serveQuick)
+	app.Post("/v1/jobs", d.submitJob)
+	app.Get("/v1/jobs/:job", d.showJob)
+	app.Delete("/v1/jobs/:job", d.cancelJob)
+	return app
+}
+
+func (d *Daemon) readiness(c *fiber.Ctx) error {
+	if !d.ready.Load() || d.conf.InForce().Document == nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready")
+	}
+	return c.SendString("ready")
+}
+
+// refuse answers that the request did not run and when to repeat it.
+func refuse(c *fiber.Ctx, status int, code, message string, after time.Duration) error {
+	if after > 0 {
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(max(1, int(after.Seconds()))))
+	}
+	return problem(c, status, code, message, true)
+}
+
+// serveQuick routes one request to a backend server and returns its whole answer.
+func (d *Daemon) serveQuick(c *fiber.Ctx) error {
+	began := d.now()
+	request, err := d.quickRequest(c)
+	if err != nil {
+		return refuse(c, fiber.StatusBadRequest, "bad_request", err.Error(), 0)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Quick.Timeout.Duration)
+	defer cancel()
+	answer, err := d.quick.Serve(ctx, request)
+	d.meters.Quick.Add(d.now().Sub(began))
+	c.Set(headerRequestID, request.ID)
+	if err != nil {
+		return d.quickFailed(c, request, err)
+	}
+	d.meters.Count("quickAnswered")
+	c.Set(fiber.HeaderContentType, answer.ContentType)
+	return c.Status(answer.Status).Send(answer.Body)
+}
+
+func (d *Daemon) quickRequest(c *fiber.Ctx) (quick.Request, error) {
+	request := quick.Request{
+		ID: c.Get(headerRequestID, uuid.NewString()), Key: c.Get(headerIdempotencyKey), Path: "/" + c.Params("*"),
+		ContentType: c.Get(fiber.HeaderContentType), Body: c.Body(), Idempotent: c.Get(headerIdempotent) != "false",
+		AttemptTimeout: d.settings.Quick.AttemptTimeout.Duration,
+	}
+	if len(request.ID) > maxNameLength || len(request.Key) > maxNameLength {
+		return request, &LimitError{What: "request ID or idempotency key", Limit: maxNameLength}
+	}
+	if request.Key == "" {
+		request.Key = request.ID
+	}
+	if !request.Idempotent {
+		request.AttemptTimeout = d.settings.Quick.Timeout.Duration
+	}
+	class, err := queue.ClassString(c.Get(headerClass, queue.Quick.String()))
+	request.Class = class
+	return request, err
+}
+
+func (d *Daemon) quickFailed(c *fiber.Ctx, request quick.Request, err error) error {
+	d.log.Emit(event.NotRouted, event.Fields{"request": request.ID, "error": err.Error()})
+	var notRun *quick.NotRunError
+	var done *quick.DoneError
+	switch {
+	case errors.As(err, &notRun):
+		d.meters.Count("quickNotRun")
+		return refuse(c, fiber.StatusServiceUnavailable, notRun.Code, notRun.Error(), notRun.RetryAfter)
+	case errors.As(err, &done):
+		return problem(c, fiber.StatusConflict, "answered_before", done.Error(), false)
+	default:
+		d.meters.Count("quickUnknown")
+		return problem(c, fiber.StatusGatewayTimeout, "unknown", err.Error(), false)
+	}
+}
+
+// LimitError says that something is too long or too large.
+type LimitError struct {
+	What  string
+	Limit int
+}
+
+// Error names the limit.
+func (e *LimitError) Error() string {
+	return e.What + " is over the limit of " + strconv.Itoa(e.Limit)
+}
--- /dev/null
+++ b/internal/node/daemon/daemon.go
@@ -0,0 +1,229 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/lentildeck/lentildeck/internal/edge/back"
+	"github.com/lentildeck/lentildeck/internal/edge/worker"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/node/meter"
+	"github.com/lentildeck/lentildeck/internal/node/owner"
+	"github.com/lentildeck/lentildeck/internal/node/setup"
+	"github.com/lentildeck/lentildeck/internal/peer/link"
+	"github.com/lentildeck/lentildeck/internal/peer/list"
+	"github.com/lentildeck/lentildeck/internal/place/engine"
+	"github.com/lentildeck/lentildeck/internal/route/claim"
+	"github.com/lentildeck/lentildeck/internal/route/pool"
+	"github.com/lentildeck/lentildeck/internal/route/quick"
+	"github.com/lentildeck/lentildeck/internal/state/config"
+	"github.com/lentildeck/lentildeck/internal/state/lease"
+	"github.com/lentildeck/lentildeck/internal/state/ledger"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/sourcegraph/conc"
+)
+
+// Daemon is one entry instance.
+type Daemon struct {
+	settings setup.Settings
+	policy   engine.Policy
+	log      *event.Log
+	now      func() time.Time
+	meters   *meter.Set
+
+	store  *store.Client
+	conf   *config.Holder
+	ledger *ledger.Ledger
+	claims *claim.Claims
+	owner  *owner.Owner
+	holder *lease.Holder
+	peers  *peers
+	permit *permits
+	pool   *pool.Pool
+	caller *back.HTTP
+	quick  *quick.Service
+	check  checker
+
+	callers, operators, peerSide net.Listener
+	ready                        atomic.Bool
+	stopping                     atomic.Bool
+	killed                       atomic.Bool
+	done                         chan struct{}
+}
+
+// New makes an instance and binds its ports; nothing runs before Run.
+func New(settings setup.Settings, log *event.Log, now func() time.Time) (*Daemon, error) {
+	policy, err := engine.Policies.Lookup(settings.Policy)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: settings, policy: policy, log: log, now: now, meters: meter.New(settings.Instance), done: make(chan struct{})}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	if err := d.wire(); err != nil {
+		return nil, errors.Join(err, d.unlisten())
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	for _, port := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&d.callers, d.settings.Listen.Callers}, {&d.operators, d.settings.Listen.Operators}, {&d.peerSide, d.settings.Listen.Peers},
+	} {
+		listener, err := net.Listen("tcp", port.address)
+		if err != nil {
+			return errors.Join(fmt.Errorf("listen on %s: %w", port.address, err), d.unlisten())
+		}
+		*port.listener = listener
+	}
+	return nil
+}
+
+func (d *Daemon) unlisten() error {
+	var all error
+	for _, listener := range []net.Listener{d.callers, d.operators, d.peerSide} {
+		if listener != nil {
+			all = errors.Join(all, listener.Close())
+		}
+	}
+	return all
+}
+
+func (d *Daemon) wire() error {
+	s := d.settings
+	openStore, err := store.Drivers.Lookup(s.Store.Driver)
+	if err != nil {
+		return err
+	}
+	openList, err := list.Drivers.Lookup(s.List.Driver)
+	if err != nil {
+		return err
+	}
+	openWorkers, err := worker.Drivers.Lookup(s.Workers.Driver)
+	if err != nil {
+		return err
+	}
+	keys, err := loadKeys(s.Keys)
+	if err != nil {
+		return err
+	}
+	d.store = store.NewClient(openStore(s.Store.Endpoint), store.NewBudget(s.Store.CallsPerSecond, s.Store.Burst), d.now, uuid.NewString)
+	d.conf = config.NewHolder(d.store, d.policy)
+	d.ledger = ledger.New(d.store, d.now, d.meters.Group)
+	d.claims = claim.New(d.store, s.Instance, d.now, d.meters.Group)
+	d.holder = lease.NewHolder(d.store, s.DataCentre, s.Instance)
+	d.peers = &peers{source: openList(s.List.Endpoint), client: link.NewClient(keys.client()), self: s.Instance}
+	d.permit = &permits{daemon: d}
+	d.check = checker{conf: d.conf, policy: d.policy}
+	d.pool = pool.New(s.DataCentre, pool.Limits{Slots: s.Quick.Slots, Connections: s.Quick.Connections}, s.Quick.QueueLimit, s.Seed)
+	d.caller = back.NewHTTP(s.Quick.Connections)
+	d.quick = quick.New(d.pool, d.caller, d.claims, d.log, d.now)
+	d.owner = owner.New(owner.Config{
+		Instance: s.Instance, Centre: s.DataCentre, Policy: d.policy, Lease: s.Workers.Lease.Duration, Every: s.Workers.Every.Duration,
+		Holder: d.holder, Ledger: d.ledger, Conf: d.conf, Link: openWorkers(s.Workers.Endpoint, s.Workers.Token),
+		Permits: d.permit, Log: d.log, Now: d.now,
+	})
+	if keys != nil {
+		d.operators = keys.listener(d.operators)
+		d.peerSide = keys.listener(d.peerSide)
+	}
+	return nil
+}
+
+// Addresses returns where the instance takes calls of callers, operators and peers.
+func (d *Daemon) Addresses() (callers, operators, peers string) {
+	return d.callers.Addr().String(), d.operators.Addr().String(), d.peerSide.Addr().String()
+}
+
+// Done is closed when Run has returned.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
+// Run serves until ctx ends, then stops without cutting anything in flight.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer close(d.done)
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server, err := link.NewServer(d)
+	if err != nil {
+		return err
+	}
+	callers, operators := d.callerApp(), d.operatorApp()
+	var loops, ports conc.WaitGroup
+	ports.Go(func() { d.part("callers", callers.Listener(d.callers)) })
+	ports.Go(func() { d.part("operators", operators.Listener(d.operators)) })
+	ports.Go(func() { d.part("peers", server.Serve(inner, d.peerSide)) })
+	ownerCtx, stopOwner := context.WithCancel(inner)
+	loops.Go(func() { d.owner.Run(ownerCtx) })
+	loops.Go(func() { d.every(inner, d.settings.List.Every.Duration, d.readList) })
+	loops.Go(func() { d.every(inner, d.settings.Quick.PingEvery.Duration, d.pingServers) })
+	loops.Go(func() { d.every(inner, wordEvery, d.permit.ask) })
+	loops.Go(func() { d.watch(inner) })
+	d.ready.Store(true)
+	c, o, p := d.Addresses()
+	d.log.Emit(event.Started, event.Fields{"instance": d.settings.Instance, "dataCentre": d.settings.DataCentre, "callers": c, "operators": o, "peers": p})
+	<-ctx.Done()
+	d.stop(callers, stopOwner)
+	err = errors.Join(operators.Shutdown())
+	cancel()
+	loops.Wait()
+	ports.Wait()
+	d.ledger.Close()
+	d.claims.Close()
+	d.log.Emit(event.Stopped, event.Fields{"instance": d.settings.Instance})
+	return errors.Join(err, d.peers.client.Close())
+}
+
+// Kill makes the end of Run as abrupt as the death of a process: no waiting, and the lease is left to lapse.
+func (d *Daemon) Kill() {
+	d.killed.Store(true)
+	d.holder.Abandon()
+}
+
+// part logs the error that ended a part.
+func (d *Daemon) part(name string, err error) {
+	if err != nil && !d.stopping.Load() {
+		d.log.Emit(event.PartFailed, event.Fields{"part": name, "error": err.Error()})
+	}
+}
+
+// stopper is what a port offers for a planned stop.
+type stopper interface{ Shutdown() error }
+
+// stop turns readiness off, waits for the balancer, ends what is in flight and hands the lease back.
+func (d *Daemon) stop(callers stopper, stopOwner context.CancelFunc) {
+	d.log.Emit(event.Stopping, event.Fields{"instance": d.settings.Instance})
+	d.ready.Store(false)
+	if !d.killed.Load() {
+		time.Sleep(d.settings.BalancerLag.Duration)
+	}
+	d.stopping.Store(true)
+	d.part("callers", callers.Shutdown())
+	stopOwner()
+	<-d.owner.Done()
+}
+
+// every calls step until ctx ends.
+func (d *Daemon) every(ctx context.Context, interval time.Duration, step func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// IsOwner reports whether this instance decides for its data centre.
+func (d *Daemon) IsOwner() bool { return d.owner.Epoch() != 0 }
--- /dev/null
+++ b/internal/node/daemon/jobs.go
@@ -0,0 +1,164 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"regexp"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/place/engine"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/state/config"
+	"github.com/lentildeck/lentildeck/internal/state/ledger"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+)
+
+const (
+	// submitTimeout bounds the recording of a job.
+	submitTimeout = 4 * time.Second
+	// maxMembers bounds a gang.
+	maxMembers = 1024
+	// maxPayload bounds what is handed to the workers.
+	maxPayload = 8 << 10
+)
+
+// jobName is what a job may be called.
+var jobName = regexp.MustCompile(`^[A-Za-z0-9_][A-Za-z0-9_.:-]{0,127}$`)
+
+// checker tells whether a job could ever run, by the configuration in force.
+type checker struct {
+	conf     *config.Holder
+	policy   engine.Policy
+	mu       sync.Mutex
+	revision int64
+	engine   *engine.Engine
+}
+
+func (k *checker) check(spec *queue.Spec) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	doc := k.conf.InForce().Document
+	if doc == nil {
+		return &NoConfigError{}
+	}
+	if k.engine == nil || k.revision != doc.Revision {
+		e, err := doc.Engine(k.policy)
+		if err != nil {
+			return err
+		}
+		k.engine, k.revision = e, doc.Revision
+	}
+	return k.engine.Check(spec)
+}
+
+// NoConfigError says that the instance has no configuration yet.
+type NoConfigError struct{}
+
+// Error says so.
+func (e *NoConfigError) Error() string {
+	return "this instance has no configuration yet; repeat the request in a moment"
+}
+
+// submitJob records a job, so that any data centre it may use can take it.
+func (d *Daemon) submitJob(c *fiber.Ctx) error {
+	var spec queue.Spec
+	decoder := json.NewDecoder(bytes.NewReader(c.Body()))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&spec); err != nil {
+		return refuse(c, fiber.StatusBadRequest, "bad_job", err.Error(), 0)
+	}
+	if err := d.checkJob(&spec); err != nil {
+		d.log.Emit(event.Refused, event.Fields{"job": spec.Job, "error": err.Error()})
+		return refuse(c, fiber.StatusUnprocessableEntity, "refused", err.Error(), 0)
+	}
+	record := ledger.Record{Spec: spec, Submitted: d.now(), Held: d.conf.InForce().Document.Manual(spec.Workspace)}
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	if err := d.ledger.Submit(ctx, record); err != nil {
+		return d.jobFailed(c, err)
+	}
+	d.meters.Count("jobsSubmitted")
+	d.log.Emit(event.Submitted, event.Fields{"job": spec.Job, "workspace": spec.Workspace, "shape": spec.Shape.String(), "held": record.Held})
+	return c.Status(fiber.StatusAccepted).JSON(record)
+}
+
+func (d *Daemon) checkJob(spec *queue.Spec) error {
+	switch {
+	case !jobName.MatchString(spec.Job):
+		return &NameError{Name: spec.Job}
+	case spec.Members > maxMembers:
+		return &LimitError{What: "members", Limit: maxMembers}
+	case len(spec.Payload) > maxPayload:
+		return &LimitError{What: "payload", Limit: maxPayload}
+	}
+	return d.check.check(spec)
+}
+
+// NameError says that a job can't be called so.
+type NameError struct{ Name string }
+
+// Error says what is allowed.
+func (e *NameError) Error() string {
+	return "job: the name must have 1 to 128 letters, digits or _ . : -, and start with a letter, digit or _"
+}
+
+// jobFailed answers for an error of the ledger.
+func (d *Daemon) jobFailed(c *fiber.Ctx, err error) error {
+	var exists *ledger.ExistsError
+	var missing *ledger.MissingError
+	var ended *ledger.EndedError
+	var notHeld *ledger.NotHeldError
+	var unknown *store.UnknownError
+	switch {
+	case errors.As(err, &exists):
+		return problem(c, fiber.StatusConflict, "exists", err.Error(), false)
+	case errors.As(err, &missing):
+		return problem(c, fiber.StatusNotFound, "no_such_job", err.Error(), true)
+	case errors.As(err, &ended):
+		return problem(c, fiber.StatusConflict, "ended", err.Error(), true)
+	case errors.As(err, &notHeld):
+		return problem(c, fiber.StatusConflict, "not_held", err.Error(), true)
+	case errors.As(err, &unknown):
+		return problem(c, fiber.StatusGatewayTimeout, "unknown", err.Error()+"; ask for the job by name before repeating", false)
+	default:
+		return refuse(c, fiber.StatusServiceUnavailable, "store_unavailable", err.Error(), time.Second)
+	}
+}
+
+// showJob returns the job's record.
+func (d *Daemon) showJob(c *fiber.Ctx) error {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	id := c.Params("job")
+	record, ok, err := d.ledger.Fresh(ctx, id)
+	if err != nil {
+		record, ok = d.ledger.Get(id)
+	}
+	if !ok && err != nil {
+		return d.jobFailed(c, err)
+	}
+	if !ok {
+		return problem(c, fiber.StatusNotFound, "no_such_job", (&ledger.MissingError{Job: id}).Error(), true)
+	}
+	return c.JSON(record)
+}
+
+// cancelJob ends a job.
+func (d *Daemon) cancelJob(c *fiber.Ctx) error {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	if err := d.ledger.Cancel(ctx, c.Params("job")); err != nil {
+		return d.jobFailed(c, err)
+	}
+	return c.JSON(Message{Message: "cancelled"})
+}
+
+// Message is a plain answer.
+type Message struct {
+	Message string `json:"message"`
+}
--- /dev/null
+++ b/internal/node/daemon/keys.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+
+	"github.com/lentildeck/lentildeck/internal/node/setup"
+)
+
+// keys holds a certificate that is read again when its file changes.
+type keys struct {
+	files setup.Keys
+	roots *x509.CertPool
+	mu    sync.Mutex
+	stamp string
+	pair  *tls.Certificate
+}
+
+// loadKeys returns nil if the settings ask for plain TCP.
+func loadKeys(files setup.Keys) (*keys, error) {
+	if files.Certificate == "" {
+		return nil, nil
+	}
+	authority, err := os.ReadFile(files.Authority)
+	if err != nil {
+		return nil, fmt.Errorf("keys.authority: %w", err)
+	}
+	k := &keys{files: files, roots: x509.NewCertPool()}
+	if !k.roots.AppendCertsFromPEM(authority) {
+		return nil, &KeyError{Path: files.Authority}
+	}
+	if _, err := k.current(); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// current returns the pair, read anew if the file has changed; a broken new file leaves the old pair in use.
+func (k *keys) current() (*tls.Certificate, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	info, err := os.Stat(k.files.Certificate)
+	if err != nil && k.pair == nil {
+		return nil, fmt.Errorf("keys.certificate: %w", err)
+	}
+	stamp := ""
+	if err == nil {
+		stamp = info.ModTime().String()
+	}
+	if k.pair != nil && stamp == k.stamp {
+		return k.pair, nil
+	}
+	pair, err := tls.LoadX509KeyPair(k.files.Certificate, k.files.Key)
+	if err != nil {
+		if k.pair != nil {
+			return k.pair, nil
+		}
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	k.pair, k.stamp = &pair, stamp
+	return k.pair, nil
+}
+
+// client returns the side that calls peers; both sides show a certificate of the same authority.
+func (k *keys) client() *tls.Config {
+	if k == nil {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, RootCAs: k.roots,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return k.current() },
+	}
+}
+
+// listener wraps a port so that it asks for a certificate.
+func (k *keys) listener(plain net.Listener) net.Listener {
+	return tls.NewListener(plain, &tls.Config{
+		MinVersion: tls.VersionTLS13, ClientCAs: k.roots, ClientAuth: tls.RequireAndVerifyClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return k.current() },
+	})
+}
+
+// KeyError says that a file holds no certificate.
+type KeyError struct{ Path string }
+
+// Error names the file.
+func (e *KeyError) Error() string { return fmt.Sprintf("%s holds no PEM certificate", e.Path) }
--- /dev/null
+++ b/internal/node/daemon/permit.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/peer/link"
+	"github.com/lentildeck/lentildeck/internal/state/config"
+)
+
+const (
+	// permitAge is how old the proof may be that a data centre is not drained.
+	permitAge = 3 * time.Second
+	// wordEvery is how often peers are asked while the key-value service does not answer.
+	wordEvery = 700 * time.Millisecond
+	// quiet is how long the service must be silent before peers are asked.
+	quiet = 1500 * time.Millisecond
+)
+
+// permits keeps the proof that the revision in force is the latest.
+type permits struct {
+	daemon *Daemon
+	mu     sync.Mutex
+	word   time.Time
+}
+
+// Permit reports whether the proof is fresh enough for a task to start.
+func (p *permits) Permit(now time.Time) bool {
+	if now.Sub(p.daemon.conf.Confirmed()) <= permitAge {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.word) <= permitAge
+}
+
+// ask gets the peers' word while the service is silent: a fresh confirmation of one, or the word of all that none has accepted a command.
+func (p *permits) ask(ctx context.Context) {
+	d := p.daemon
+	asked := d.now()
+	inForce := d.conf.InForce()
+	if asked.Sub(d.conf.Confirmed()) <= quiet && inForce.Document != nil {
+		return
+	}
+	others := d.peers.others()
+	answers := askAll(ctx, others, func(one context.Context, address string) (*link.StatusReply, error) {
+		return d.peers.client.Status(one, address, &link.StatusRequest{From: d.settings.Instance})
+	})
+	p.catchUp(ctx, answers)
+	proof, ok := proofFrom(answers, d.revision(), asked)
+	if !ok || d.conf.Applying() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if proof.After(p.word) {
+		p.word = proof
+	}
+}
+
+// proofFrom works out at what time the revision was surely the latest; ok is false if nothing proves it.
+func proofFrom(answers []*link.StatusReply, revision int64, asked time.Time) (proof time.Time, ok bool) {
+	everyone := len(answers) > 0
+	for _, answer := range answers {
+		if answer == nil || answer.Applying || answer.Revision > revision {
+			everyone = false
+			continue
+		}
+		confirmed := asked.Add(-answer.ConfirmedAgo)
+		if answer.Revision == revision && confirmed.After(proof) {
+			proof, ok = confirmed, true
+		}
+	}
+	if everyone {
+		return asked, true
+	}
+	return proof, ok
+}
+
+// catchUp fetches a higher revision that a peer has.
+func (p *permits) catchUp(ctx context.Context, answers []*link.StatusReply) {
+	d := p.daemon
+	others := d.peers.others()
+	for i, answer := range answers {
+		if answer == nil || answer.Revision <= d.revision() || i >= len(others) {
+			continue
+		}
+		one, cancel := context.WithTimeout(ctx, peerTimeout)
+		reply, err := d.peers.client.Fetch(one, others[i].Address, &link.FetchRequest{From: d.settings.Instance})
+		cancel()
+		if err == nil && reply.Found {
+			d.take(&reply.Document, config.FromPeer)
+		}
+	}
+}
+
+func (d *Daemon) revision() int64 {
+	if doc := d.conf.InForce().Document; doc != nil {
+		return doc.Revision
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/node/daemon/serve.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/peer/link"
+	"github.com/lentildeck/lentildeck/internal/state/config"
+)
+
+// Status answers a peer with this instance's state.
+func (d *Daemon) Status(_ context.Context, _ *link.StatusRequest) (*link.StatusReply, error) {
+	return d.status(), nil
+}
+
+func (d *Daemon) status() *link.StatusReply {
+	now := d.now()
+	inForce := d.conf.InForce()
+	epoch, _ := d.holder.Epoch(now)
+	reply := &link.StatusReply{
+		Instance: d.settings.Instance, DataCentre: d.settings.DataCentre, Owner: epoch != 0, Epoch: epoch,
+		Source: inForce.Source.String(), ConfirmedAgo: now.Sub(d.conf.Confirmed()), Applying: d.conf.Applying(), Stopping: !d.ready.Load(),
+	}
+	if inForce.Document != nil {
+		reply.Revision = inForce.Document.Revision
+		reply.Age = now.Sub(inForce.Since)
+	}
+	return reply
+}
+
+// Offer takes in a document of a peer.
+func (d *Daemon) Offer(_ context.Context, request *link.OfferRequest) (*link.OfferReply, error) {
+	d.take(&request.Document, config.FromPeer)
+	return &link.OfferReply{Revision: d.conf.InForce().Document.Revision}, nil
+}
+
+// Fetch hands out the document in force.
+func (d *Daemon) Fetch(_ context.Context, _ *link.FetchRequest) (*link.FetchReply, error) {
+	inForce := d.conf.InForce()
+	if inForce.Document == nil {
+		return &link.FetchReply{}, nil
+	}
+	return &link.FetchReply{Found: true, Document: *inForce.Document}, nil
+}
+
+// View hands out what the owner knows.
+func (d *Daemon) View(_ context.Context, _ *link.ViewRequest) (*link.ViewReply, error) {
+	snapshot, ok := d.owner.Snapshot(d.now())
+	return &link.ViewReply{Owner: ok, Snapshot: snapshot}, nil
+}
+
+// take brings a document into force if it is newer.
+func (d *Daemon) take(doc *config.Document, source config.Source) bool {
+	if !d.conf.Offer(doc, source, d.now()) {
+		return false
+	}
+	d.log.Emit(event.ConfigInForce, event.Fields{
+		"revision": doc.Revision, "command": doc.Command, "by": doc.By, "source": source.String(),
+		"after": d.now().Sub(doc.At).Round(time.Millisecond).String(),
+	})
+	return true
+}
--- /dev/null
+++ b/internal/node/daemon/watch.go
@@ -0,0 +1,135 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v4"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/state/config"
+	"github.com/lentildeck/lentildeck/internal/state/ledger"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// watchPrefix covers the configuration and the ledger, but not the claims.
+	watchPrefix = "deck/"
+	// watchWait is how long one watch call waits; its answer proves that nothing changed.
+	watchWait = time.Second
+	// pollEvery is how often an instance that does not decide reads the configuration.
+	pollEvery = time.Second
+	// retryAtMost is the longest wait between tries while the service does not answer.
+	retryAtMost = 2 * time.Second
+)
+
+// watch follows the key-value service: the owner by a watch, the others by a slow poll behind the owner's relay.
+func (d *Daemon) watch(ctx context.Context) {
+	var relays conc.WaitGroup
+	defer relays.Wait()
+	pause := backoff.NewExponentialBackOff(backoff.WithInitialInterval(100*time.Millisecond),
+		backoff.WithMaxInterval(retryAtMost), backoff.WithMaxElapsedTime(0), backoff.WithRandomizationFactor(0.9))
+	lost := false
+	after := int64(0)
+	for ctx.Err() == nil {
+		wait := pollEvery
+		var err error
+		if d.owner.Epoch() != 0 {
+			after, err = d.follow(ctx, &relays, after)
+			wait = 0
+		} else {
+			after = 0
+			err = d.poll(ctx)
+		}
+		if err != nil {
+			wait = pause.NextBackOff()
+		} else {
+			pause.Reset()
+		}
+		if (err != nil) != lost && ctx.Err() == nil {
+			lost = err != nil
+			d.noteStore(err)
+		}
+		if wait > 0 {
+			rest(ctx, wait)
+		}
+	}
+}
+
+func (d *Daemon) noteStore(err error) {
+	if err != nil {
+		d.log.Emit(event.StoreLost, event.Fields{"error": err.Error()})
+		return
+	}
+	d.log.Emit(event.StoreBack, event.Fields{})
+}
+
+// follow makes one watch call; the time it was sent is when nothing newer existed.
+func (d *Daemon) follow(ctx context.Context, relays *conc.WaitGroup, after int64) (int64, error) {
+	sent := d.now()
+	entries, upto, err := d.store.Watch(ctx, watchPrefix, after, watchWait)
+	if err != nil {
+		return after, err
+	}
+	for _, entry := range entries {
+		if err := d.absorb(ctx, relays, entry); err != nil {
+			d.log.Emit(event.RecordBad, event.Fields{"error": err.Error()})
+		}
+	}
+	d.conf.Confirm(sent)
+	return upto, nil
+}
+
+func (d *Daemon) absorb(ctx context.Context, relays *conc.WaitGroup, entry store.Entry) error {
+	if strings.HasPrefix(entry.Key, ledger.Prefix) {
+		return d.ledger.Absorb(entry)
+	}
+	doc, err := parseDocument(entry)
+	if err != nil || doc == nil {
+		return err
+	}
+	if d.take(doc, config.FromStore) {
+		d.relay(ctx, relays, doc)
+	}
+	return nil
+}
+
+// poll reads the configuration.
+func (d *Daemon) poll(ctx context.Context) error {
+	sent := d.now()
+	entry, err := d.store.Get(ctx, store.Commands, config.Key)
+	if err != nil {
+		return err
+	}
+	doc, err := parseDocument(entry)
+	if err != nil {
+		return err
+	}
+	if doc != nil {
+		d.take(doc, config.FromStore)
+	}
+	d.conf.Confirm(sent)
+	return nil
+}
+
+func parseDocument(entry store.Entry) (*config.Document, error) {
+	if len(entry.Data) == 0 {
+		return nil, nil
+	}
+	var doc config.Document
+	if err := json.Unmarshal(entry.Data, &doc); err != nil {
+		return nil, &store.RecordError{Key: entry.Key, Problem: err.Error()}
+	}
+	return &doc, nil
+}
+
+func rest(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/node/local/cluster.go
@@ -0,0 +1,215 @@
+package local
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/span"
+	"github.com/lentildeck/lentildeck/internal/node/daemon"
+	"github.com/lentildeck/lentildeck/internal/node/setup"
+	"github.com/lentildeck/lentildeck/internal/oper/client"
+	"github.com/lentildeck/lentildeck/internal/peer/list"
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/state/config"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// anyPort lets the system choose a free port on this machine.
+	anyPort = "127.0.0.1:0"
+	// token is shared by everything in the one process; it guards nothing outside it.
+	token = "local-stand-in-token"
+	// balancerLag is short, as there is no balancer.
+	balancerLag = 200 * time.Millisecond
+	// workersEvery is how often each worker is called.
+	workersEvery = 300 * time.Millisecond
+	// workersLease is short, so that the tour need not wait long.
+	workersLease = 3 * time.Second
+)
+
+// Node is one running instance.
+type Node struct {
+	Name   string
+	Centre string
+	Daemon *daemon.Daemon
+	Client *client.Client
+	stop   context.CancelFunc
+}
+
+// Cluster is everything that runs in the process.
+type Cluster struct {
+	KV       *fake.KV
+	List     *fake.List
+	Workers  *fake.Workers
+	Backends []*fake.Backend
+
+	mu       sync.Mutex
+	nodes    []*Node
+	log      *event.Log
+	now      func() time.Time
+	platform *fake.Server
+	machines *fake.Server
+	wg       conc.WaitGroup
+}
+
+// StartPlatform starts the stand-ins and writes the sample configuration.
+func StartPlatform(ctx context.Context, platformAt, workersAt string, log *event.Log, now func() time.Time) (*Cluster, error) {
+	c := &Cluster{KV: fake.NewKV(now), List: fake.NewList(), Workers: fake.NewWorkers(now), log: log, now: now}
+	var err error
+	if c.platform, err = fake.ServePlatform(platformAt, c.KV, c.List); err != nil {
+		return nil, err
+	}
+	if c.machines, err = fake.ServeWorkers(workersAt, token, c.Workers); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	for _, p := range places {
+		for n := range backendsPerCentre {
+			if err := c.addBackend(fmt.Sprintf("runner-%s-%d", p.short, n), p.name); err != nil {
+				return nil, errors.Join(err, c.Close())
+			}
+		}
+	}
+	return c, c.seed(ctx)
+}
+
+// Start starts the stand-ins and the seven instances of the sample.
+func Start(ctx context.Context, log *event.Log, now func() time.Time) (*Cluster, error) {
+	c, err := StartPlatform(ctx, anyPort, anyPort, log, now)
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range places {
+		for n := range p.instances {
+			if _, err := c.AddNode(fmt.Sprintf("%s-entry-%d", p.short, n), p.name); err != nil {
+				return nil, errors.Join(err, c.Close())
+			}
+		}
+	}
+	return c, nil
+}
+
+// PlatformURL returns where the stand-ins for the key-value service and the instance list answer.
+func (c *Cluster) PlatformURL() string { return c.platform.URL() }
+
+// WorkersURL returns where the stand-in workers answer, with {worker} for the name.
+func (c *Cluster) WorkersURL() string { return c.machines.URL() + "/workers/{worker}" }
+
+func (c *Cluster) addBackend(name, centre string) error {
+	backend, err := fake.NewBackend(name, anyPort, c.now)
+	if err != nil {
+		return err
+	}
+	c.Backends = append(c.Backends, backend)
+	c.List.Add(list.Instance{Name: name, Kind: list.Backend, DataCentre: centre, Address: backend.Address()})
+	return nil
+}
+
+// seed writes the sample configuration as an operator's first `config apply` would.
+func (c *Cluster) seed(ctx context.Context) error {
+	client := store.NewClient(c.KV, store.NewBudget(100, 100), c.now, func() string { return "sample" })
+	entry, err := client.Get(ctx, store.Commands, config.Key)
+	if err != nil {
+		return err
+	}
+	raw, err := json.Marshal(Sample(c.now()))
+	if err != nil {
+		return err
+	}
+	_, err = client.Swap(ctx, store.Commands, entry, json.RawMessage(raw), 0)
+	return err
+}
+
+// Settings returns the settings of an instance of this cluster.
+func (c *Cluster) Settings(name, centre string) setup.Settings {
+	s := setup.Default()
+	s.Instance, s.DataCentre = name, centre
+	s.Listen = setup.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort}
+	s.Store.Endpoint = c.PlatformURL()
+	s.List.Endpoint, s.List.Every = c.PlatformURL(), span.Of(300*time.Millisecond)
+	s.Workers.Endpoint, s.Workers.Token = c.WorkersURL(), token
+	s.Workers.Every, s.Workers.Lease = span.Of(workersEvery), span.Of(workersLease)
+	s.Operators.Token = token
+	s.BalancerLag = span.Of(balancerLag)
+	return s
+}
+
+// AddNode starts one more instance.
+func (c *Cluster) AddNode(name, centre string) (*Node, error) {
+	settings := c.Settings(name, centre)
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	d, err := daemon.New(settings, c.log, c.now)
+	if err != nil {
+		return nil, err
+	}
+	callers, operators, peers := d.Addresses()
+	ctx, cancel := context.WithCancel(context.Background())
+	node := &Node{
+		Name: name, Centre: centre, Daemon: d, stop: cancel,
+		Client: client.New("http://"+operators, "http://"+callers, token, "local", nil),
+	}
+	c.List.Add(list.Instance{Name: name, Kind: list.Entry, DataCentre: centre, Address: peers})
+	c.wg.Go(func() {
+		if err := d.Run(ctx); err != nil {
+			c.log.Emit(event.PartFailed, event.Fields{"part": name, "error": err.Error()})
+		}
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes = append(c.nodes, node)
+	return node, nil
+}
+
+// Nodes returns the instances that were not stopped.
+func (c *Cluster) Nodes() []*Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*Node(nil), c.nodes...)
+}
+
+// Remove ends an instance: by a planned stop, or as abruptly as its process would die.
+func (c *Cluster) Remove(node *Node, abrupt bool) {
+	c.mu.Lock()
+	for i, other := range c.nodes {
+		if other == node {
+			c.nodes = append(c.nodes[:i:i], c.nodes[i+1:]...)
+			break
+		}
+	}
+	c.mu.Unlock()
+	if abrupt {
+		node.Daemon.Kill()
+	}
+	c.List.Set(node.Name, list.Leaving, abrupt)
+	node.stop()
+	<-node.Daemon.Done()
+	c.List.Set(node.Name, list.Leaving, true)
+}
+
+// Close stops everything.
+func (c *Cluster) Close() error {
+	var stops conc.WaitGroup
+	for _, node := range c.Nodes() {
+		stops.Go(func() {
+			node.stop()
+			<-node.Daemon.Done()
+		})
+	}
+	stops.Wait()
+	c.wg.Wait()
+	var all error
+	for _, backend := range c.Backends {
+		all = errors.Join(all, backend.Close())
+	}
+	if c.machines != nil {
+		all = errors.Join(all, c.machines.Close())
+	}
+	return errors.Join(all, c.platform.Close())
+}
--- /dev/null
+++ b/internal/node/local/tour.go
@@ -0,0 +1,336 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/span"
+	"github.com/lentildeck/lentildeck/internal/place/guard"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/place/shape"
+)
+
+const (
+	// quickCount is how many quick requests the tour sends.
+	quickCount = 70
+	// pollEvery is how often the tour looks whether a step has come true.
+	pollEvery = 50 * time.Millisecond
+	// stepLimit is how long a step may take.
+	stepLimit = 12 * time.Second
+	// fillers is how many borrowing jobs fill the fleet.
+	fillers = 12
+)
+
+// StepError says which step of the tour did not hold.
+type StepError struct {
+	Step    string
+	Problem string
+}
+
+// Error names both.
+func (e *StepError) Error() string { return fmt.Sprintf("%s: %s", e.Step, e.Problem) }
+
+// tour walks through what lentildeck does.
+type tour struct {
+	cluster *Cluster
+	out     io.Writer
+	now     func() time.Time
+	number  int
+}
+
+// step is one stop of the tour.
+type step struct {
+	title string
+	run   func(ctx context.Context) (string, error)
+}
+
+// Tour proves each step and prints what it did; the first step that does not hold ends it with a StepError.
+func Tour(ctx context.Context, c *Cluster, out io.Writer, now func() time.Time) error {
+	t := &tour{cluster: c, out: out, now: now}
+	for _, s := range []step{
+		{"Seven instances come up; one in each data centre takes the lease to decide", t.comeUp},
+		{"Quick requests are answered while the callers wait", t.quick},
+		{"A gang of 4 workers runs as a whole, on one rack", t.gang},
+		{"The lab borrows everything that is free", t.borrow},
+		{"The recount gets its guaranteed shape back from the borrowers", t.reclaim},
+		{"A waiting job says why it waits", t.why},
+		{"A data centre is drained: its work leaves, nothing new starts there", t.drain},
+		{"The data centre is restored and takes work again", t.restore},
+		{"The instance that decides for a data centre is lost; another takes over", t.lose},
+		{"A new workspace is configured and in force on every instance", t.configure},
+	} {
+		t.number++
+		began := now()
+		told, err := s.run(ctx)
+		if err != nil {
+			_, _ = fmt.Fprintf(out, "%2d. FAILED  %s\n    %v\n", t.number, s.title, err)
+			return &StepError{Step: s.title, Problem: err.Error()}
+		}
+		_, _ = fmt.Fprintf(out, "%2d. ok  %s (%s)\n    %s\n", t.number, s.title, now().Sub(began).Round(10*time.Millisecond), told)
+	}
+	return nil
+}
+
+// until waits for the condition; it returns the condition's last word if time runs out.
+func (t *tour) until(ctx context.Context, condition func() (bool, string)) error {
+	limit, cancel := context.WithTimeout(ctx, stepLimit)
+	defer cancel()
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for {
+		ok, word := condition()
+		if ok {
+			return nil
+		}
+		select {
+		case <-limit.Done():
+			return &StepError{Step: "waited " + stepLimit.String(), Problem: word}
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *tour) node(i int) *Node {
+	nodes := t.cluster.Nodes()
+	return nodes[i%len(nodes)]
+}
+
+func (t *tour) comeUp(ctx context.Context) (string, error) {
+	want := len(t.cluster.Nodes())
+	owners, ready := 0, 0
+	err := t.until(ctx, func() (bool, string) {
+		owners, ready = 0, 0
+		answer, err := t.node(0).Client.Line("instances")
+		if err != nil {
+			return false, err.Error()
+		}
+		for _, row := range answer.Rows {
+			if row["owner"] == "true" {
+				owners++
+			}
+			if row["revision"] != "0" {
+				ready++
+			}
+		}
+		return owners == len(places) && ready == want, fmt.Sprintf("%d owners, %d of %d instances have the configuration", owners, ready, want)
+	})
+	return fmt.Sprintf("%d instances have the configuration; %d data centres have an owner", ready, owners), err
+}
+
+func (t *tour) quick(context.Context) (string, error) {
+	var took time.Duration
+	for i := range quickCount {
+		id := fmt.Sprintf("tour-%d", i)
+		body := fmt.Sprintf("price of order %d", i)
+		began := t.now()
+		answer, err := t.node(i).Client.Quick("/price", id, []byte(body))
+		if err != nil {
+			return "", err
+		}
+		took = max(took, t.now().Sub(began))
+		if want := "answer to " + id + ": " + body; answer != want {
+			return "", &StepError{Step: id, Problem: fmt.Sprintf("got %q, wanted %q", answer, want)}
+		}
+	}
+	return fmt.Sprintf("%d callers got their own whole answer; the slowest waited %s", quickCount, took.Round(time.Microsecond)), nil
+}
+
+func gangOf(workspace, name string, members int, runs time.Duration) queue.Spec {
+	return queue.Spec{
+		Job: name, Workspace: workspace, Class: queue.Batch, Idempotent: true,
+		Shape:    shape.Shape{Members: members, Resources: each(workerAccelerator), Within: shape.Rack},
+		Declared: span.Of(runs), CheckpointEvery: span.Of(time.Second), CheckpointTakes: span.Of(300 * time.Millisecond), Payload: runs.String(),
+	}
+}
+
+// phase waits until the job is in the phase and returns its row.
+func (t *tour) phase(ctx context.Context, job string, want ...queue.Phase) (dataCentre, workers string, err error) {
+	err = t.until(ctx, func() (bool, string) {
+		answer, err := t.node(0).Client.Line(fmt.Sprintf("jobs where job = %q", job))
+		if err != nil {
+			return false, err.Error()
+		}
+		for _, row := range answer.Rows {
+			dataCentre, workers = row["dataCentre"], row["workers"]
+			for _, phase := range want {
+				if row["phase"] == phase.String() {
+					return true, ""
+				}
+			}
+			return false, fmt.Sprintf("%s is %s: %s", job, row["phase"], row["why"])
+		}
+		return false, job + " is not listed"
+	})
+	return dataCentre, workers, err
+}
+
+func (t *tour) gang(ctx context.Context) (string, error) {
+	if _, err := t.node(1).Client.Submit(gangOf("recount", "recount-1", 4, time.Second)); err != nil {
+		return "", err
+	}
+	centre, workers, err := t.phase(ctx, "recount-1", queue.Running)
+	if err != nil {
+		return "", err
+	}
+	var result string
+	err = t.until(ctx, func() (bool, string) {
+		record, err := t.node(2).Client.Job("recount-1")
+		if err != nil {
+			return false, err.Error()
+		}
+		result = record.Outcome.String()
+		return record.Outcome == queue.Finished, "outcome is " + result
+	})
+	return fmt.Sprintf("recount-1 ran in %s on %s and is recorded as %s", centre, workers, result), err
+}
+
+func (t *tour) borrow(ctx context.Context) (string, error) {
+	for i := range fillers {
+		if _, err := t.node(i).Client.Submit(gangOf("lab", fmt.Sprintf("lab-%d", i), 4, time.Hour)); err != nil {
+			return "", err
+		}
+	}
+	free := ""
+	err := t.until(ctx, func() (bool, string) {
+		answer, err := t.node(0).Client.Line("workers where free > 0")
+		if err != nil {
+			return false, err.Error()
+		}
+		free = fmt.Sprintf("%d workers have something free", len(answer.Rows))
+		return len(answer.Rows) == 0, free
+	})
+	return fmt.Sprintf("%d lab gangs fill all 48 workers; %s", fillers, free), err
+}
+
+func (t *tour) reclaim(ctx context.Context) (string, error) {
+	began := t.now()
+	if _, err := t.node(0).Client.Submit(gangOf("recount", "recount-2", 4, 20*time.Minute)); err != nil {
+		return "", err
+	}
+	centre, _, err := t.phase(ctx, "recount-2", queue.Running)
+	return fmt.Sprintf("recount-2 started in %s %s after it was submitted to a full fleet", centre, t.now().Sub(began).Round(10*time.Millisecond)), err
+}
+
+func (t *tour) why(ctx context.Context) (string, error) {
+	told := ""
+	err := t.until(ctx, func() (bool, string) {
+		waiting, err := t.node(0).Client.Line("jobs where workspace = lab and phase = waiting limit 1")
+		if err != nil {
+			return false, err.Error()
+		}
+		if len(waiting.Rows) == 0 {
+			return false, "no lab job waits"
+		}
+		answer, err := t.node(0).Client.Line("why " + waiting.Rows[0]["job"])
+		if err != nil {
+			return false, err.Error()
+		}
+		told = strings.ReplaceAll(answer.Message, "\n", "")
+		return strings.Contains(told, "needs 4 ×"), told
+	})
+	return told, err
+}
+
+func (t *tour) drain(ctx context.Context) (string, error) {
+	answer, err := t.node(0).Client.Line("drain haskovo within 3s")
+	if err != nil {
+		return "", err
+	}
+	err = t.until(ctx, func() (bool, string) {
+		rows, err := t.node(0).Client.Line("workers in haskovo where jobs != \"\"")
+		if err != nil {
+			return false, err.Error()
+		}
+		return len(rows.Rows) == 0, fmt.Sprintf("%d workers still have jobs", len(rows.Rows))
+	})
+	return answer.Message, err
+}
+
+func (t *tour) restore(ctx context.Context) (string, error) {
+	answer, err := t.node(1).Client.Line("restore haskovo")
+	if err != nil {
+		return "", err
+	}
+	err = t.until(ctx, func() (bool, string) {
+		rows, err := t.node(0).Client.Line("workers in haskovo where jobs != \"\"")
+		if err != nil {
+			return false, err.Error()
+		}
+		return len(rows.Rows) > 0, "nothing runs there yet"
+	})
+	return answer.Message, err
+}
+
+func (t *tour) lose(ctx context.Context) (string, error) {
+	var victim *Node
+	for _, node := range t.cluster.Nodes() {
+		if node.Centre == "plovdiv" && node.Daemon.IsOwner() {
+			victim = node
+		}
+	}
+	if victim == nil {
+		return "", &StepError{Step: "plovdiv", Problem: "no instance decides for it"}
+	}
+	before, err := t.running("plovdiv")
+	if err != nil {
+		return "", err
+	}
+	began := t.now()
+	t.cluster.Remove(victim, true)
+	owner := ""
+	err = t.until(ctx, func() (bool, string) {
+		answer, err := t.node(0).Client.Line("centres where dataCentre = plovdiv")
+		if err != nil || len(answer.Rows) == 0 {
+			return false, "no answer"
+		}
+		owner = answer.Rows[0]["owner"]
+		after, err := t.running("plovdiv")
+		if err != nil {
+			return false, err.Error()
+		}
+		return owner != "" && owner != victim.Name && after == before, fmt.Sprintf("owner %q, running %q, before %q", owner, after, before)
+	})
+	return fmt.Sprintf("%s is gone; %s decides after %s, and the same jobs run on", victim.Name, owner, t.now().Sub(began).Round(10*time.Millisecond)), err
+}
+
+func (t *tour) running(centre string) (string, error) {
+	answer, err := t.node(0).Client.Line("jobs in " + centre + " where phase = running order by job")
+	if err != nil {
+		return "", err
+	}
+	var names []string
+	for _, row := range answer.Rows {
+		names = append(names, row["job"]+"#"+row["attempt"])
+	}
+	return strings.Join(names, " "), nil
+}
+
+func (t *tour) configure(ctx context.Context) (string, error) {
+	doc, err := t.node(0).Client.Config()
+	if err != nil {
+		return "", err
+	}
+	doc.Workspaces = append(doc.Workspaces, guard.Workspace{Name: "audit"})
+	source, err := encode(doc)
+	if err != nil {
+		return "", err
+	}
+	answer, err := t.node(1).Client.Apply(source)
+	if err != nil {
+		return "", err
+	}
+	count := 0
+	err = t.until(ctx, func() (bool, string) {
+		count = 0
+		rows, err := t.node(2).Client.Line(fmt.Sprintf("instances where revision > %d", doc.Revision))
+		if err != nil {
+			return false, err.Error()
+		}
+		count = len(rows.Rows)
+		return count == len(t.cluster.Nodes()), fmt.Sprintf("in force on %d instances", count)
+	})
+	return fmt.Sprintf("%s; in force on all %d instances", answer, count), err
+}
--- /dev/null
+++ b/internal/node/owner/launch.go
@@ -0,0 +1,249 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/edge/worker"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/span"
+	"github.com/lentildeck/lentildeck/internal/place/engine"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/state/ledger"
+	"github.com/sourcegraph/conc"
+)
+
+// startTries is how often the start order is repeated to a worker that gives no answer.
+const startTries = 2
+
+// TakenError says that another data centre holds the job.
+type TakenError struct {
+	Job        string
+	DataCentre string
+}
+
+// Error names the data centre.
+func (e *TakenError) Error() string {
+	return fmt.Sprintf("job %q is held by data centre %s", e.Job, e.DataCentre)
+}
+
+// launch records the attempt, reserves all members and starts them, in the background.
+func (o *Owner) launch(t *term, a engine.Start, now time.Time) {
+	j := t.engine.Job(a.Job)
+	g := newGang(j.Spec, j.Submitted, a.Attempt, t.engine.Fleet.Names(a.Workers), starting)
+	g.began = now
+	t.gangs[a.Job] = g
+	progress := j.Progress
+	o.wg.Go(func() { o.startGang(t, g, progress) })
+}
+
+// startGang starts all members or none.
+func (o *Owner) startGang(t *term, g *gang, progress time.Duration) {
+	if err := o.claim(g, progress); err != nil {
+		o.dropStart(t, g, err)
+		return
+	}
+	if err := o.toAll(t, g, func(i []int) worker.Request { return reserveRequest(g, i, progress) }, 1); err != nil {
+		o.failStart(t, g, err)
+		return
+	}
+	if err := o.mayStart(t); err != nil {
+		o.failStart(t, g, err)
+		return
+	}
+	if err := o.toAll(t, g, func(i []int) worker.Request { return startRequest(g, i) }, startTries); err != nil {
+		o.failStart(t, g, err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if g.stage == starting {
+		g.stage = running
+		g.began = o.cfg.Now()
+		o.judge(t, g, o.cfg.Now())
+	}
+}
+
+// claim records the attempt before anything is sent to a worker.
+//
+// While the service is unreachable, an idempotent job that this data centre holds already may be started without a new record.
+func (o *Owner) claim(g *gang, progress time.Duration) error {
+	err := o.update(g.spec.Job, func(r *ledger.Record, exists bool) error {
+		switch {
+		case !exists:
+			return &ledger.MissingError{Job: g.spec.Job}
+		case !r.Open() || r.CancelAsked:
+			return &ledger.EndedError{Job: g.spec.Job, Outcome: r.Outcome}
+		case r.DataCentre != "" && r.DataCentre != o.cfg.Centre:
+			return &TakenError{Job: g.spec.Job, DataCentre: r.DataCentre}
+		}
+		r.DataCentre, r.Phase, r.Attempt, r.Workers = o.cfg.Centre, queue.Running, g.attempt, g.workers
+		r.Started, r.Progress = g.began, span.Of(progress)
+		return nil
+	})
+	if err == nil || !temporary(err) || !g.spec.Idempotent {
+		return err
+	}
+	if held, ok := o.cfg.Ledger.Get(g.spec.Job); ok && held.DataCentre == o.cfg.Centre {
+		return nil
+	}
+	return err
+}
+
+// mayStart checks the lease and the permit once more, right before the members are started.
+func (o *Owner) mayStart(t *term) error {
+	now := o.cfg.Now()
+	if epoch, ok := o.cfg.Holder.Epoch(now); !ok || epoch != t.epoch {
+		return &NotOwnerError{Epoch: t.epoch}
+	}
+	if doc := o.cfg.Conf.InForce().Document; !o.cfg.Permits.Permit(now) || drained(doc.Drained(o.cfg.Centre)) {
+		return &NoPermitError{}
+	}
+	return nil
+}
+
+func drained[T any](_ T, is bool) bool { return is }
+
+// dropStart ends a start that never left this process.
+func (o *Owner) dropStart(t *term, g *gang, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lostClaim(g.spec.Job, err)
+	delete(t.gangs, g.spec.Job)
+	t.engine.StartFailed(g.spec.Job, o.cfg.Now())
+	if !temporary(err) {
+		t.engine.Withdraw(g.spec.Job)
+	}
+	t.generation = -1
+	t.dirty = true
+}
+
+// failStart takes back what was reserved or started.
+func (o *Owner) failStart(t *term, g *gang, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cfg.Log.Emit(event.StartFailed, event.Fields{"job": g.spec.Job, "attempt": g.attempt, "error": err.Error()})
+	v := vanished
+	if o.noneStarted(g) {
+		v = startFailed
+	}
+	o.halt(t, g, v, "not every member could be started")
+}
+
+// noneStarted reports whether no start order can have reached a worker.
+func (o *Owner) noneStarted(g *gang) bool { return !g.startSent.Load() }
+
+// toAll sends one request to each distinct worker of the gang and returns the first failure.
+func (o *Owner) toAll(t *term, g *gang, build func(members []int) worker.Request, tries int) error {
+	var wg conc.WaitGroup
+	var mu sync.Mutex
+	var first error
+	for name, members := range g.byWorker() {
+		request := build(members)
+		request.Worker = name
+		wg.Go(func() {
+			if err := o.deliver(t, g, request, members, tries); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				if first == nil {
+					first = err
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return first
+}
+
+// byWorker groups the members by their worker.
+func (g *gang) byWorker() map[string][]int {
+	groups := make(map[string][]int)
+	for i, name := range g.workers {
+		groups[name] = append(groups[name], i)
+	}
+	return groups
+}
+
+func reserveRequest(g *gang, members []int, progress time.Duration) worker.Request {
+	var request worker.Request
+	for _, i := range members {
+		request.Reserve = append(request.Reserve, g.task(i, progress))
+	}
+	return request
+}
+
+func startRequest(g *gang, members []int) worker.Request {
+	g.startSent.Store(true)
+	var request worker.Request
+	for _, i := range members {
+		request.Start = append(request.Start, g.id(i))
+	}
+	return request
+}
+
+// deliver sends the request until it is answered, and checks that the worker holds the members.
+func (o *Owner) deliver(t *term, g *gang, request worker.Request, members []int, tries int) error {
+	var last error
+	for range tries {
+		response, err := o.call(t, request)
+		if err != nil {
+			last = err
+			continue
+		}
+		o.note(t, request.Worker, response)
+		return holds(g, request, response, members)
+	}
+	return last
+}
+
+// holds checks that the worker has every member, and running ones if they were to be started.
+func holds(g *gang, request worker.Request, response worker.Response, members []int) error {
+	for _, i := range members {
+		at := slices.IndexFunc(response.Tasks, func(s worker.Status) bool { return s.TaskID == g.id(i) })
+		if at < 0 {
+			return &MemberError{Task: g.id(i), Worker: request.Worker, Phase: "missing"}
+		}
+		phase := response.Tasks[at].Phase
+		started := len(request.Start) > 0
+		if phase == worker.Stopped || (started && phase == worker.Reserved) {
+			return &MemberError{Task: g.id(i), Worker: request.Worker, Phase: phase.String()}
+		}
+	}
+	return nil
+}
+
+// call makes one call under the term's epoch.
+func (o *Owner) call(t *term, request worker.Request) (worker.Response, error) {
+	ctx, cancel := context.WithTimeout(o.work, syncTimeout)
+	defer cancel()
+	request.Epoch = t.epoch
+	request.Lease = span.Of(o.cfg.Lease)
+	return o.cfg.Link.Sync(ctx, request)
+}
+
+// NotOwnerError says that the lease was lost before the members were started.
+type NotOwnerError struct{ Epoch int64 }
+
+// Error names the epoch.
+func (e *NotOwnerError) Error() string { return fmt.Sprintf("epoch %d is not surely held", e.Epoch) }
+
+// NoPermitError says that the data centre may be drained.
+type NoPermitError struct{}
+
+// Error says so.
+func (e *NoPermitError) Error() string { return "no proof that the data centre is not drained" }
+
+// MemberError says that a worker does not hold a member as it should.
+type MemberError struct {
+	Task   worker.TaskID
+	Worker string
+	Phase  string
+}
+
+// Error names the task, the worker and the phase.
+func (e *MemberError) Error() string {
+	return fmt.Sprintf("task %s on worker %s is %s", e.Task, e.Worker, e.Phase)
+}
--- /dev/null
+++ b/internal/node/owner/record.go
@@ -0,0 +1,67 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v4"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/state/ledger"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/lentildeck/lentildeck/internal/state/table"
+)
+
+const (
+	// recordTimeout bounds one try to record a change.
+	recordTimeout = 6 * time.Second
+	// recordRetryAtMost is the longest wait between tries.
+	recordRetryAtMost = 5 * time.Second
+)
+
+// record stores a change in the background, as often as it takes.
+func (o *Owner) record(job string, change table.Change[ledger.Record]) {
+	o.wg.Go(func() { o.persist(job, change) })
+}
+
+// persist repeats the change until it is stored or refused; it reports whether it was stored.
+func (o *Owner) persist(job string, change table.Change[ledger.Record]) bool {
+	pause := backoff.NewExponentialBackOff(backoff.WithInitialInterval(50*time.Millisecond),
+		backoff.WithMaxInterval(recordRetryAtMost), backoff.WithMaxElapsedTime(0), backoff.WithRandomizationFactor(0.9))
+	for {
+		err := o.update(job, change)
+		if err == nil {
+			return true
+		}
+		if !temporary(err) {
+			return false
+		}
+		timer := time.NewTimer(pause.NextBackOff())
+		select {
+		case <-o.work.Done():
+			timer.Stop()
+			return false
+		case <-timer.C:
+		}
+	}
+}
+
+func (o *Owner) update(job string, change table.Change[ledger.Record]) error {
+	ctx, cancel := context.WithTimeout(o.work, recordTimeout)
+	defer cancel()
+	return o.cfg.Ledger.Update(ctx, job, change)
+}
+
+// temporary reports whether the key-value service was the cause, so that the change may be tried again.
+func temporary(err error) bool {
+	var unavailable *store.UnavailableError
+	var unknown *store.UnknownError
+	var lost *store.LostError
+	var budget *store.BudgetError
+	return errors.As(err, &unavailable) || errors.As(err, &unknown) || errors.As(err, &lost) || errors.As(err, &budget)
+}
+
+// lostClaim notes that another data centre or a cancellation came first.
+func (o *Owner) lostClaim(job string, err error) {
+	o.cfg.Log.Emit(event.ClaimLost, event.Fields{"job": job, "why": err.Error()})
+}
--- /dev/null
+++ b/internal/oper/exec/doc.go
@@ -0,0 +1,2 @@
+// Package exec carries out statements of the operators' language.
+package exec
--- /dev/null
+++ b/internal/oper/view/rows.go
@@ -0,0 +1,83 @@
+package view
+
+import (
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/reason"
+)
+
+// Job is one job as an operator sees it.
+type Job struct {
+	Job          string        `json:"job"`
+	Workspace    string        `json:"workspace"`
+	Class        string        `json:"class"`
+	Phase        string        `json:"phase"`
+	Outcome      string        `json:"outcome"`
+	DataCentre   string        `json:"dataCentre"`
+	Members      int           `json:"members"`
+	Accelerators int           `json:"accelerators"`
+	Within       string        `json:"within"`
+	Attempt      int           `json:"attempt"`
+	Guaranteed   bool          `json:"guaranteed"`
+	Workers      []string      `json:"workers"`
+	Submitted    time.Time     `json:"submitted"`
+	Reason       reason.Reason `json:"reason"`
+	Why          string        `json:"why"`
+	Result       string        `json:"result"`
+}
+
+// Worker is one worker as an operator sees it.
+type Worker struct {
+	Worker       string   `json:"worker"`
+	DataCentre   string   `json:"dataCentre"`
+	Rack         string   `json:"rack"`
+	State        string   `json:"state"`
+	Accelerators int      `json:"accelerators"`
+	Free         int      `json:"free"`
+	Guaranteed   int      `json:"guaranteed"`
+	Jobs         []string `json:"jobs"`
+}
+
+// DataCentre sums up one data centre.
+type DataCentre struct {
+	DataCentre   string `json:"dataCentre"`
+	State        string `json:"state"`
+	Owner        string `json:"owner"`
+	Epoch        int64  `json:"epoch"`
+	Workers      int    `json:"workers"`
+	Accelerators int    `json:"accelerators"`
+	Free         int    `json:"free"`
+	Guaranteed   int    `json:"guaranteed"`
+	Running      int    `json:"running"`
+	Waiting      int    `json:"waiting"`
+}
+
+// Instance is one entry instance.
+type Instance struct {
+	Instance   string        `json:"instance"`
+	DataCentre string        `json:"dataCentre"`
+	State      string        `json:"state"`
+	Revision   int64         `json:"revision"`
+	Source     string        `json:"source"`
+	Age        time.Duration `json:"ageNanoseconds"`
+	Owner      bool          `json:"owner"`
+	Store      string        `json:"store"`
+}
+
+// Guarantee is one guaranteed shape.
+type Guarantee struct {
+	Workspace  string   `json:"workspace"`
+	DataCentre string   `json:"dataCentre"`
+	Shape      string   `json:"shape"`
+	Job        string   `json:"job"`
+	State      string   `json:"state"`
+	Home       []string `json:"home"`
+}
+
+// Snapshot is what one owner knows.
+type Snapshot struct {
+	Jobs        []Job        `json:"jobs"`
+	Workers     []Worker     `json:"workers"`
+	DataCentres []DataCentre `json:"dataCentres"`
+	Guarantees  []Guarantee  `json:"guarantees"`
+}
--- /dev/null
+++ b/internal/peer/link/server.go
@@ -0,0 +1,34 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Server answers other instances.
+type Server struct {
+	server *drpcserver.Server
+	done   chan struct{}
+}
+
+// NewServer returns a server for the handler.
+func NewServer(handler Handler) (*Server, error) {
+	mux := drpcmux.New()
+	if err := mux.Register(handler, description{}); err != nil {
+		return nil, fmt.Errorf("peer server: %w", err)
+	}
+	return &Server{server: drpcserver.New(mux), done: make(chan struct{})}, nil
+}
+
+// Serve answers calls until ctx ends; then it closes the listener.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	defer close(s.done)
+	return s.server.Serve(ctx, listener)
+}
+
+// Done is closed when the server has stopped.
+func (s *Server) Done() <-chan struct{} { return s.done }
--- /dev/null
+++ b/internal/place/engine/action.go
@@ -0,0 +1,34 @@
+package engine
+
+import "github.com/lentildeck/lentildeck/internal/place/queue"
+
+// Action is a decision that the caller must carry out.
+type Action interface{ action() }
+
+// Start asks for all members to be started at once, member i on Workers[i].
+type Start struct {
+	Job     string
+	Attempt int
+	Workers []int
+	Why     string
+}
+
+// Stop asks for all members to be stopped, after a checkpoint if Checkpoint is set.
+type Stop struct {
+	Job        string
+	Attempt    int
+	Workers    []int
+	Checkpoint bool
+	Why        string
+}
+
+// End reports that a job is over without having finished.
+type End struct {
+	Job     string
+	Outcome queue.Outcome
+	Why     string
+}
+
+func (Start) action() {}
+func (Stop) action()  {}
+func (End) action()   {}
--- /dev/null
+++ b/internal/place/engine/decide.go
@@ -0,0 +1,317 @@
+package engine
+
+import (
+	"sort"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/evict"
+	"github.com/lentildeck/lentildeck/internal/place/fleet"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/place/reason"
+	"github.com/lentildeck/lentildeck/internal/place/shape"
+)
+
+// searchKey is all that decides whether an unentitled job fits.
+type searchKey struct {
+	shape  shape.Shape
+	centre int
+	places int
+	pinned bool
+}
+
+// pass is what one decision has learned so far.
+type pass struct {
+	now     time.Time
+	misses  map[searchKey]reason.Reason
+	preempt int
+	blocker string
+}
+
+// preemptionsPerPass bounds the searches for victims in one decision.
+const preemptionsPerPass = 6
+
+// Decide carries the queue as far as it goes now and returns what must be done.
+func (e *Engine) Decide(now time.Time) []Action {
+	e.drainStep(now)
+	e.probeStep(now)
+	e.startClaims(now)
+	p := &pass{now: now, misses: make(map[searchKey]reason.Reason)}
+	for _, j := range e.sorted(now) {
+		if now.Before(j.NotBefore) {
+			j.Reason = reason.Reason{Code: reason.Backoff, Until: j.NotBefore}
+			continue
+		}
+		if p.blocker != "" && !e.policy.Skip {
+			j.Reason = reason.Reason{Code: reason.BehindOthers, BlockedBy: p.blocker}
+			continue
+		}
+		if !e.place(j, p) && p.blocker == "" {
+			p.blocker = j.Job
+		}
+	}
+	e.compactWaiting()
+	return e.flush()
+}
+
+// place starts the job, or claims a place for it, or records why it waits.
+func (e *Engine) place(j *queue.Job, p *pass) bool {
+	centres := e.startable(j)
+	if len(centres) == 0 {
+		j.Reason = e.closedReason(j)
+		return false
+	}
+	if j.Slot >= 0 && e.seat(j, centres, p.now) {
+		return true
+	}
+	return e.borrow(j, centres, p)
+}
+
+// startable lists the data centres that the job may start in now.
+func (e *Engine) startable(j *queue.Job) []int {
+	open := make([]int, 0, len(j.Centres))
+	for _, d := range j.Centres {
+		if e.Fleet.DataCentres[d].Startable() {
+			open = append(open, d)
+		}
+	}
+	return open
+}
+
+func (e *Engine) closedReason(j *queue.Job) reason.Reason {
+	code := reason.Drained
+	for _, d := range j.Centres {
+		centre := e.Fleet.DataCentres[d]
+		switch {
+		case centre.Available() && centre.NoPermit:
+			return reason.Reason{Code: reason.NoPermit, Shape: j.Shape}
+		case centre.Available():
+			code = reason.NoOwner
+		case centre.Down && code == reason.Drained:
+			code = reason.DataCentreLost
+		}
+	}
+	return reason.Reason{Code: code, Shape: j.Shape}
+}
+
+// borrow places the job on free capacity, or stops larger work for it if the policy says so.
+func (e *Engine) borrow(j *queue.Job, centres []int, p *pass) bool {
+	key := searchKey{shape: j.Shape, centre: centres[0], places: len(centres), pinned: j.Pinned()}
+	miss, missed := p.misses[key]
+	if !missed {
+		if workers := e.Fleet.Find(centres, j.Shape, e.viewFor(j), e.policy.BestFit); workers != nil {
+			e.start(j, workers, "free capacity", p.now)
+			return true
+		}
+		miss = e.explain(j, centres)
+		if len(j.FailedOn) == 0 {
+			p.misses[key] = miss
+		}
+	}
+	j.Reason = miss
+	return e.preempt(j, centres, p)
+}
+
+// viewFor is the capacity that the job may take without stopping anyone.
+func (e *Engine) viewFor(j *queue.Job) fleet.View {
+	view := e.Fleet.FreeView()
+	if j.Pinned() {
+		view = e.Fleet.UnpromisedView()
+	}
+	if len(j.FailedOn) == 0 {
+		return view
+	}
+	return avoiding(view, j.FailedOn)
+}
+
+// avoiding keeps a job off the workers it failed on.
+func avoiding(view fleet.View, workers []int) fleet.View {
+	return func(w int) (shape.Resources, bool) {
+		avail, ok := view(w)
+		return avail, ok && firstIndex(workers, w) < 0
+	}
+}
+
+// both offers what two views allow together.
+func both(a, b fleet.View) fleet.View {
+	return func(w int) (shape.Resources, bool) {
+		left, okLeft := a(w)
+		right, okRight := b(w)
+		return left.Min(right), okLeft && okRight
+	}
+}
+
+// seat places an entitled job: in its home, or a better one, or on borrowed capacity, or by stopping borrowers.
+func (e *Engine) seat(j *queue.Job, centres []int, now time.Time) bool {
+	slot := &e.Guard.Slots[j.Slot]
+	if slot.Home == nil {
+		e.Guard.TakeHome(j.Slot)
+	}
+	limit := e.Guard.HomeView(j.Slot)
+	exact := slot.Shape == j.Shape
+	if exact {
+		limit = e.Guard.Allowance(j.Slot)
+	}
+	if len(j.FailedOn) > 0 {
+		limit = avoiding(limit, j.FailedOn)
+	}
+	if workers := e.Fleet.Find(centres, j.Shape, both(e.Fleet.FreeView(), limit), true); workers != nil {
+		e.sit(j, workers, exact)
+		e.start(j, workers, "guaranteed capacity", now)
+		return true
+	}
+	if !j.Pinned() {
+		if workers := e.Fleet.Find(centres, j.Shape, e.viewFor(j), true); workers != nil {
+			e.start(j, workers, "free capacity outside its guarantee", now)
+			return true
+		}
+	}
+	search := evict.Search{Fleet: e.Fleet, Shape: j.Shape, Limit: limit, Source: e.reclaimable(j, now)}
+	plan, ok := search.Best(centres)
+	if !ok {
+		return false
+	}
+	e.sit(j, plan.Workers, exact)
+	e.claim(j, plan, "reclaims its guarantee", now)
+	return true
+}
+
+// sit marks the slot as used by the job at these workers.
+func (e *Engine) sit(j *queue.Job, workers []int, exact bool) {
+	if exact {
+		e.Guard.SetHome(j.Slot, append([]int(nil), workers...))
+	}
+	e.Guard.Slots[j.Slot].Seated = true
+}
+
+// start occupies the workers and asks for the members to be started.
+func (e *Engine) start(j *queue.Job, workers []int, why string, now time.Time) {
+	e.occupy(j, workers)
+	e.launch(j, why, now)
+}
+
+func (e *Engine) launch(j *queue.Job, why string, now time.Time) {
+	j.Phase = queue.Running
+	j.Started = now
+	if j.Idempotent || j.Attempt == 0 {
+		j.Attempt++
+	}
+	j.Reason = reason.Reason{}
+	e.act(Start{Job: j.Job, Attempt: j.Attempt, Workers: append([]int(nil), j.Workers...), Why: why})
+}
+
+// claim sets the plan's place aside and stops its victims.
+func (e *Engine) claim(j *queue.Job, plan evict.Plan, why string, now time.Time) {
+	e.occupy(j, plan.Workers)
+	j.Phase = queue.Claiming
+	for _, v := range plan.Victims {
+		e.displace(e.jobs[v.Job], j, now)
+	}
+	if j.Victims == 0 {
+		e.launch(j, why, now)
+		return
+	}
+	where := e.Fleet.Racks[e.Fleet.Workers[plan.Workers[0]].Rack].Name
+	j.Reason = reason.Reason{Code: reason.Reclaiming, Shape: j.Shape, Where: where, Stopping: j.Victims}
+}
+
+// displace makes one victim give way to the claimant.
+func (e *Engine) displace(victim, claimant *queue.Job, now time.Time) {
+	switch victim.Phase {
+	case queue.Claiming:
+		e.giveUp(victim)
+		e.requeue(victim, now)
+		return
+	case queue.Running:
+		e.stop(victim, e.byCheckpoint(victim, claimant, now), "gives way to "+claimant.Job)
+	}
+	if victim.Phase == queue.Stopping {
+		e.claims[victim.Job] = append(e.claims[victim.Job], claimant)
+		claimant.Victims++
+	}
+}
+
+// stop asks for the job to be stopped; it holds its capacity until the stop is reported.
+func (e *Engine) stop(j *queue.Job, checkpoint bool, why string) {
+	j.Phase = queue.Stopping
+	e.act(Stop{Job: j.Job, Attempt: j.Attempt, Workers: append([]int(nil), j.Workers...), Checkpoint: checkpoint, Why: why})
+}
+
+// startClaims starts the jobs whose victims have all stopped.
+func (e *Engine) startClaims(now time.Time) {
+	for _, j := range e.claiming() {
+		d := e.Fleet.Workers[j.Workers[0]].DataCentre
+		if j.Victims == 0 && e.Fleet.DataCentres[d].Startable() {
+			e.launch(j, "capacity reclaimed", now)
+		}
+		j.Reason.Stopping = j.Victims
+	}
+}
+
+func (e *Engine) claiming() []*queue.Job {
+	var found []*queue.Job
+	for _, open := range e.open {
+		for _, j := range open {
+			if j.Phase == queue.Claiming {
+				found = append(found, j)
+			}
+		}
+	}
+	sort.Slice(found, func(a, b int) bool { return found[a].Job < found[b].Job })
+	return found
+}
+
+// compactWaiting drops the jobs that hold capacity now.
+func (e *Engine) compactWaiting() {
+	kept := e.waiting[:0]
+	for _, j := range e.waiting {
+		if j.Phase == queue.Waiting {
+			kept = append(kept, j)
+		}
+	}
+	clear(e.waiting[len(kept):])
+	e.waiting = kept
+}
+
+// explain records why no place was found, with the best place there is.
+func (e *Engine) explain(j *queue.Job, centres []int) reason.Reason {
+	r := reason.Reason{Code: reason.NoCapacity, Shape: j.Shape}
+	total := 0
+	for _, d := range centres {
+		members, where := e.Fleet.LargestFree(d, j.Shape)
+		if members >= r.Found {
+			r.Found, r.Where = members, where
+		}
+		wide := j.Shape
+		wide.Within = shape.DataCentre
+		free, _ := e.Fleet.LargestFree(d, wide)
+		total = max(total, free)
+	}
+	switch {
+	case r.Found >= j.Members && j.Pinned():
+		r.Code = reason.Promised
+	case total >= j.Members:
+		r.Code = reason.Fragmented
+	}
+	r.BlockedBy = e.largestAt(r.Where)
+	return r
+}
+
+// largestAt names the job that holds the most on the rack or worker.
+func (e *Engine) largestAt(where string) string {
+	var largest *queue.Job
+	for w := range e.Fleet.Workers {
+		worker := &e.Fleet.Workers[w]
+		if worker.Name != where && e.Fleet.Racks[worker.Rack].Name != where {
+			continue
+		}
+		for _, j := range e.onWorker[w] {
+			if largest == nil || j.Total().Accelerators > largest.Total().Accelerators {
+				largest = j
+			}
+		}
+	}
+	if largest == nil {
+		return ""
+	}
+	return largest.Job
+}
--- /dev/null
+++ b/internal/place/engine/engine.go
@@ -0,0 +1,223 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/fleet"
+	"github.com/lentildeck/lentildeck/internal/place/guard"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/place/shape"
+)
+
+// drainState is when a drained data centre has to be empty.
+type drainState struct {
+	deadline time.Time
+	active   bool
+}
+
+// workerState is what is known about a worker's health.
+type workerState struct {
+	// failedJobs are distinct jobs that failed on the worker since a task last succeeded there.
+	failedJobs []string
+	// probeAt is when a quarantined worker gets another chance.
+	probeAt time.Time
+	probes  int
+}
+
+// Engine is the decision state for a set of data centres.
+type Engine struct {
+	Fleet  *fleet.Fleet
+	Guard  *guard.Guard
+	policy Policy
+	est    *queue.Estimator
+	rng    *rand.Rand
+
+	jobs     map[string]*queue.Job
+	waiting  []*queue.Job
+	open     map[string][]*queue.Job
+	onWorker [][]*queue.Job
+	claims   map[string][]*queue.Job
+	health   []workerState
+	drains   []drainState
+	centres  map[string][]int
+	holds    map[int]string
+	held     map[string]bool
+	actions  []Action
+}
+
+// Config is what an engine is made from.
+type Config struct {
+	DataCentres []fleet.DataCentreSpec
+	Workspaces  []guard.Workspace
+	Policy      Policy
+	Seed        uint64
+}
+
+// New returns an engine with an empty queue, or the reason why the guarantees don't fit.
+func New(cfg Config) (*Engine, error) {
+	f, err := fleet.New(cfg.DataCentres)
+	if err != nil {
+		return nil, err
+	}
+	promised := cfg.Workspaces
+	if !cfg.Policy.Guarantees {
+		promised = withoutGuarantees(promised)
+	}
+	g, err := guard.New(f, promised, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{
+		Fleet: f, Guard: g, policy: cfg.Policy,
+		est: queue.NewEstimator(), rng: rand.New(rand.NewPCG(cfg.Seed, 2)),
+		jobs: make(map[string]*queue.Job), open: make(map[string][]*queue.Job),
+		onWorker: make([][]*queue.Job, len(f.Workers)), claims: make(map[string][]*queue.Job),
+		health: make([]workerState, len(f.Workers)), drains: make([]drainState, len(f.DataCentres)),
+		centres: make(map[string][]int), holds: make(map[int]string), held: make(map[string]bool),
+	}
+	for _, ws := range cfg.Workspaces {
+		if e.centres[ws.Name], err = guard.Centres(f, ws); err != nil {
+			return nil, err
+		}
+	}
+	return e, nil
+}
+
+func withoutGuarantees(workspaces []guard.Workspace) []guard.Workspace {
+	bare := make([]guard.Workspace, len(workspaces))
+	for i, ws := range workspaces {
+		bare[i] = guard.Workspace{Name: ws.Name, DataCentres: ws.DataCentres}
+	}
+	return bare
+}
+
+// Job returns the state of a job, or nil.
+func (e *Engine) Job(id string) *queue.Job { return e.jobs[id] }
+
+// Waiting returns the jobs that hold no capacity; the slice is the engine's own.
+func (e *Engine) Waiting() []*queue.Job { return e.waiting }
+
+// EachJob calls visit for every job the engine knows.
+func (e *Engine) EachJob(visit func(*queue.Job)) {
+	for _, j := range e.jobs {
+		visit(j)
+	}
+}
+
+// Forget drops an ended job.
+func (e *Engine) Forget(id string) {
+	if j := e.jobs[id]; j != nil && j.Phase == queue.Ended {
+		delete(e.jobs, id)
+	}
+}
+
+// act queues an action for the caller.
+func (e *Engine) act(a Action) { e.actions = append(e.actions, a) }
+
+// flush hands over the queued actions.
+func (e *Engine) flush() []Action {
+	out := e.actions
+	e.actions = nil
+	return out
+}
+
+// occupy sets capacity aside for the job's members.
+func (e *Engine) occupy(j *queue.Job, workers []int) {
+	j.Workers = workers
+	for _, w := range workers {
+		worker := &e.Fleet.Workers[w]
+		worker.Free = worker.Free.Sub(j.Resources)
+	}
+	e.countPin(j)
+	e.eachWorker(j, func(w int) { e.onWorker[w] = append(e.onWorker[w], j) })
+}
+
+// vacate gives the job's capacity back.
+func (e *Engine) vacate(j *queue.Job) {
+	e.uncountPin(j)
+	for _, w := range j.Workers {
+		worker := &e.Fleet.Workers[w]
+		worker.Free = worker.Free.Add(j.Resources)
+	}
+	e.eachWorker(j, func(w int) { e.onWorker[w] = remove(e.onWorker[w], j) })
+	j.Workers = nil
+}
+
+// countPin counts the capacity of a job that can't be stopped and sits in no home.
+func (e *Engine) countPin(j *queue.Job) {
+	if j.PinCounted || !j.Pinned() || e.seated(j) {
+		return
+	}
+	j.PinCounted = true
+	e.pin(j, 1)
+}
+
+func (e *Engine) uncountPin(j *queue.Job) {
+	if j.PinCounted {
+		j.PinCounted = false
+		e.pin(j, -1)
+	}
+}
+
+// repair renews the homes after the fleet has changed and pins what lost its seat by it.
+func (e *Engine) repair() {
+	e.Guard.Repair()
+	for _, open := range e.open {
+		for _, j := range open {
+			if j.Holds() {
+				e.countPin(j)
+			}
+		}
+	}
+}
+
+func (e *Engine) seated(j *queue.Job) bool { return j.Slot >= 0 && e.Guard.Slots[j.Slot].Seated }
+
+func (e *Engine) pin(j *queue.Job, sign int) {
+	for _, w := range j.Workers {
+		worker := &e.Fleet.Workers[w]
+		worker.Pinned = worker.Pinned.Add(j.Resources.Times(sign))
+	}
+}
+
+// eachWorker visits each distinct worker of the job once.
+func (e *Engine) eachWorker(j *queue.Job, visit func(int)) {
+	for i, w := range j.Workers {
+		if firstIndex(j.Workers, w) == i {
+			visit(w)
+		}
+	}
+}
+
+func firstIndex(workers []int, w int) int {
+	for i, x := range workers {
+		if x == w {
+			return i
+		}
+	}
+	return -1
+}
+
+func remove(jobs []*queue.Job, j *queue.Job) []*queue.Job {
+	for i, x := range jobs {
+		if x == j {
+			return append(jobs[:i], jobs[i+1:]...)
+		}
+	}
+	return jobs
+}
+
+// fitsEmpty reports whether any data centre of the list could ever hold the shape.
+func (e *Engine) fitsEmpty(s shape.Shape, centres []int) bool {
+	return e.Fleet.Find(centres, s, e.Fleet.EmptyView(), false) != nil
+}
+
+// JobsOn returns the names of the jobs that hold capacity on the worker.
+func (e *Engine) JobsOn(w int) []string {
+	names := make([]string, 0, len(e.onWorker[w]))
+	for _, j := range e.onWorker[w] {
+		names = append(names, j.Job)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/place/engine/events.go
@@ -0,0 +1,159 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+)
+
+// Cancel ends a job; if it runs, its members are stopped at once. It reports whether the job was open.
+func (e *Engine) Cancel(id string) bool {
+	j := e.jobs[id]
+	if j == nil || j.Phase == queue.Ended {
+		return false
+	}
+	if j.Phase == queue.Running || j.Phase == queue.Stopping {
+		e.act(Stop{Job: id, Attempt: j.Attempt, Workers: j.Workers, Why: "cancelled"})
+	}
+	e.end(j, queue.Cancelled, "cancelled")
+	return true
+}
+
+// Finished records that every member of the attempt is done.
+func (e *Engine) Finished(id string, now time.Time) {
+	j := e.jobs[id]
+	if j == nil || !(j.Phase == queue.Running || j.Phase == queue.Stopping) {
+		return
+	}
+	e.est.Finished(&j.Spec, j.Attained(now))
+	e.eachWorker(j, func(w int) { e.succeeded(w) })
+	e.end(j, queue.Finished, "finished")
+}
+
+// Stopped records that a stop is complete and how much run time is saved.
+func (e *Engine) Stopped(id string, progress time.Duration, now time.Time) {
+	j := e.jobs[id]
+	if j == nil || j.Phase != queue.Stopping {
+		return
+	}
+	j.Progress = progress
+	e.giveUp(j)
+	if j.Pinned() {
+		e.end(j, queue.Interrupted, "stopped after it had started; not idempotent, so it is not run again")
+		return
+	}
+	e.requeue(j, now)
+}
+
+// StartFailed records that not every member could be started, so none runs.
+func (e *Engine) StartFailed(id string, now time.Time) {
+	j := e.jobs[id]
+	if j == nil || j.Phase != queue.Running {
+		return
+	}
+	e.giveUp(j)
+	j.Attempt--
+	j.NotBefore = now.Add(startBackoff + time.Duration(e.rng.Int64N(int64(startBackoff))))
+	e.requeue(j, now)
+}
+
+// StartAborted records that a start was taken back before any member ran.
+func (e *Engine) StartAborted(id string, now time.Time) {
+	if j := e.jobs[id]; j != nil && j.Phase == queue.Stopping {
+		j.Phase = queue.Running
+		e.StartFailed(id, now)
+	}
+}
+
+// Abort stops a running job that can't go on; its fate is reported once all members are over.
+func (e *Engine) Abort(id, why string) {
+	if j := e.jobs[id]; j != nil && j.Phase == queue.Running {
+		e.stop(j, false, why)
+	}
+}
+
+// Lost records that an attempt is over because some of its members are gone.
+func (e *Engine) Lost(id, why string, now time.Time) {
+	if j := e.jobs[id]; j != nil && (j.Phase == queue.Running || j.Phase == queue.Stopping) {
+		e.lose(j, why, now)
+	}
+}
+
+// Withdraw forgets a job that holds nothing here, because another data centre has it or it is over.
+func (e *Engine) Withdraw(id string) {
+	j := e.jobs[id]
+	if j == nil || (j.Phase != queue.Waiting && j.Phase != queue.Claiming) {
+		return
+	}
+	e.end(j, queue.Cancelled, "")
+	delete(e.jobs, id)
+}
+
+// startBackoff is the least wait after a failed start; a random part of the same size is added.
+const startBackoff = 200 * time.Millisecond
+
+// end closes the job and gives back all that it holds.
+func (e *Engine) end(j *queue.Job, outcome queue.Outcome, why string) {
+	if j.Phase == queue.Waiting {
+		e.waiting = remove(e.waiting, j)
+	}
+	if j.Holds() {
+		e.giveUp(j)
+	}
+	slot := j.Slot
+	j.Phase, j.Outcome, j.Slot = queue.Ended, outcome, -1
+	e.open[j.Workspace] = remove(e.open[j.Workspace], j)
+	if slot >= 0 {
+		e.Guard.Release(slot)
+		e.inherit(j.Workspace)
+	}
+	if outcome != queue.Finished && outcome != queue.Cancelled {
+		e.act(End{Job: j.Job, Outcome: outcome, Why: why})
+	}
+}
+
+// giveUp returns the job's capacity and tells the jobs that wait for it.
+func (e *Engine) giveUp(j *queue.Job) {
+	e.vacate(j)
+	if j.Slot >= 0 {
+		e.Guard.Slots[j.Slot].Seated = false
+	}
+	for _, claimant := range e.claims[j.Job] {
+		claimant.Victims--
+	}
+	delete(e.claims, j.Job)
+	if j.Phase == queue.Claiming {
+		e.abandon(j)
+	}
+}
+
+// abandon takes a claiming job off the lists of its victims.
+func (e *Engine) abandon(j *queue.Job) {
+	for victim, claimants := range e.claims {
+		e.claims[victim] = remove(claimants, j)
+	}
+	j.Victims = 0
+}
+
+// requeue puts a job that lost its place back into the queue.
+func (e *Engine) requeue(j *queue.Job, now time.Time) {
+	j.Phase = queue.Waiting
+	j.Asked = now
+	j.Reason.Code = 0
+	e.waiting = append(e.waiting, j)
+}
+
+// lose handles a running attempt whose members are certainly gone.
+func (e *Engine) lose(j *queue.Job, why string, now time.Time) {
+	started := j.Phase != queue.Claiming
+	if started {
+		e.act(Stop{Job: j.Job, Attempt: j.Attempt, Workers: j.Workers, Why: why})
+		j.Progress = j.Attained(now) - j.Unsaved(now)
+	}
+	e.giveUp(j)
+	if started && !j.Idempotent {
+		e.end(j, queue.Interrupted, why)
+		return
+	}
+	e.requeue(j, now)
+}
--- /dev/null
+++ b/internal/place/engine/order.go
@@ -0,0 +1,132 @@
+package engine
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/evict"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+)
+
+// ranked is a waiting job with its sort key.
+type ranked struct {
+	job   *queue.Job
+	rank  int
+	score float64
+}
+
+// The ranks, the first served first.
+const (
+	rankEntitledPressing = iota
+	rankEntitled
+	rankPressing
+	rankBatch
+)
+
+// sorted returns the waiting jobs in the policy's order.
+func (e *Engine) sorted(now time.Time) []*queue.Job {
+	list := make([]ranked, len(e.waiting))
+	for i, j := range e.waiting {
+		list[i] = ranked{job: j, rank: e.rank(j), score: e.score(j, now)}
+	}
+	sort.SliceStable(list, func(a, b int) bool {
+		if list[a].rank != list[b].rank {
+			return list[a].rank < list[b].rank
+		}
+		if list[a].score != list[b].score {
+			return list[a].score < list[b].score
+		}
+		return list[a].job.Job < list[b].job.Job
+	})
+	jobs := make([]*queue.Job, len(list))
+	for i := range list {
+		jobs[i] = list[i].job
+	}
+	return jobs
+}
+
+func (e *Engine) rank(j *queue.Job) int {
+	pressing := j.Class != queue.Batch
+	switch {
+	case e.policy.Order == ByArrival && !e.policy.Guarantees:
+		return rankBatch
+	case j.Slot >= 0 && pressing:
+		return rankEntitledPressing
+	case j.Slot >= 0:
+		return rankEntitled
+	case pressing:
+		return rankPressing
+	default:
+		return rankBatch
+	}
+}
+
+// score is the sort key inside a rank: the arrival, or the estimated capacity-time still needed.
+func (e *Engine) score(j *queue.Job, now time.Time) float64 {
+	switch e.policy.Order {
+	case ByRemaining:
+		need := e.est.Remaining(j, now).Seconds() * weight(j)
+		return need * e.aged(j, now)
+	case ByService:
+		return (1 + j.Attained(now).Seconds()) * weight(j) * e.aged(j, now)
+	default:
+		return float64(j.Submitted.UnixNano())
+	}
+}
+
+// aged halves a job's need for every aging period that it has waited.
+func (e *Engine) aged(j *queue.Job, now time.Time) float64 {
+	if e.policy.Aging <= 0 || j.Phase != queue.Waiting {
+		return 1
+	}
+	return math.Exp2(-now.Sub(j.Asked).Seconds() / e.policy.Aging.Seconds())
+}
+
+// preempt stops larger work for the job if the policy and the numbers favour it.
+func (e *Engine) preempt(j *queue.Job, centres []int, p *pass) bool {
+	if e.policy.Preempt <= 0 || p.preempt >= preemptionsPerPass || j.Pinned() {
+		return false
+	}
+	p.preempt++
+	limit := e.Fleet.EmptyUsableView()
+	if len(j.FailedOn) > 0 {
+		limit = avoiding(limit, j.FailedOn)
+	}
+	search := evict.Search{Fleet: e.Fleet, Shape: j.Shape, Limit: limit, Source: e.outranked(j, p.now)}
+	plan, ok := search.Best(centres)
+	if !ok {
+		return false
+	}
+	e.claim(j, plan, "shorter than what it replaces", p.now)
+	return true
+}
+
+// outranked lists the jobs on a worker whose remaining need is so much larger that the waiting job goes first.
+func (e *Engine) outranked(claimant *queue.Job, now time.Time) evict.Source {
+	bar := e.score(claimant, now) * e.policy.Preempt
+	return func(w int) []evict.Victim {
+		var found []evict.Victim
+		for _, j := range e.onWorker[w] {
+			if !e.yields(j, bar, now) {
+				continue
+			}
+			found = append(found, evict.Victim{Job: j.Job, Cost: e.stopCost(j, claimant, now), Each: j.Resources, Workers: j.Workers})
+		}
+		return found
+	}
+}
+
+// yields reports whether a running job may be stopped for order.
+func (e *Engine) yields(j *queue.Job, bar float64, now time.Time) bool {
+	if j.Phase != queue.Running || !j.Checkpoints() || e.seated(j) || j.Class != queue.Batch {
+		return false
+	}
+	if now.Sub(j.Started) < max(e.policy.MinRun, minRunCheckpoints*j.CheckpointTakes.Duration) {
+		return false
+	}
+	return e.score(j, now) >= bar
+}
+
+// minRunCheckpoints is how many times its checkpoint a job runs before it may be stopped for order.
+const minRunCheckpoints = 10
--- /dev/null
+++ b/internal/place/engine/outage.go
@@ -0,0 +1,153 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+)
+
+// checkpointMargin is how long before a drain's deadline a checkpoint must be complete.
+const checkpointMargin = time.Second
+
+// WorkerLost records that a worker is gone and that its leases have lapsed.
+func (e *Engine) WorkerLost(w int, now time.Time) {
+	e.Fleet.Workers[w].Up = false
+	for _, j := range append([]*queue.Job(nil), e.onWorker[w]...) {
+		e.lose(j, "worker "+e.Fleet.Workers[w].Name+" was lost", now)
+	}
+	e.repair()
+}
+
+// WorkerDown records that a worker can't be used; the caller reports what becomes of its tasks.
+func (e *Engine) WorkerDown(w int, now time.Time) {
+	e.Fleet.Workers[w].Up = false
+	for _, j := range append([]*queue.Job(nil), e.onWorker[w]...) {
+		if j.Phase == queue.Claiming {
+			e.giveUp(j)
+			e.requeue(j, now)
+		}
+	}
+	e.repair()
+}
+
+// WorkerBack records that a worker may be used again.
+func (e *Engine) WorkerBack(w int) {
+	e.Fleet.Workers[w].Up = true
+	e.health[w] = workerState{}
+	e.Fleet.Workers[w].Quarantined = false
+	e.repair()
+}
+
+// CentreLost records that a whole data centre is gone without warning.
+func (e *Engine) CentreLost(d int, now time.Time) {
+	e.Fleet.DataCentres[d].Down = true
+	for _, w := range e.Fleet.DataCentres[d].Workers {
+		for _, j := range append([]*queue.Job(nil), e.onWorker[w]...) {
+			e.lose(j, "data centre "+e.Fleet.DataCentres[d].Name+" was lost", now)
+		}
+	}
+	e.repair()
+}
+
+// CentreBack records that a lost data centre is back.
+func (e *Engine) CentreBack(d int) {
+	e.Fleet.DataCentres[d].Down = false
+	e.repair()
+}
+
+// Drain takes a data centre out of service: nothing starts there, and what runs is moved by the deadline.
+func (e *Engine) Drain(d int, deadline, now time.Time) {
+	if e.drains[d].active && !deadline.Before(e.drains[d].deadline) {
+		return
+	}
+	e.Fleet.DataCentres[d].Drained = true
+	e.drains[d] = drainState{deadline: deadline, active: true}
+	for _, w := range e.Fleet.DataCentres[d].Workers {
+		for _, j := range append([]*queue.Job(nil), e.onWorker[w]...) {
+			if j.Phase == queue.Claiming {
+				e.giveUp(j)
+				e.requeue(j, now)
+			}
+		}
+	}
+	e.repair()
+}
+
+// Reopen brings a drained data centre back.
+func (e *Engine) Reopen(d int) {
+	e.Fleet.DataCentres[d].Drained = false
+	e.drains[d] = drainState{}
+	e.repair()
+	for _, w := range e.Fleet.DataCentres[d].Workers {
+		for _, j := range e.onWorker[w] {
+			if j.Phase == queue.Running && !e.seated(j) {
+				e.settle(j)
+			}
+		}
+	}
+}
+
+// SetOwned says whether an instance may decide for the data centre.
+func (e *Engine) SetOwned(d int, owned bool) { e.Fleet.DataCentres[d].Unowned = !owned }
+
+// SetPermit says whether there is fresh proof that the data centre is not drained.
+func (e *Engine) SetPermit(d int, permitted bool) { e.Fleet.DataCentres[d].NoPermit = !permitted }
+
+// drainStep stops what runs in drained data centres, each job as late as its checkpoint allows.
+func (e *Engine) drainStep(now time.Time) {
+	for d := range e.drains {
+		if !e.drains[d].active || e.Fleet.DataCentres[d].Down || e.Fleet.DataCentres[d].Unowned {
+			continue
+		}
+		for _, w := range e.Fleet.DataCentres[d].Workers {
+			for _, j := range append([]*queue.Job(nil), e.onWorker[w]...) {
+				if j.Phase == queue.Running && !now.Before(e.leaveAt(j, d)) {
+					e.stop(j, j.Checkpoints(), "data centre is drained")
+				}
+			}
+		}
+	}
+}
+
+// leaveAt is when the job must begin to stop to be gone by the deadline.
+func (e *Engine) leaveAt(j *queue.Job, d int) time.Time {
+	deadline := e.drains[d].deadline
+	if j.Checkpoints() {
+		return deadline.Add(-j.CheckpointTakes.Duration - checkpointMargin)
+	}
+	return deadline
+}
+
+// NextWake returns when time alone calls for another decision; ok is false if never.
+func (e *Engine) NextWake(now time.Time) (at time.Time, ok bool) {
+	earliest := func(t time.Time) {
+		if t.After(now) && (!ok || t.Before(at)) {
+			at, ok = t, true
+		}
+	}
+	for d := range e.drains {
+		if !e.drains[d].active {
+			continue
+		}
+		for _, w := range e.Fleet.DataCentres[d].Workers {
+			for _, j := range e.onWorker[w] {
+				earliest(e.leaveAt(j, d))
+			}
+		}
+	}
+	for w := range e.health {
+		if e.Fleet.Workers[w].Quarantined {
+			earliest(e.health[w].probeAt)
+		}
+	}
+	for _, j := range e.waiting {
+		earliest(j.NotBefore)
+	}
+	if len(e.waiting) > 0 && (e.policy.Preempt > 0 || e.policy.HoldAfter > 0) {
+		earliest(now.Add(reviewEvery))
+	}
+	return at, ok
+}
+
+// reviewEvery is how often waiting jobs are looked at when nothing has happened.
+const reviewEvery = 30 * time.Second
--- /dev/null
+++ b/internal/place/engine/submit.go
@@ -0,0 +1,133 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/place/shape"
+)
+
+// RefusedError says why a job was not accepted; it never ran.
+type RefusedError struct {
+	Job     string
+	Problem string
+}
+
+// Error returns the reason in one line.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("job %q not run: %s", e.Job, e.Problem)
+}
+
+// Check says whether the job could ever run, without accepting it.
+func (e *Engine) Check(spec *queue.Spec) error {
+	centres, known := e.centres[spec.Workspace]
+	switch {
+	case !known:
+		return &RefusedError{Job: spec.Job, Problem: fmt.Sprintf("workspace %q does not exist", spec.Workspace)}
+	case spec.Members < 1:
+		return &RefusedError{Job: spec.Job, Problem: "a job needs at least one member"}
+	case spec.Resources.IsZero() || negative(spec.Resources):
+		return &RefusedError{Job: spec.Job, Problem: "a member needs some accelerators, cores or memory, and none may be negative"}
+	case !e.fitsEmpty(spec.Shape, centres):
+		return &RefusedError{Job: spec.Job, Problem: fmt.Sprintf("no data centre of workspace %q can ever hold %s", spec.Workspace, spec.Shape)}
+	}
+	return nil
+}
+
+func negative(r shape.Resources) bool { return r.Accelerators < 0 || r.Cores < 0 || r.MemoryGB < 0 }
+
+// Submit accepts a job into the queue or refuses it with the reason.
+func (e *Engine) Submit(spec queue.Spec, now time.Time) error {
+	if j := e.jobs[spec.Job]; j != nil {
+		return &RefusedError{Job: spec.Job, Problem: "a job of this name exists already"}
+	}
+	if err := e.Check(&spec); err != nil {
+		return err
+	}
+	j := &queue.Job{Spec: spec, Submitted: now, Asked: now, Slot: -1, Centres: e.centres[spec.Workspace]}
+	e.jobs[spec.Job] = j
+	e.open[spec.Workspace] = append(e.open[spec.Workspace], j)
+	e.waiting = append(e.waiting, j)
+	e.entitle(j)
+	return nil
+}
+
+// Resume puts a job that already runs back under the engine, as a new owner finds it.
+func (e *Engine) Resume(spec queue.Spec, submitted, started time.Time, attempt int, progress time.Duration, workers []int) error {
+	if err := e.Submit(spec, submitted); err != nil {
+		return err
+	}
+	j := e.jobs[spec.Job]
+	e.waiting = remove(e.waiting, j)
+	j.Phase, j.Started, j.Attempt, j.Progress = queue.Running, started, attempt, progress
+	e.occupy(j, workers)
+	e.settle(j)
+	return nil
+}
+
+// Restore sets what an earlier owner knew about a waiting job.
+func (e *Engine) Restore(id string, attempt int, progress time.Duration) {
+	if j := e.jobs[id]; j != nil {
+		j.Attempt, j.Progress = attempt, progress
+	}
+}
+
+// entitle gives the job a guaranteed slot of its workspace if one is idle.
+func (e *Engine) entitle(j *queue.Job) {
+	j.Slot = e.Guard.Claim(j.Workspace, j.Job, j.Shape)
+}
+
+// inherit hands an idle slot to the workspace's oldest open job that it covers.
+func (e *Engine) inherit(workspace string) {
+	for _, j := range e.open[workspace] {
+		if j.Slot >= 0 || j.Phase == queue.Ended {
+			continue
+		}
+		if e.entitle(j); j.Slot < 0 {
+			continue
+		}
+		if j.Phase == queue.Running {
+			e.settle(j)
+		}
+		return
+	}
+}
+
+// settle makes the place of a running entitled job its slot's home, if that breaks no other promise.
+func (e *Engine) settle(j *queue.Job) {
+	if j.Slot < 0 {
+		return
+	}
+	slot := &e.Guard.Slots[j.Slot]
+	if slot.Shape != j.Shape {
+		return
+	}
+	e.uncountPin(j)
+	allowance := e.Guard.Allowance(j.Slot)
+	if fitsOn(j, allowance) {
+		e.Guard.SetHome(j.Slot, append([]int(nil), j.Workers...))
+		slot.Seated = true
+	}
+	e.countPin(j)
+}
+
+// fitsOn reports whether the job's members fit on their workers within the view.
+func fitsOn(j *queue.Job, view func(int) (shape.Resources, bool)) bool {
+	for i, w := range j.Workers {
+		if firstIndex(j.Workers, w) != i {
+			continue
+		}
+		members := 0
+		for _, x := range j.Workers {
+			if x == w {
+				members++
+			}
+		}
+		avail, ok := view(w)
+		if !ok || !j.Resources.Times(members).Fits(avail) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/place/engine/victims.go
@@ -0,0 +1,69 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/evict"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+)
+
+const (
+	// urgentStop is the longest stop that an urgent job can wait for.
+	urgentStop = 4 * time.Second
+	// slowStopPenalty makes victims that stop too slowly for an urgent job the last choice.
+	slowStopPenalty = 1e9
+	// coreWeight is what a core counts beside an accelerator.
+	coreWeight = 0.05
+	// entitledFactor makes jobs that would have to be moved twice dearer.
+	entitledFactor = 3
+)
+
+// weight is the capacity a job holds, in accelerators.
+func weight(j *queue.Job) float64 {
+	total := j.Total()
+	return float64(total.Accelerators) + coreWeight*float64(total.Cores)
+}
+
+// reclaimable lists the jobs on a worker that may be stopped for an entitled job.
+func (e *Engine) reclaimable(claimant *queue.Job, now time.Time) evict.Source {
+	return func(w int) []evict.Victim {
+		var found []evict.Victim
+		for _, j := range e.onWorker[w] {
+			if e.seated(j) || j.Pinned() {
+				continue
+			}
+			found = append(found, evict.Victim{Job: j.Job, Cost: e.stopCost(j, claimant, now), Each: j.Resources, Workers: j.Workers})
+		}
+		return found
+	}
+}
+
+// stopCost is what stopping the job for the claimant throws away, in accelerator-seconds.
+func (e *Engine) stopCost(j, claimant *queue.Job, now time.Time) float64 {
+	if j.Phase != queue.Running {
+		return 0
+	}
+	spent := j.Unsaved(now)
+	if e.byCheckpoint(j, claimant, now) {
+		spent = j.CheckpointTakes.Duration
+	}
+	cost := (1 + spent.Seconds()) * weight(j)
+	if j.Slot >= 0 {
+		cost *= entitledFactor
+	}
+	if claimant.Class != queue.Batch && !j.Idempotent && j.CheckpointTakes.Duration > urgentStop {
+		cost += slowStopPenalty
+	}
+	return cost
+}
+
+// byCheckpoint reports whether the victim is better stopped with a checkpoint than at once.
+func (e *Engine) byCheckpoint(j, claimant *queue.Job, now time.Time) bool {
+	if !j.Checkpoints() || !j.Idempotent {
+		return j.Checkpoints()
+	}
+	if claimant.Class != queue.Batch && j.CheckpointTakes.Duration > urgentStop {
+		return false
+	}
+	return j.CheckpointTakes.Duration <= j.Unsaved(now)
+}
--- /dev/null
+++ b/internal/place/guard/guard.go
@@ -0,0 +1,342 @@
+package guard
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+
+	"github.com/lentildeck/lentildeck/internal/place/fleet"
+	"github.com/lentildeck/lentildeck/internal/place/shape"
+)
+
+// orderAttempts is how many packing orders are tried before a set of guarantees is called impossible.
+const orderAttempts = 64
+
+// Guarantee is Count shapes that a workspace can have at the same time.
+type Guarantee struct {
+	Count int `json:"count"`
+	shape.Shape
+}
+
+// Workspace is who submits jobs, where it may run and what it was promised.
+type Workspace struct {
+	Name        string      `json:"name"`
+	DataCentres []string    `json:"dataCentres"`
+	Guarantees  []Guarantee `json:"guarantees"`
+}
+
+// Slot is one guaranteed shape of one workspace.
+type Slot struct {
+	Workspace string
+	Shape     shape.Shape
+	Centres   []int
+	// Home has one worker per member; nil while no live place is left.
+	Home []int
+	// Job is entitled to the slot, waiting or running; empty while the slot is idle.
+	Job string
+	// Seated is true while the entitled job runs on the home itself.
+	Seated bool
+}
+
+// Guard holds the slots and keeps fleet.Worker.Homed up to date.
+type Guard struct {
+	Slots       []Slot
+	fleet       *fleet.Fleet
+	byWorkspace map[string][]int
+}
+
+// New makes a home for every guaranteed shape or says which one does not fit.
+func New(f *fleet.Fleet, workspaces []Workspace, seed uint64) (*Guard, error) {
+	g := &Guard{fleet: f, byWorkspace: make(map[string][]int)}
+	for _, ws := range workspaces {
+		centres, err := Centres(f, ws)
+		if err != nil {
+			return nil, err
+		}
+		for _, promise := range ws.Guarantees {
+			for range promise.Count {
+				g.byWorkspace[ws.Name] = append(g.byWorkspace[ws.Name], len(g.Slots))
+				g.Slots = append(g.Slots, Slot{Workspace: ws.Name, Shape: promise.Shape, Centres: centres})
+			}
+		}
+	}
+	return g, g.pack(seed)
+}
+
+// Centres resolves where a workspace may run; an empty list means everywhere.
+func Centres(f *fleet.Fleet, ws Workspace) ([]int, error) {
+	if len(ws.DataCentres) == 0 {
+		all := make([]int, len(f.DataCentres))
+		for i := range all {
+			all[i] = i
+		}
+		return all, nil
+	}
+	centres := make([]int, 0, len(ws.DataCentres))
+	for _, name := range ws.DataCentres {
+		d, ok := f.DataCentre(name)
+		if !ok {
+			return nil, &UnknownError{Workspace: ws.Name, DataCentre: name}
+		}
+		centres = append(centres, d)
+	}
+	return centres, nil
+}
+
+// pack tries the largest shapes first, then seeded random orders.
+func (g *Guard) pack(seed uint64) error {
+	order := g.largestFirst()
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var missing int
+	for attempt := range orderAttempts {
+		if attempt > 0 {
+			g.clearHomes(order)
+			rng.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+		}
+		missing = g.homeAll(order)
+		if missing < 0 {
+			return nil
+		}
+	}
+	slot := g.Slots[missing]
+	return &FitError{Workspace: slot.Workspace, Shape: slot.Shape}
+}
+
+func (g *Guard) largestFirst() []int {
+	order := make([]int, len(g.Slots))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(i, j int) bool {
+		a, b := &g.Slots[order[i]], &g.Slots[order[j]]
+		if len(a.Centres) != len(b.Centres) {
+			return len(a.Centres) < len(b.Centres)
+		}
+		if a.Shape.Each() != b.Shape.Each() {
+			return a.Shape.Each() > b.Shape.Each()
+		}
+		return a.Shape.Total().Accelerators > b.Shape.Total().Accelerators
+	})
+	return order
+}
+
+// homeAll gives each listed slot a home and returns the first slot that has none, or -1.
+func (g *Guard) homeAll(order []int) int {
+	missing := -1
+	for _, s := range order {
+		if g.Slots[s].Home == nil && !g.FindHome(s) && missing < 0 {
+			missing = s
+		}
+	}
+	return missing
+}
+
+func (g *Guard) clearHomes(slots []int) {
+	for _, s := range slots {
+		g.SetHome(s, nil)
+	}
+}
+
+// SetHome moves a slot's home and keeps the workers' account of it.
+func (g *Guard) SetHome(slot int, home []int) {
+	s := &g.Slots[slot]
+	for _, w := range s.Home {
+		g.fleet.Workers[w].Homed = g.fleet.Workers[w].Homed.Sub(s.Shape.Resources)
+	}
+	s.Home = home
+	s.Seated = false
+	for _, w := range home {
+		g.fleet.Workers[w].Homed = g.fleet.Workers[w].Homed.Add(s.Shape.Resources)
+	}
+}
+
+// Allowance is what the slot may claim of a worker: all but the homes of others and pinned tasks.
+func (g *Guard) Allowance(slot int) fleet.View {
+	s := &g.Slots[slot]
+	return func(w int) (shape.Resources, bool) {
+		worker := &g.fleet.Workers[w]
+		rest := worker.Capacity.Sub(worker.Homed).Sub(worker.Pinned)
+		for _, own := range s.Home {
+			if own == w {
+				rest = rest.Add(s.Shape.Resources)
+			}
+		}
+		return rest, worker.Usable()
+	}
+}
+
+// HomeView is what the slot's own home offers.
+func (g *Guard) HomeView(slot int) fleet.View {
+	s := &g.Slots[slot]
+	return func(w int) (shape.Resources, bool) {
+		var own shape.Resources
+		for _, h := range s.Home {
+			if h == w {
+				own = own.Add(s.Shape.Resources)
+			}
+		}
+		return own, !own.IsZero() && g.fleet.Workers[w].Usable()
+	}
+}
+
+// FindHome looks for a place for the slot in its data centres; it reports whether there is one.
+func (g *Guard) FindHome(slot int) bool {
+	s := &g.Slots[slot]
+	centres := make([]int, 0, len(s.Centres))
+	for _, centre := range s.Centres {
+		if g.fleet.DataCentres[centre].Available() {
+			centres = append(centres, centre)
+		}
+	}
+	home := g.fleet.Find(centres, s.Shape, g.Allowance(slot), true)
+	if home != nil {
+		g.SetHome(slot, home)
+	}
+	return home != nil
+}
+
+// Repair gives a new home to each slot whose home is no longer live; it returns the slots left without one.
+func (g *Guard) Repair() []int {
+	var orphans []int
+	for s := range g.Slots {
+		if !g.live(s) {
+			orphans = append(orphans, s)
+		}
+	}
+	if len(orphans) == 0 {
+		return nil
+	}
+	g.clearHomes(orphans)
+	if g.homeAll(orphans) < 0 {
+		return nil
+	}
+	return g.repack()
+}
+
+func (g *Guard) live(slot int) bool {
+	s := &g.Slots[slot]
+	if s.Home == nil {
+		return false
+	}
+	for _, w := range s.Home {
+		worker := &g.fleet.Workers[w]
+		if !worker.Usable() || !g.fleet.DataCentres[worker.DataCentre].Available() {
+			return false
+		}
+		if !s.Seated && !worker.Homed.Add(worker.Pinned).Fits(worker.Capacity) {
+			return false
+		}
+	}
+	return true
+}
+
+// TakeHome finds a home for a slot whose job waits, if need be at the expense of slots that nobody asks for.
+func (g *Guard) TakeHome(slot int) bool {
+	if g.FindHome(slot) {
+		return true
+	}
+	var unasked []int
+	for _, s := range g.largestFirst() {
+		if g.Slots[s].Job == "" && g.Slots[s].Home != nil {
+			unasked = append(unasked, s)
+		}
+	}
+	before := make([][]int, len(g.Slots))
+	for _, s := range unasked {
+		before[s] = g.Slots[s].Home
+	}
+	g.clearHomes(unasked)
+	if !g.FindHome(slot) {
+		for _, s := range unasked {
+			g.SetHome(s, before[s])
+		}
+		return false
+	}
+	g.homeAll(unasked)
+	return true
+}
+
+// repack moves the homes that nobody sits in, so that a slot without a home may get one.
+func (g *Guard) repack() []int {
+	before := make([][]int, len(g.Slots))
+	var idle []int
+	homeless := 0
+	for _, s := range g.largestFirst() {
+		slot := &g.Slots[s]
+		before[s] = slot.Home
+		if slot.Home == nil {
+			homeless++
+		}
+		if !slot.Seated {
+			idle = append(idle, s)
+		}
+	}
+	g.clearHomes(idle)
+	g.homeAll(idle)
+	left := g.homeless()
+	if len(left) <= homeless {
+		return left
+	}
+	g.clearHomes(idle)
+	for _, s := range idle {
+		g.SetHome(s, before[s])
+	}
+	return g.homeless()
+}
+
+func (g *Guard) homeless() []int {
+	var slots []int
+	for s := range g.Slots {
+		if g.Slots[s].Home == nil {
+			slots = append(slots, s)
+		}
+	}
+	return slots
+}
+
+// Claim entitles the job to the smallest idle slot of its workspace that covers the shape, or returns -1.
+func (g *Guard) Claim(workspace, job string, need shape.Shape) int {
+	best := -1
+	for _, s := range g.byWorkspace[workspace] {
+		slot := &g.Slots[s]
+		if slot.Job != "" || !slot.Shape.Covers(need) {
+			continue
+		}
+		if best < 0 || slot.Shape.Total().Accelerators < g.Slots[best].Shape.Total().Accelerators {
+			best = s
+		}
+	}
+	if best >= 0 {
+		g.Slots[best].Job = job
+	}
+	return best
+}
+
+// Release frees the slot.
+func (g *Guard) Release(slot int) {
+	g.Slots[slot].Job = ""
+	g.Slots[slot].Seated = false
+}
+
+// FitError says that the guarantees can't all be met at once.
+type FitError struct {
+	Workspace string
+	Shape     shape.Shape
+}
+
+// Error names the shape that found no place and what to do about it.
+func (e *FitError) Error() string {
+	return fmt.Sprintf("guarantees do not fit at once: no place is left for %s of workspace %q; lower a count or shape, or add workers",
+		e.Shape, e.Workspace)
+}
+
+// UnknownError names a data centre that the fleet does not have.
+type UnknownError struct {
+	Workspace  string
+	DataCentre string
+}
+
+// Error names the workspace and the unknown data centre.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("workspace %q names data centre %q, which does not exist", e.Workspace, e.DataCentre)
+}
--- /dev/null
+++ b/internal/proof/fake/backend.go
@@ -0,0 +1,160 @@
+package fake
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/edge/back"
+	"github.com/valyala/fasthttp"
+)
+
+// Manner is how a backend server behaves.
+type Manner struct {
+	// Work is how long an answer takes.
+	Work    time.Duration
+	Leaving bool
+	// Refuse answers "not run" to everything.
+	Refuse bool
+	// Silent lets the connections that are open hang for good, while new ones work.
+	Silent bool
+	// DropAfter runs the request and then closes the connection without an answer.
+	DropAfter bool
+	// Crossed answers with the ID of another request.
+	Crossed bool
+	// Cut announces a longer answer than it sends.
+	Cut bool
+}
+
+// Backend is a stand-in backend server: it echoes what it is sent.
+type Backend struct {
+	Name     string
+	mu       sync.Mutex
+	manner   Manner
+	listener net.Listener
+	server   *fasthttp.Server
+	done     chan struct{}
+	runs     map[string]int
+	silentAt time.Time
+	now      func() time.Time
+	busy     atomic.Int64
+	peak     atomic.Int64
+}
+
+// NewBackend serves on the address until closed.
+func NewBackend(name, address string, now func() time.Time) (*Backend, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	b := &Backend{Name: name, listener: listener, done: make(chan struct{}), runs: make(map[string]int), now: now}
+	b.server = &fasthttp.Server{Handler: b.handle, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	go func() {
+		defer close(b.done)
+		// The listener's error at the end of a stand-in is of no interest.
+		_ = b.server.Serve(listener)
+	}()
+	return b, nil
+}
+
+// Address is where the server takes requests.
+func (b *Backend) Address() string { return b.listener.Addr().String() }
+
+// Done is closed when the server has stopped.
+func (b *Backend) Done() <-chan struct{} { return b.done }
+
+// Close stops the server at once.
+func (b *Backend) Close() error {
+	err := b.listener.Close()
+	<-b.done
+	return err
+}
+
+// SetManner changes the behaviour; connections open at the time a server becomes silent hang.
+func (b *Backend) SetManner(manner Manner) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.manner = manner
+	if manner.Silent {
+		b.silentAt = b.now()
+	}
+}
+
+// Runs returns how often the request of the ID ran.
+func (b *Backend) Runs(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+// TotalRuns returns how many requests ran.
+func (b *Backend) TotalRuns() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	total := 0
+	for _, n := range b.runs {
+		total += n
+	}
+	return total
+}
+
+// Peak returns the most requests that were in work at a time.
+func (b *Backend) Peak() int64 { return b.peak.Load() }
+
+func (b *Backend) state() (Manner, time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.manner, b.silentAt
+}
+
+func (b *Backend) handle(c *fasthttp.RequestCtx) {
+	manner, silentAt := b.state()
+	if manner.Silent && c.ConnTime().Before(silentAt) {
+		<-b.done
+		return
+	}
+	if manner.Leaving {
+		c.Response.Header.Set(back.HeaderLeaving, "true")
+	}
+	if string(c.Path()) == "/ping" {
+		return
+	}
+	id := string(c.Request.Header.Peek(back.HeaderRequestID))
+	c.Response.Header.Set(back.HeaderRequestID, id)
+	if manner.Refuse || manner.Leaving {
+		c.Response.Header.Set(back.HeaderNotRun, "true")
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	b.run(c, id, manner)
+}
+
+func (b *Backend) run(c *fasthttp.RequestCtx, id string, manner Manner) {
+	if n := b.busy.Add(1); n > b.peak.Load() {
+		b.peak.Store(n)
+	}
+	defer b.busy.Add(-1)
+	b.mu.Lock()
+	b.runs[id]++
+	b.mu.Unlock()
+	if manner.Work > 0 {
+		time.Sleep(manner.Work)
+	}
+	c.SetContentType(string(c.Request.Header.ContentType()))
+	c.SetBody(append([]byte("answer to "+id+": "), c.Request.Body()...))
+	switch {
+	case manner.DropAfter:
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(net.Conn) {})
+	case manner.Crossed:
+		c.Response.Header.Set(back.HeaderRequestID, "another-"+id)
+	case manner.Cut:
+		body := append([]byte(nil), c.Response.Body()...)
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(conn net.Conn) {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n" + back.HeaderRequestID + ": " + id + "\r\nContent-Length: 100000\r\n\r\n"))
+			_, _ = conn.Write(body)
+		})
+	}
+}
--- /dev/null
+++ b/internal/state/config/doc.go
@@ -0,0 +1,2 @@
+// Package config holds the operators' configuration: one document a revision, never applied backwards.
+package config
--- /dev/null
+++ b/internal/state/config/holder.go
@@ -0,0 +1,182 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/engine"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+)
+
+//go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Source -json -text -transform=title-lower
+
+// Key is where the document lives in the key-value service.
+const Key = "deck/config"
+
+// Source says where an instance has its revision from.
+type Source int
+
+// The sources.
+const (
+	FromNowhere Source = iota
+	FromStore
+	FromPeer
+)
+
+// InForce is the document an instance acts on.
+type InForce struct {
+	Document *Document
+	Source   Source
+	Since    time.Time
+}
+
+// Holder keeps the highest revision an instance has seen.
+type Holder struct {
+	client *store.Client
+	policy engine.Policy
+
+	mu       sync.Mutex
+	inForce  InForce
+	observed time.Time
+	applying int
+	// unsettled is when the fate of a command was last given up as unknown.
+	unsettled time.Time
+}
+
+// NewHolder returns a holder without a document.
+func NewHolder(client *store.Client, policy engine.Policy) *Holder {
+	return &Holder{client: client, policy: policy}
+}
+
+// InForce returns what is in force; Document is nil before the first revision.
+func (h *Holder) InForce() InForce {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.inForce
+}
+
+// Offer takes a document into force if its revision is higher than any seen; it reports whether it was.
+func (h *Holder) Offer(doc *Document, source Source, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.inForce.Document != nil && doc.Revision <= h.inForce.Document.Revision {
+		return false
+	}
+	h.inForce = InForce{Document: doc, Source: source, Since: now}
+	return true
+}
+
+// Confirm records that at the given time the service had no higher revision.
+func (h *Holder) Confirm(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at.After(h.observed) {
+		h.observed = at
+	}
+	if !h.unsettled.IsZero() && at.After(h.unsettled.Add(settledAfter)) {
+		h.unsettled = time.Time{}
+	}
+}
+
+// Confirmed returns when the service last had no higher revision.
+func (h *Holder) Confirmed() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.observed
+}
+
+// Applying reports whether the fate of a command given here is open.
+func (h *Holder) Applying() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.applying > 0 || !h.unsettled.IsZero()
+}
+
+func (h *Holder) apply(change int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.applying += change
+}
+
+func (h *Holder) setUnsettled(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unsettled = at
+}
+
+// settledAfter is how long after an unknown write a read tells its fate for certain.
+const settledAfter = 10 * time.Second
+
+// Edit changes a copy of the document.
+type Edit func(doc *Document) error
+
+// Apply changes the document by compare-and-swap.
+//
+// When another command wins the race, the result is a RaceError that names it; nothing is merged.
+func (h *Holder) Apply(ctx context.Context, by, command string, edit Edit, now time.Time) (*Document, error) {
+	entry, err := h.client.Get(ctx, store.Commands, Key)
+	if err != nil {
+		return nil, err
+	}
+	var doc Document
+	if len(entry.Data) > 0 {
+		if err := json.Unmarshal(entry.Data, &doc); err != nil {
+			return nil, &store.RecordError{Key: Key, Problem: err.Error()}
+		}
+	}
+	if err := edit(&doc); err != nil {
+		return nil, err
+	}
+	doc.Revision++
+	doc.By, doc.Command, doc.At = by, command, now
+	if err := doc.Validate(h.policy); err != nil {
+		return nil, err
+	}
+	h.apply(1)
+	_, err = h.client.Swap(ctx, store.Commands, entry, &doc, 0)
+	h.apply(-1)
+	var unknown *store.UnknownError
+	if errors.As(err, &unknown) {
+		h.setUnsettled(now)
+	}
+	if err != nil {
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			return nil, h.lostRace(ctx, command)
+		}
+		return nil, err
+	}
+	h.Offer(&doc, FromStore, now)
+	return &doc, nil
+}
+
+// lostRace finds out which command won.
+func (h *Holder) lostRace(ctx context.Context, command string) error {
+	entry, err := h.client.Get(ctx, store.Commands, Key)
+	if err != nil {
+		return &RaceError{Command: command}
+	}
+	var winner Document
+	if err := json.Unmarshal(entry.Data, &winner); err != nil {
+		return &RaceError{Command: command}
+	}
+	return &RaceError{Command: command, Winner: winner.Command, By: winner.By, Revision: winner.Revision}
+}
+
+// RaceError says that another command was accepted first; this one had no effect.
+type RaceError struct {
+	Command  string
+	Winner   string
+	By       string
+	Revision int64
+}
+
+// Error names the winning command and its revision.
+func (e *RaceError) Error() string {
+	return fmt.Sprintf("%q had no effect: %q by %s was accepted first as revision %d; look at `config show` and repeat it if it is still wanted",
+		e.Command, e.Winner, e.By, e.Revision)
+}
--- /dev/null
+++ b/internal/state/lease/holder.go
@@ -0,0 +1,163 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/state/store"
+)
+
+const (
+	// Prefix is where the owners' keys live in the key-value service.
+	Prefix = "owner/"
+	// TTL is how long a lease lives without renewal.
+	TTL = 3 * time.Second
+	// renewEvery is how often it is renewed.
+	renewEvery = TTL / 3
+	// margin is how much earlier the holder believes it lapsed than the service does.
+	margin = 300 * time.Millisecond
+)
+
+// Owner is the stored form: who decides.
+type Owner struct {
+	Instance string `json:"instance"`
+}
+
+// Holder is one instance's side of the lease for one data centre.
+type Holder struct {
+	mu         sync.Mutex
+	client     *store.Client
+	key        string
+	instance   string
+	lease      int64
+	epoch      int64
+	validUntil time.Time
+	renewAt    time.Time
+	owner      string
+	abandoned  bool
+}
+
+// NewHolder returns a holder that has nothing yet.
+func NewHolder(client *store.Client, centre, instance string) *Holder {
+	return &Holder{client: client, key: Prefix + centre, instance: instance}
+}
+
+// Epoch returns the epoch while the lease is surely valid; else ok is false.
+func (h *Holder) Epoch(now time.Time) (epoch int64, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.epoch, h.epoch != 0 && now.Before(h.validUntil)
+}
+
+// Last returns the last epoch held, valid or not, and zero once another instance is known to hold the lease.
+func (h *Holder) Last() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.epoch
+}
+
+// Owner returns the instance last seen as owner.
+func (h *Holder) Owner() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.owner
+}
+
+// Step renews the lease or tries to take it; it is called several times a TTL. Calls must not overlap.
+func (h *Holder) Step(ctx context.Context, now time.Time) error {
+	h.mu.Lock()
+	lease, due, abandoned := h.lease, !now.Before(h.renewAt), h.abandoned
+	h.mu.Unlock()
+	switch {
+	case abandoned:
+		return nil
+	case lease != 0 && !due:
+		return nil
+	case lease != 0:
+		return h.renew(ctx, lease, now)
+	default:
+		return h.take(ctx, now)
+	}
+}
+
+func (h *Holder) renew(ctx context.Context, lease int64, now time.Time) error {
+	if err := h.client.Renew(ctx, lease); err != nil {
+		var lapsed *store.LapsedError
+		if errors.As(err, &lapsed) {
+			h.drop()
+		}
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.validUntil = now.Add(TTL - margin)
+	h.renewAt = now.Add(renewEvery)
+	return nil
+}
+
+// take creates the key if it does not exist; its version is the new epoch.
+func (h *Holder) take(ctx context.Context, now time.Time) error {
+	entry, err := h.client.Get(ctx, store.Leases, h.key)
+	if err != nil {
+		return err
+	}
+	if entry.Version != 0 {
+		return h.observe(entry)
+	}
+	lease, err := h.client.Grant(ctx, TTL)
+	if err != nil {
+		return err
+	}
+	written, err := h.client.Swap(ctx, store.Leases, entry, Owner{Instance: h.instance}, lease)
+	if err != nil {
+		return errors.Join(err, h.client.Revoke(ctx, lease))
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lease, h.epoch, h.owner = lease, written.Version, h.instance
+	h.validUntil = now.Add(TTL - margin)
+	h.renewAt = now.Add(renewEvery)
+	return nil
+}
+
+// observe notes another owner; an earlier epoch of ours is over then.
+func (h *Holder) observe(entry store.Entry) error {
+	var owner Owner
+	if err := json.Unmarshal(entry.Data, &owner); err != nil {
+		return &store.RecordError{Key: entry.Key, Problem: err.Error()}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.owner, h.epoch = owner.Instance, 0
+	return nil
+}
+
+// drop gives up a lease that the service has let lapse; the epoch is kept, as workers may still know no higher one.
+func (h *Holder) drop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lease, h.validUntil = 0, time.Time{}
+}
+
+// Abandon stops renewing without telling the service, as a dying process does.
+func (h *Holder) Abandon() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.abandoned = true
+	h.lease, h.epoch, h.validUntil = 0, 0, time.Time{}
+}
+
+// Release hands the lease back, so that another instance can take it at once.
+func (h *Holder) Release(ctx context.Context) error {
+	h.mu.Lock()
+	lease := h.lease
+	h.lease, h.epoch, h.validUntil = 0, 0, time.Time{}
+	h.mu.Unlock()
+	if lease == 0 {
+		return nil
+	}
+	return h.client.Revoke(ctx, lease)
+}
--- /dev/null
+++ b/internal/state/ledger/ledger.go
@@ -0,0 +1,97 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/lentildeck/lentildeck/internal/state/table"
+)
+
+const (
+	// Prefix is where the shards live in the key-value service.
+	Prefix = "deck/ledger/"
+	// ShardCount is how many values the records are spread over.
+	ShardCount = 16
+	// keepEnded is how long the record of an ended job is kept.
+	keepEnded = 24 * time.Hour
+)
+
+// Ledger is one instance's view of all job records.
+type Ledger struct {
+	*table.Table[Record]
+	now func() time.Time
+}
+
+// New returns a ledger whose commit loops run until Close; observe is told the size of each group commit.
+func New(client *store.Client, now func() time.Time, observe func(operations int)) *Ledger {
+	cfg := table.Config[Record]{Prefix: Prefix, Shards: ShardCount, Class: store.Jobs, Expired: expired, Observe: observe}
+	return &Ledger{Table: table.New(cfg, client, now), now: now}
+}
+
+func expired(r Record, now time.Time) bool {
+	return r.Phase == queue.Ended && r.Ended.Before(now.Add(-keepEnded))
+}
+
+// Submit adds a new record.
+func (l *Ledger) Submit(ctx context.Context, record Record) error {
+	return l.Update(ctx, record.Job, func(r *Record, exists bool) error {
+		if exists {
+			return &ExistsError{Job: record.Job}
+		}
+		*r = record
+		return nil
+	})
+}
+
+// Cancel ends a job that holds no capacity and asks the holder to end any other.
+func (l *Ledger) Cancel(ctx context.Context, id string) error {
+	return l.Update(ctx, id, func(r *Record, exists bool) error {
+		if !exists {
+			return &MissingError{Job: id}
+		}
+		if !r.Open() {
+			return &EndedError{Job: id, Outcome: r.Outcome}
+		}
+		r.CancelAsked = true
+		if r.DataCentre == "" {
+			r.End(queue.Cancelled, "cancelled", "", l.now())
+		}
+		return nil
+	})
+}
+
+// Admit lets a held job be considered.
+func (l *Ledger) Admit(ctx context.Context, id string) error {
+	return l.Update(ctx, id, func(r *Record, exists bool) error {
+		if !exists {
+			return &MissingError{Job: id}
+		}
+		if !r.Held {
+			return &NotHeldError{Job: id}
+		}
+		r.Held = false
+		return nil
+	})
+}
+
+// EndedError says that a job is over.
+type EndedError struct {
+	Job     string
+	Outcome queue.Outcome
+}
+
+// Error gives the outcome.
+func (e *EndedError) Error() string {
+	return fmt.Sprintf("job %q has ended already: %s", e.Job, e.Outcome)
+}
+
+// NotHeldError says that a job needs no admission.
+type NotHeldError struct{ Job string }
+
+// Error names the job.
+func (e *NotHeldError) Error() string {
+	return fmt.Sprintf("job %q is not held, so there is nothing to admit", e.Job)
+}
--- /dev/null
+++ b/internal/state/ledger/record.go
@@ -0,0 +1,56 @@
+package ledger
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/span"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+)
+
+// Record is what must last about a job.
+type Record struct {
+	queue.Spec
+	Submitted time.Time `json:"submitted"`
+	// DataCentre holds the job; empty while any data centre may take it.
+	DataCentre string        `json:"dataCentre,omitempty"`
+	Phase      queue.Phase   `json:"phase"`
+	Attempt    int           `json:"attempt,omitempty"`
+	Progress   span.Duration `json:"progress"`
+	Workers    []string      `json:"workers,omitempty"`
+	Started    time.Time     `json:"started,omitzero"`
+	Outcome    queue.Outcome `json:"outcome"`
+	Result     string        `json:"result,omitempty"`
+	Why        string        `json:"why,omitempty"`
+	Ended      time.Time     `json:"ended,omitzero"`
+	// Held is true until an operator admits the job.
+	Held bool `json:"held,omitempty"`
+	// CancelAsked is true once somebody has cancelled the job.
+	CancelAsked bool `json:"cancelAsked,omitempty"`
+}
+
+// Open reports whether the job has not ended.
+func (r *Record) Open() bool { return r.Phase != queue.Ended }
+
+// End closes the record; a record that has ended stays as it is.
+func (r *Record) End(outcome queue.Outcome, why, result string, now time.Time) {
+	if !r.Open() {
+		return
+	}
+	r.Phase, r.Outcome, r.Why, r.Result, r.Ended = queue.Ended, outcome, why, result, now
+	r.Workers = nil
+}
+
+// ExistsError says that the ledger has a job of this name.
+type ExistsError struct{ Job string }
+
+// Error names the job.
+func (e *ExistsError) Error() string {
+	return fmt.Sprintf("job %q exists already; choose another name", e.Job)
+}
+
+// MissingError says that the ledger has no job of this name.
+type MissingError struct{ Job string }
+
+// Error names the job.
+func (e *MissingError) Error() string { return fmt.Sprintf("there is no job %q", e.Job) }
--- /dev/null
+++ b/internal/state/store/budget.go
@@ -0,0 +1,82 @@
+package store
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+//go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Class -transform=title-lower
+
+// Class says how important a call is; when the budget runs low, the higher classes wait first.
+type Class int
+
+// The classes, the most important first.
+const (
+	Leases Class = iota
+	Commands
+	Claims
+	Jobs
+	Other
+)
+
+// reserveShare is the part of the burst that each class must leave to the classes above it.
+var reserveShare = [...]float64{Leases: 0, Commands: 0.05, Claims: 0.15, Jobs: 0.3, Other: 0.5}
+
+// Budget limits the calls of one instance to the key-value service.
+type Budget struct {
+	mu     sync.Mutex
+	rate   float64
+	burst  float64
+	tokens float64
+	last   time.Time
+	taken  [Other + 1]int64
+	denied [Other + 1]int64
+}
+
+// NewBudget returns a full budget of rate calls a second with the given burst.
+func NewBudget(rate, burst float64) *Budget {
+	return &Budget{rate: rate, burst: burst, tokens: burst}
+}
+
+// Take spends one call of the class, or reports how long to wait.
+func (b *Budget) Take(class Class, now time.Time) (wait time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	need := 1 + reserveShare[class]*b.burst
+	if b.tokens >= need {
+		b.tokens--
+		b.taken[class]++
+		return 0, true
+	}
+	b.denied[class]++
+	return time.Duration((need - b.tokens) / b.rate * float64(time.Second)), false
+}
+
+func (b *Budget) refill(now time.Time) {
+	if !b.last.IsZero() && now.After(b.last) {
+		b.tokens = min(b.burst, b.tokens+now.Sub(b.last).Seconds()*b.rate)
+	}
+	if now.After(b.last) {
+		b.last = now
+	}
+}
+
+// Taken returns how many calls of the class were made.
+func (b *Budget) Taken(class Class) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.taken[class]
+}
+
+// BudgetError says that the call was not made because the budget is spent.
+type BudgetError struct {
+	Class Class
+	Wait  time.Duration
+}
+
+// Error says when to try again.
+func (e *BudgetError) Error() string {
+	return fmt.Sprintf("store: call budget of class %s is spent; try again in %s", e.Class, e.Wait)
+}
--- /dev/null
+++ b/internal/state/table/doc.go
@@ -0,0 +1,2 @@
+// Package table keeps records in the key-value service, spread over few large values, with one write for many changes.
+package table
--- /dev/null
+++ b/internal/state/table/table.go
@@ -0,0 +1,348 @@
+package table
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// commitTimeout bounds one group commit, the settling of a lost answer included.
+	commitTimeout = 5 * time.Second
+	// maxShardBytes stays below the service's limit of a megabyte a value.
+	maxShardBytes = 900 << 10
+)
+
+// Change alters one record; it must not keep the pointer, and an error leaves the record as it was.
+type Change[T any] func(record *T, exists bool) error
+
+// content is the stored form of a shard.
+type content[T any] struct {
+	Records map[string]T `json:"records"`
+}
+
+// operation is one change that waits for its group commit.
+type operation[T any] struct {
+	id     string
+	change Change[T]
+	done   chan error
+}
+
+// Config says where a table lives and how it behaves.
+type Config[T any] struct {
+	// Prefix is where the shards live in the key-value service; it ends in a slash.
+	Prefix string
+	// Shards is how many values the records are spread over.
+	Shards int
+	Class  store.Class
+	// Expired reports whether a record may be dropped.
+	Expired func(record T, now time.Time) bool
+	// Observe is told the size of each group commit.
+	Observe func(operations int)
+}
+
+// shard is one value of the key-value service.
+type shard[T any] struct {
+	key     string
+	mu      sync.Mutex
+	entry   store.Entry
+	loaded  bool
+	records map[string]T
+	pending []operation[T]
+	ready   chan struct{}
+}
+
+// Table is one instance's view of all shards.
+type Table[T any] struct {
+	cfg    Config[T]
+	client *store.Client
+	now    func() time.Time
+	shards []*shard[T]
+	wg     conc.WaitGroup
+	stop   context.CancelFunc
+	done   chan struct{}
+	// generation grows with every change of this instance's copy.
+	generation atomic.Int64
+	// loading guards upto, the version up to which Load has taken everything in.
+	loading sync.Mutex
+	upto    int64
+}
+
+// Generation grows with every change of this instance's copy.
+func (t *Table[T]) Generation() int64 { return t.generation.Load() }
+
+// New returns a table whose commit loops run until Close.
+func New[T any](cfg Config[T], client *store.Client, now func() time.Time) *Table[T] {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Table[T]{cfg: cfg, client: client, now: now, stop: cancel, done: make(chan struct{})}
+	for i := range cfg.Shards {
+		s := &shard[T]{key: fmt.Sprintf("%s%02d", cfg.Prefix, i), records: make(map[string]T), ready: make(chan struct{}, 1)}
+		s.entry.Key = s.key
+		t.shards = append(t.shards, s)
+		t.wg.Go(func() { t.run(ctx, s) })
+	}
+	return t
+}
+
+// Close stops the commit loops.
+func (t *Table[T]) Close() {
+	t.stop()
+	t.wg.Wait()
+	close(t.done)
+}
+
+// Done is closed when the table has stopped.
+func (t *Table[T]) Done() <-chan struct{} { return t.done }
+
+func (t *Table[T]) shardOf(id string) *shard[T] {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return t.shards[h.Sum32()%uint32(len(t.shards))]
+}
+
+// Update applies the change to the record in the next group commit and waits until its fate is known.
+func (t *Table[T]) Update(ctx context.Context, id string, change Change[T]) error {
+	s := t.shardOf(id)
+	op := operation[T]{id: id, change: change, done: make(chan error, 1)}
+	s.mu.Lock()
+	s.pending = append(s.pending, op)
+	s.mu.Unlock()
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
+	select {
+	case err := <-op.done:
+		return err
+	case <-ctx.Done():
+		return &store.UnknownError{Key: s.key, Cause: ctx.Err()}
+	case <-t.done:
+		return &store.UnknownError{Key: s.key, Cause: errors.New("this instance is stopping")}
+	}
+}
+
+func (t *Table[T]) run(ctx context.Context, s *shard[T]) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.ready:
+			t.flush(ctx, s)
+		}
+	}
+}
+
+// flush commits all pending changes of the shard in one write.
+func (t *Table[T]) flush(ctx context.Context, s *shard[T]) {
+	s.mu.Lock()
+	group := s.pending
+	s.pending = nil
+	s.mu.Unlock()
+	if len(group) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	results, err := t.commitGroup(ctx, s, group)
+	for i, op := range group {
+		if err != nil && results[i] == nil {
+			op.done <- err
+			continue
+		}
+		op.done <- results[i]
+	}
+	t.cfg.Observe(len(group))
+}
+
+// commitGroup repeats read, change and swap until no other instance comes in between.
+func (t *Table[T]) commitGroup(ctx context.Context, s *shard[T], group []operation[T]) ([]error, error) {
+	results := make([]error, len(group))
+	for {
+		if err := t.load(ctx, s); err != nil {
+			return results, err
+		}
+		entry, next := s.copy()
+		for i, op := range group {
+			results[i] = apply(next, op)
+		}
+		t.expire(next)
+		if err := checkSize(next); err != nil {
+			return results, err
+		}
+		written, err := t.client.Swap(ctx, t.cfg.Class, entry, content[T]{Records: next}, 0)
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			s.set(written, next)
+			t.generation.Add(1)
+			return results, nil
+		case errors.As(err, &conflict):
+			s.forget()
+		default:
+			s.forget()
+			return results, err
+		}
+	}
+}
+
+func apply[T any](records map[string]T, op operation[T]) error {
+	record, exists := records[op.id]
+	if err := op.change(&record, exists); err != nil {
+		return err
+	}
+	records[op.id] = record
+	return nil
+}
+
+func (t *Table[T]) expire(records map[string]T) {
+	now := t.now()
+	maps.DeleteFunc(records, func(_ string, r T) bool { return t.cfg.Expired(r, now) })
+}
+
+func checkSize[T any](records map[string]T) error {
+	raw, err := json.Marshal(content[T]{Records: records})
+	if err != nil {
+		return fmt.Errorf("table: encode: %w", err)
+	}
+	if len(raw) > maxShardBytes {
+		return &FullError{Bytes: len(raw)}
+	}
+	return nil
+}
+
+// load reads the shard if this instance has no valid copy.
+func (t *Table[T]) load(ctx context.Context, s *shard[T]) error {
+	s.mu.Lock()
+	loaded := s.loaded
+	s.mu.Unlock()
+	if loaded {
+		return nil
+	}
+	entry, err := t.client.Get(ctx, t.cfg.Class, s.key)
+	if err != nil {
+		return err
+	}
+	defer t.generation.Add(1)
+	return s.absorb(entry)
+}
+
+func (s *shard[T]) absorb(entry store.Entry) error {
+	var stored content[T]
+	if len(entry.Data) > 0 {
+		if err := json.Unmarshal(entry.Data, &stored); err != nil {
+			return &store.RecordError{Key: s.key, Problem: err.Error()}
+		}
+	}
+	if stored.Records == nil {
+		stored.Records = make(map[string]T)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if entry.Version >= s.entry.Version {
+		s.entry, s.records, s.loaded = entry, stored.Records, true
+	}
+	return nil
+}
+
+func (s *shard[T]) copy() (store.Entry, map[string]T) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entry, maps.Clone(s.records)
+}
+
+func (s *shard[T]) set(entry store.Entry, records map[string]T) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if entry.Version >= s.entry.Version {
+		s.entry, s.records, s.loaded = entry, records, true
+	}
+}
+
+func (s *shard[T]) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loaded = false
+}
+
+// Absorb takes in a value that a watch has brought.
+func (t *Table[T]) Absorb(entry store.Entry) error {
+	for _, s := range t.shards {
+		if s.key == entry.Key {
+			defer t.generation.Add(1)
+			return s.absorb(entry)
+		}
+	}
+	if strings.HasPrefix(entry.Key, t.cfg.Prefix) {
+		return &store.RecordError{Key: entry.Key, Problem: "no such shard"}
+	}
+	return nil
+}
+
+// Load takes in what has changed in all shards since the last Load, by one call.
+func (t *Table[T]) Load(ctx context.Context) error {
+	t.loading.Lock()
+	defer t.loading.Unlock()
+	entries, upto, err := t.client.Watch(ctx, t.cfg.Prefix, t.upto, 0)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if err := t.Absorb(entry); err != nil {
+			return err
+		}
+	}
+	t.upto = upto
+	return nil
+}
+
+// Fresh reads the record's shard again and returns the record.
+func (t *Table[T]) Fresh(ctx context.Context, id string) (record T, ok bool, err error) {
+	entry, err := t.client.Get(ctx, store.Other, t.shardOf(id).key)
+	if err != nil {
+		return record, false, err
+	}
+	if err := t.Absorb(entry); err != nil {
+		return record, false, err
+	}
+	record, ok = t.Get(id)
+	return record, ok, nil
+}
+
+// Get returns this instance's copy of a record.
+func (t *Table[T]) Get(id string) (T, bool) {
+	s := t.shardOf(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record, ok := s.records[id]
+	return record, ok
+}
+
+// Each calls visit for this instance's copy of every record.
+func (t *Table[T]) Each(visit func(T)) {
+	for _, s := range t.shards {
+		s.mu.Lock()
+		records := s.records
+		s.mu.Unlock()
+		for _, record := range records {
+			visit(record)
+		}
+	}
+}
+
+// FullError says that a shard would grow past the service's limit.
+type FullError struct{ Bytes int }
+
+// Error gives the size.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("table: a shard of %d bytes would pass the limit of %d; wait until old records expire", e.Bytes, maxShardBytes)
+}
