Replay recorded traces, with an independent checker and a lower bound

Cause: no decision could be measured. Change: trace reader, fake worker in virtual time, checker that shares no decision code, report, ten made scenes, baselines fifo, backfill and guarded.

--- a/internal/node/local/tour.go
+++ b/internal/node/local/tour.go
@@ -147,22 +147,18 @@
 }
 
 // phase waits until the job is in the phase and returns its row.
-func (t *tour) phase(ctx context.Context, job string, want ...queue.Phase) (dataCentre, workers string, err error) {
+func (t *tour) phase(ctx context.Context, job string, want queue.Phase) (dataCentre, workers string, err error) {
 	err = t.until(ctx, func() (bool, string) {
 		answer, err := t.node(0).Client.Line(fmt.Sprintf("jobs where job = %q", job))
 		if err != nil {
 			return false, err.Error()
 		}
-		for _, row := range answer.Rows {
-			dataCentre, workers = row["dataCentre"], row["workers"]
-			for _, phase := range want {
-				if row["phase"] == phase.String() {
-					return true, ""
-				}
-			}
-			return false, fmt.Sprintf("%s is %s: %s", job, row["phase"], row["why"])
+		if len(answer.Rows) == 0 {
+			return false, job + " is not listed"
 		}
-		return false, job + " is not listed"
+		row := answer.Rows[0]
+		dataCentre, workers = row["dataCentre"], row["workers"]
+		return row["phase"] == want.String(), fmt.Sprintf("%s is %s: %s", job, row["phase"], row["why"])
 	})
 	return dataCentre, workers, err
 }
--- a/internal/place/engine/engine.go
+++ b/internal/place/engine/engine.go
@@ -221,3 +221,6 @@
 	}
 	return names
 }
+
+// CentresOf returns the data centres that the workspace may use.
+func (e *Engine) CentresOf(workspace string) []int { return e.centres[workspace] }
--- /dev/null
+++ b/internal/proof/replay/report.go
@@ -0,0 +1,204 @@
+package replay
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/proof/check"
+)
+
+// Spread sums up a set of durations in seconds.
+type Spread struct {
+	Mean float64 `json:"mean"`
+	P50  float64 `json:"p50"`
+	P95  float64 `json:"p95"`
+	P99  float64 `json:"p99"`
+	Max  float64 `json:"max"`
+}
+
+// Completion is the time from submit to finish.
+type Completion struct {
+	Spread
+	ByClass map[string]Spread `json:"byClass"`
+}
+
+// Slowdown is completion over true run time.
+type Slowdown struct {
+	Mean float64 `json:"mean"`
+	P95  float64 `json:"p95"`
+}
+
+// Starts is the time from submit to the first start.
+type Starts struct {
+	Urgent Quantiles `json:"urgent"`
+}
+
+// Quantiles sums up waits in seconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Bound is what no schedule can beat.
+type Bound struct {
+	MeanCompletionSeconds float64 `json:"meanCompletionSeconds"`
+	MakespanSeconds       float64 `json:"makespanSeconds"`
+}
+
+// Change is the work done around the leaving and returning of data centres.
+type Change struct {
+	Useful    float64 `json:"usefulAcceleratorSeconds"`
+	Available float64 `json:"availableAcceleratorSeconds"`
+	Ratio     float64 `json:"ratio"`
+}
+
+// Reclaim is how long entitled jobs waited.
+type Reclaim struct {
+	Count int     `json:"count"`
+	P50   float64 `json:"p50Seconds"`
+	P99   float64 `json:"p99Seconds"`
+	Max   float64 `json:"maxSeconds"`
+}
+
+// Micros is how long decisions took.
+type Micros struct {
+	P50 int64 `json:"p50"`
+	P99 int64 `json:"p99"`
+}
+
+// Report is what a replay prints, one object a trace and policy.
+type Report struct {
+	Trace       string `json:"trace"`
+	Policy      string `json:"policy"`
+	Jobs        int    `json:"jobs"`
+	Finished    int    `json:"finished"`
+	Cancelled   int    `json:"cancelled"`
+	Interrupted int    `json:"interrupted"`
+	Refused     int    `json:"refused"`
+	Failed      int    `json:"failed"`
+	Unfinished  int    `json:"unfinished"`
+	Lost        int    `json:"lost"`
+	RanTwice    int    `json:"ranTwice"`
+
+	Completion    Completion   `json:"completionSeconds"`
+	Slowdown      Slowdown     `json:"slowdown"`
+	Starts        Starts       `json:"startSeconds"`
+	Makespan      float64      `json:"makespanSeconds"`
+	LowerBound    Bound        `json:"lowerBound"`
+	Fragmentation float64      `json:"fragmentation"`
+	Useful        float64      `json:"usefulAcceleratorSeconds"`
+	Wasted        float64      `json:"wastedAcceleratorSeconds"`
+	Change        Change       `json:"dataCentreChange"`
+	Reclaim       Reclaim      `json:"reclaim"`
+	Violations    check.Counts `json:"violations"`
+	Decisions     int          `json:"decisions"`
+	Micros        Micros       `json:"decisionMicros"`
+}
+
+func (s *sim) report(policy string, checker *check.Checker) Report {
+	r := Report{Trace: s.trace.Header.Name, Policy: policy, Jobs: len(s.order), Violations: checker.Counts, Decisions: s.count}
+	r.Lost, r.RanTwice = checker.Counts.Lost, checker.Counts.StartedTwice
+	s.countOutcomes(&r)
+	s.completions(&r)
+	r.Starts.Urgent = s.urgentStarts()
+	r.LowerBound.MeanCompletionSeconds, r.LowerBound.MakespanSeconds = s.bounds()
+	if s.account.waited > 0 {
+		r.Fragmentation = s.account.stuck / s.account.waited
+	}
+	r.Useful, r.Wasted = s.account.work()
+	r.Change = Change{Useful: s.account.change(), Available: s.account.available}
+	if r.Change.Available > 0 {
+		r.Change.Ratio = r.Change.Useful / r.Change.Available
+	}
+	waits := quantiles(checker.Reclaims)
+	r.Reclaim = Reclaim{Count: len(checker.Reclaims), P50: waits.P50, P99: waits.P99, Max: waits.Max}
+	r.Micros = Micros{P50: s.timer.Quantile(50).Microseconds(), P99: s.timer.Quantile(99).Microseconds()}
+	return r
+}
+
+func (s *sim) countOutcomes(r *Report) {
+	for _, j := range s.order {
+		switch j.outcome {
+		case queue.Finished:
+			r.Finished++
+			r.Makespan = max(r.Makespan, seconds(j.done))
+		case queue.Cancelled:
+			r.Cancelled++
+		case queue.Interrupted:
+			r.Interrupted++
+		case queue.Refused:
+			r.Refused++
+		case queue.Failed:
+			r.Failed++
+		default:
+			r.Unfinished++
+		}
+	}
+}
+
+// completions counts unfinished and interrupted jobs as open until the end, so that giving up never helps.
+func (s *sim) completions(r *Report) {
+	var all, slow []float64
+	byClass := make(map[string][]float64)
+	for _, j := range s.order {
+		if !j.counts() {
+			continue
+		}
+		end := s.now
+		if j.outcome == queue.Finished {
+			end = j.done
+		}
+		took := seconds(end - j.submit.When())
+		all = append(all, took)
+		slow = append(slow, took/j.submit.Actual.Seconds())
+		class := j.submit.Class.String()
+		byClass[class] = append(byClass[class], took)
+	}
+	r.Completion = Completion{Spread: spread(all), ByClass: make(map[string]Spread)}
+	for class, list := range byClass {
+		r.Completion.ByClass[class] = spread(list)
+	}
+	slows := spread(slow)
+	r.Slowdown = Slowdown{Mean: slows.Mean, P95: slows.P95}
+}
+
+func (s *sim) urgentStarts() Quantiles {
+	var waits []time.Duration
+	for _, j := range s.order {
+		if j.submit.Class == queue.Urgent && j.started {
+			waits = append(waits, j.first-j.submit.When())
+		}
+	}
+	return quantiles(waits)
+}
+
+func quantiles(waits []time.Duration) Quantiles {
+	list := make([]float64, len(waits))
+	for i, w := range waits {
+		list[i] = w.Seconds()
+	}
+	s := spread(list)
+	return Quantiles{P50: s.P50, P99: s.P99, Max: s.Max}
+}
+
+func spread(list []float64) Spread {
+	if len(list) == 0 {
+		return Spread{}
+	}
+	sorted := append([]float64(nil), list...)
+	sort.Float64s(sorted)
+	sum := 0.0
+	for _, v := range sorted {
+		sum += v
+	}
+	return Spread{Mean: sum / float64(len(sorted)), P50: rankOf(sorted, 0.50), P95: rankOf(sorted, 0.95), P99: rankOf(sorted, 0.99), Max: sorted[len(sorted)-1]}
+}
+
+// rankOf is the nearest-rank quantile of a sorted list.
+func rankOf(sorted []float64, q float64) float64 {
+	at := int(math.Ceil(q*float64(len(sorted)))) - 1
+	return sorted[max(at, 0)]
+}
--- /dev/null
+++ b/internal/proof/sample/builder.go
@@ -0,0 +1,150 @@
+package sample
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/span"
+	"github.com/lentildeck/lentildeck/internal/place/fleet"
+	"github.com/lentildeck/lentildeck/internal/place/guard"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/place/shape"
+	"github.com/lentildeck/lentildeck/internal/proof/trace"
+)
+
+// builder collects events in any order.
+type builder struct {
+	rng    *rand.Rand
+	header trace.Header
+	events []trace.Event
+	number int
+}
+
+func newBuilder(name string, seed uint64) *builder {
+	return &builder{
+		rng:    rand.New(rand.NewPCG(seed, 7)),
+		header: trace.Header{Kind: "header", Version: 1, Name: name, Seed: seed},
+	}
+}
+
+// write prints the trace with its events in order of time.
+func (b *builder) write(out io.Writer) error {
+	sort.SliceStable(b.events, func(i, j int) bool { return b.events[i].When() < b.events[j].When() })
+	lines := json.NewEncoder(out)
+	if err := lines.Encode(b.header); err != nil {
+		return err
+	}
+	for _, e := range b.events {
+		if err := lines.Encode(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func at(t time.Duration, kind string) trace.At {
+	return trace.At{At: span.Of(t.Truncate(time.Millisecond)), Kind: kind}
+}
+
+// studenets sets up three data centres of two racks of eight workers, or more racks.
+func (b *builder) studenets(racks int) {
+	for _, p := range []struct{ name, short string }{{"plovdiv", "plv"}, {"haskovo", "hsk"}, {"pazardzhik", "paz"}} {
+		spec := fleet.DataCentreSpec{Name: p.name, Region: "bg-south", Instances: 2}
+		for n := range racks {
+			spec.Racks = append(spec.Racks, fleet.RackSpec{
+				Name: fmt.Sprintf("%s-%d", p.short, n+1), Workers: 8, Resources: shape.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128},
+			})
+		}
+		b.header.DataCentres = append(b.header.DataCentres, spec)
+	}
+}
+
+// gang is a shape of whole or part workers.
+func gang(members, accelerators int, within shape.Within) shape.Shape {
+	return shape.Shape{
+		Members: members, Within: within,
+		Resources: shape.Resources{Accelerators: accelerators, Cores: max(1, accelerators*3), MemoryGB: max(2, accelerators*12)},
+	}
+}
+
+func (b *builder) workspace(name string, promises ...guard.Guarantee) {
+	b.header.Workspaces = append(b.header.Workspaces, guard.Workspace{Name: name, Guarantees: promises})
+}
+
+// lognormal draws a duration with the median and the spread of its logarithm.
+func (b *builder) lognormal(median time.Duration, sigma float64) time.Duration {
+	return max(time.Second, time.Duration(float64(median)*math.Exp(sigma*b.rng.NormFloat64())).Truncate(time.Second))
+}
+
+// between draws a time evenly from an interval.
+func (b *builder) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(b.rng.Int64N(int64(to-from)))
+}
+
+// kind describes a sort of jobs.
+type kind struct {
+	workspace string
+	class     queue.Class
+	shape     shape.Shape
+	median    time.Duration
+	sigma     float64
+	// off is the spread of the logarithm of declared over actual, bias its shift.
+	off  float64
+	bias float64
+	// rigid jobs can't checkpoint; single ones are not idempotent.
+	rigid  bool
+	single bool
+	every  time.Duration
+	takes  time.Duration
+}
+
+// submit adds one job of the kind and returns its name and true run time.
+func (b *builder) submit(t time.Duration, k kind) (string, time.Duration) {
+	b.number++
+	name := fmt.Sprintf("%s-%d", k.workspace, b.number)
+	actual := b.lognormal(k.median, k.sigma)
+	declared := time.Duration(float64(actual) * math.Exp(k.off*b.rng.NormFloat64()+k.bias)).Truncate(time.Second)
+	e := trace.Submit{
+		At: at(t, "submit"), Job: name, Workspace: k.workspace, Class: k.class, Idempotent: !k.single, Shape: k.shape,
+		Declared: span.Of(max(declared, time.Second)), Actual: span.Of(actual),
+	}
+	if !k.rigid {
+		e.CheckpointEvery, e.CheckpointTakes = span.Of(k.every), span.Of(k.takes)
+		if k.every == 0 {
+			e.CheckpointEvery, e.CheckpointTakes = span.Of(10*time.Minute), span.Of(30*time.Second)
+		}
+	}
+	b.events = append(b.events, e)
+	return name, actual
+}
+
+// many spreads n jobs of the kind evenly over an interval.
+func (b *builder) many(n int, from, to time.Duration, k kind) []string {
+	names := make([]string, 0, n)
+	for range n {
+		name, _ := b.submit(b.between(from, to), k)
+		names = append(names, name)
+	}
+	return names
+}
+
+func (b *builder) cancel(t time.Duration, job string) {
+	b.events = append(b.events, trace.Cancel{At: at(t, "cancel"), Job: job})
+}
+
+func (b *builder) drain(t time.Duration, centre string, deadline time.Duration) {
+	b.events = append(b.events, trace.Drain{At: at(t, "drain"), DataCentre: centre, Deadline: span.Of(deadline)})
+}
+
+func (b *builder) centre(t time.Duration, what, centre string) {
+	b.events = append(b.events, trace.Centre{At: at(t, what), DataCentre: centre})
+}
+
+func (b *builder) worker(t time.Duration, what, name string) {
+	b.events = append(b.events, trace.Worker{At: at(t, what), Worker: name})
+}
--- /dev/null
+++ b/internal/proof/sample/scenes.go
@@ -0,0 +1,269 @@
+package sample
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/plug"
+	"github.com/lentildeck/lentildeck/internal/kern/span"
+	"github.com/lentildeck/lentildeck/internal/place/fleet"
+	"github.com/lentildeck/lentildeck/internal/place/guard"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/place/shape"
+	"github.com/lentildeck/lentildeck/internal/proof/trace"
+)
+
+// Scene writes one scenario into a builder.
+type Scene func(b *builder)
+
+// Scenes are the registered scenarios by name.
+var Scenes = plug.New[Scene]("scene")
+
+// Write prints the named scenario made from the seed.
+func Write(out io.Writer, name string, seed uint64) error {
+	scene, err := Scenes.Lookup(name)
+	if err != nil {
+		return err
+	}
+	b := newBuilder(name, seed)
+	scene(b)
+	return b.write(out)
+}
+
+func init() {
+	Scenes.Register("morning", morning)
+	Scenes.Register("fragment", fragment)
+	Scenes.Register("borrow", borrow)
+	Scenes.Register("drain", drains)
+	Scenes.Register("loss", loss)
+	Scenes.Register("sizes", sizes)
+	Scenes.Register("badworkers", badWorkers)
+	Scenes.Register("cancels", cancels)
+	Scenes.Register("outage", outage)
+	Scenes.Register("twoyear", twoYear)
+}
+
+// usual is the set of workspaces of most scenes.
+func (b *builder) usual() {
+	b.studenets(2)
+	b.workspace("recount", guard.Guarantee{Count: 2, Shape: gang(4, 8, shape.Rack)})
+	b.workspace("pricing", guard.Guarantee{Count: 4, Shape: gang(1, 4, shape.Worker)})
+	b.workspace("routes")
+	b.workspace("lab")
+}
+
+var (
+	recounts = kind{workspace: "recount", class: queue.Batch, shape: gang(4, 8, shape.Rack), median: 2 * time.Hour, sigma: 0.6, off: 0.8}
+	calls    = kind{workspace: "pricing", class: queue.Quick, shape: gang(1, 1, shape.Worker), median: 20 * time.Second, sigma: 0.7, off: 0.8, rigid: true}
+	urgents  = kind{workspace: "pricing", class: queue.Urgent, shape: gang(1, 4, shape.Worker), median: 3 * time.Minute, sigma: 0.5, off: 0.5, every: time.Minute, takes: 2 * time.Second}
+	plans    = kind{workspace: "routes", class: queue.Batch, shape: gang(2, 4, shape.Rack), median: 40 * time.Minute, sigma: 1, off: 1}
+	smalls   = kind{workspace: "lab", class: queue.Batch, shape: gang(1, 1, shape.Worker), median: 30 * time.Minute, sigma: 1.2, off: 1.2}
+	trials   = kind{workspace: "lab", class: queue.Batch, shape: gang(2, 8, shape.Rack), median: 90 * time.Minute, sigma: 1.2, off: 1.2}
+	tallies  = kind{workspace: "lab", class: queue.Batch, shape: gang(1, 2, shape.Worker), median: 20 * time.Minute, sigma: 0.8, off: 1, rigid: true, single: true}
+)
+
+// morning has overnight recounts and trials, and from six o'clock the callers.
+func morning(b *builder) {
+	b.usual()
+	b.many(14, 0, 3*time.Hour, recounts)
+	b.many(70, 0, 6*time.Hour, trials)
+	b.many(120, 0, 8*time.Hour, smalls)
+	b.many(60, 2*time.Hour, 9*time.Hour, plans)
+	b.many(400, 6*time.Hour, 9*time.Hour, calls)
+	b.many(25, 5*time.Hour, 9*time.Hour, urgents)
+}
+
+// fragment scatters small long work before gangs that need whole racks.
+func fragment(b *builder) {
+	b.usual()
+	long := smalls
+	long.median, long.sigma = 2*time.Hour, 0.9
+	odd := smalls
+	odd.shape, odd.median = gang(1, 3, shape.Worker), 80*time.Minute
+	b.many(260, 0, 3*time.Hour, long)
+	b.many(140, 0, 4*time.Hour, odd)
+	b.many(20, 0, 4*time.Hour, tallies)
+	whole := trials
+	whole.shape = gang(8, 8, shape.Rack)
+	b.many(16, 30*time.Minute, 5*time.Hour, whole)
+	b.many(30, 0, 5*time.Hour, plans)
+	b.many(6, time.Hour, 4*time.Hour, recounts)
+}
+
+// borrow fills the fleet with borrowers, and the promised workspaces ask again and again.
+func borrow(b *builder) {
+	b.usual()
+	b.many(60, 0, 30*time.Minute, trials)
+	b.many(80, 0, 4*time.Hour, smalls)
+	for n := range 12 {
+		short := recounts
+		short.median = 35 * time.Minute
+		b.submit(time.Duration(n)*25*time.Minute+20*time.Minute, short)
+	}
+	b.many(40, 30*time.Minute, 6*time.Hour, urgents)
+	b.many(10, 0, 5*time.Hour, tallies)
+}
+
+// drains takes data centres out and brings them back.
+func drains(b *builder) {
+	b.usual()
+	b.many(12, 0, 4*time.Hour, recounts)
+	b.many(60, 0, 5*time.Hour, trials)
+	b.many(120, 0, 6*time.Hour, smalls)
+	b.many(50, 0, 6*time.Hour, plans)
+	b.many(20, 0, 7*time.Hour, urgents)
+	b.drain(time.Hour, "haskovo", 2*time.Minute)
+	b.centre(2*time.Hour, trace.KindRestore, "haskovo")
+	b.drain(3*time.Hour, "plovdiv", time.Minute)
+	b.centre(3*time.Hour+50*time.Minute, trace.KindRestore, "plovdiv")
+	b.drain(4*time.Hour+30*time.Minute, "pazardzhik", 5*time.Minute)
+	b.centre(5*time.Hour, trace.KindRestore, "pazardzhik")
+}
+
+// loss takes a data centre, a rack and single workers without warning.
+func loss(b *builder) {
+	b.usual()
+	b.many(12, 0, 4*time.Hour, recounts)
+	b.many(55, 0, 5*time.Hour, trials)
+	b.many(100, 0, 6*time.Hour, smalls)
+	b.many(40, 0, 6*time.Hour, plans)
+	b.many(15, 0, 6*time.Hour, tallies)
+	b.many(20, 0, 6*time.Hour, urgents)
+	b.centre(90*time.Minute, trace.KindDataCentreDown, "plovdiv")
+	b.centre(150*time.Minute, trace.KindDataCentreUp, "plovdiv")
+	for n := range 8 {
+		name := fmt.Sprintf("hsk-1/%d", n)
+		b.worker(4*time.Hour, trace.KindWorkerDown, name)
+		b.worker(4*time.Hour+40*time.Minute, trace.KindWorkerUp, name)
+	}
+	b.worker(5*time.Hour, trace.KindWorkerDown, "paz-2/3")
+	b.worker(5*time.Hour+5*time.Minute, trace.KindWorkerUp, "paz-2/3")
+}
+
+// sizes has run times with a heavy tail, declared far off in both directions.
+func sizes(b *builder) {
+	b.usual()
+	wild := trials
+	wild.median, wild.sigma, wild.off, wild.bias = 25*time.Minute, 1.9, 2, -0.5
+	wild.shape = gang(1, 8, shape.Worker)
+	b.many(220, 0, 8*time.Hour, wild)
+	wide := trials
+	wide.sigma, wide.off, wide.bias = 1.4, 1.8, 1
+	b.many(50, 0, 8*time.Hour, wide)
+	b.many(12, 0, 6*time.Hour, recounts)
+	b.many(150, 0, 8*time.Hour, smalls)
+	never := trials
+	never.shape = gang(9, 8, shape.Rack)
+	b.many(3, time.Hour, 2*time.Hour, never)
+}
+
+// badWorkers has workers that fail everything and jobs that fail everywhere.
+func badWorkers(b *builder) {
+	b.usual()
+	b.many(10, 0, 4*time.Hour, recounts)
+	b.many(50, 0, 5*time.Hour, trials)
+	b.many(160, 0, 6*time.Hour, smalls)
+	b.many(40, 0, 6*time.Hour, plans)
+	for _, name := range []string{"plv-1/2", "hsk-2/5", "paz-1/0"} {
+		b.worker(b.between(10*time.Minute, time.Hour), trace.KindWorkerBad, name)
+	}
+	b.worker(3*time.Hour, trace.KindWorkerGood, "hsk-2/5")
+	for range 6 {
+		name, _ := b.submit(b.between(0, 4*time.Hour), smalls)
+		for i, e := range b.events {
+			if s, ok := e.(trace.Submit); ok && s.Job == name {
+				s.FailsAfter = span.Of(20 * time.Second)
+				b.events[i] = s
+			}
+		}
+	}
+}
+
+// cancels has waves of jobs, most of which are cancelled at once.
+func cancels(b *builder) {
+	b.usual()
+	b.many(10, 0, 4*time.Hour, recounts)
+	b.many(30, 0, 5*time.Hour, plans)
+	b.many(80, 0, 6*time.Hour, smalls)
+	for wave := range 4 {
+		from := time.Duration(wave) * 75 * time.Minute
+		names := b.many(40, from, from+10*time.Minute, trials)
+		for i, name := range names {
+			if i%4 != 0 {
+				b.cancel(from+20*time.Minute+time.Duration(b.rng.IntN(60))*time.Second, name)
+			}
+		}
+	}
+}
+
+// outage loses the key-value service, owners, and one data centre's sight of everything.
+func outage(b *builder) {
+	b.usual()
+	b.many(10, 0, 5*time.Hour, recounts)
+	b.many(50, 0, 6*time.Hour, trials)
+	b.many(100, 0, 7*time.Hour, smalls)
+	b.many(40, 0, 7*time.Hour, plans)
+	b.centre(time.Hour, trace.KindStoreDown, "")
+	b.centre(70*time.Minute, trace.KindOwnerLost, "haskovo")
+	b.centre(80*time.Minute, trace.KindStoreUp, "")
+	b.centre(2*time.Hour, trace.KindOwnerLost, "plovdiv")
+	b.centre(3*time.Hour, trace.KindStoreDown, "pazardzhik")
+	b.centre(3*time.Hour+25*time.Minute, trace.KindStoreUp, "pazardzhik")
+	b.centre(4*time.Hour, trace.KindOwnerLost, "pazardzhik")
+	b.drain(4*time.Hour+time.Second, "pazardzhik", time.Minute)
+	b.centre(5*time.Hour, trace.KindRestore, "pazardzhik")
+}
+
+// The two-year size: 1,400 workers with 2,200 accelerators in 6 data centres, 670 workspaces, 2,200 jobs a day.
+const (
+	bigCentres     = 6
+	bigRacks       = 29
+	bigPlainRacks  = 23
+	bigWorkspaces  = 670
+	bigDay         = 24 * time.Hour
+	bigGuaranteed  = 120
+	bigAccelerated = 8
+)
+
+// twoYear is a day at the size to design for.
+func twoYear(b *builder) {
+	for d := range bigCentres {
+		spec := fleet.DataCentreSpec{Name: fmt.Sprintf("dc-%d", d), Region: fmt.Sprintf("region-%d", d/2), Instances: 4}
+		for n := range bigRacks {
+			each := shape.Resources{Accelerators: bigAccelerated, Cores: 64, MemoryGB: 256}
+			if n < bigPlainRacks {
+				each.Accelerators = 0
+			}
+			spec.Racks = append(spec.Racks, fleet.RackSpec{Name: fmt.Sprintf("d%d-r%d", d, n), Workers: 8, Resources: each})
+		}
+		b.header.DataCentres = append(b.header.DataCentres, spec)
+	}
+	team := func(n int) string { return fmt.Sprintf("team-%03d", n) }
+	for n := range bigWorkspaces {
+		switch {
+		case n < 6:
+			b.workspace(team(n), guard.Guarantee{Count: 1, Shape: gang(8, 8, shape.Rack)})
+		case n < bigGuaranteed:
+			b.workspace(team(n), guard.Guarantee{Count: 1, Shape: gang(1, 4, shape.Worker)})
+		default:
+			b.workspace(team(n))
+		}
+	}
+	cpu := shape.Resources{Cores: 4, MemoryGB: 16}
+	for range 1150 {
+		k := kind{workspace: team(b.rng.IntN(bigWorkspaces)), class: queue.Batch, median: 3 * time.Hour, sigma: 0.9, off: 1}
+		k.shape = shape.Shape{Members: 1 << b.rng.IntN(8), Resources: cpu, Within: shape.DataCentre}
+		b.submit(b.between(0, bigDay), k)
+	}
+	for range 900 {
+		k := kind{workspace: team(b.rng.IntN(bigWorkspaces)), class: queue.Batch, median: 2 * time.Hour, sigma: 1, off: 1}
+		k.shape = gang(1<<b.rng.IntN(4), 1<<b.rng.IntN(4), shape.Rack)
+		b.submit(b.between(0, bigDay), k)
+	}
+	for range 150 {
+		k := urgents
+		k.workspace = team(6 + b.rng.IntN(bigGuaranteed-6))
+		b.submit(b.between(0, bigDay), k)
+	}
+}
--- /dev/null
+++ b/internal/proof/trace/parse.go
@@ -0,0 +1,240 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/fleet"
+	"github.com/lentildeck/lentildeck/internal/place/guard"
+)
+
+// LineError says which line of a trace is wrong and why.
+type LineError struct {
+	Line    int
+	Field   string
+	Problem string
+}
+
+// Error names line, field and problem.
+func (e *LineError) Error() string {
+	if e.Field == "" {
+		return fmt.Sprintf("line %d: %s", e.Line, e.Problem)
+	}
+	return fmt.Sprintf("line %d: field %q: %s", e.Line, e.Field, e.Problem)
+}
+
+// reader checks each event against what came before it.
+type reader struct {
+	trace  Trace
+	line   int
+	fleet  *fleet.Fleet
+	spaces map[string]bool
+	jobs   map[string]bool
+	last   time.Duration
+	ended  bool
+}
+
+// Read parses and checks a whole trace; one mistake anywhere means that nothing is returned.
+func Read(source io.Reader) (*Trace, error) {
+	r := &reader{spaces: make(map[string]bool), jobs: make(map[string]bool)}
+	lines := bufio.NewScanner(source)
+	lines.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
+	for lines.Scan() {
+		r.line++
+		text := bytes.TrimSpace(lines.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		if err := r.take(text); err != nil {
+			return nil, err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, &LineError{Line: r.line + 1, Problem: err.Error()}
+	}
+	if r.fleet == nil {
+		return nil, &LineError{Line: 1, Problem: "the trace has no header"}
+	}
+	return &r.trace, nil
+}
+
+func (r *reader) take(text []byte) error {
+	if r.fleet == nil {
+		return r.header(text)
+	}
+	var at At
+	if err := json.Unmarshal(text, &at); err != nil {
+		return r.wrap(err)
+	}
+	event, err := r.decode(at.Kind, text)
+	if err != nil {
+		return err
+	}
+	switch {
+	case r.ended:
+		return r.wrong("kind", "nothing may follow the end event")
+	case event.When() < 0:
+		return r.wrong("at", "may not be negative")
+	case event.When() < r.last:
+		return r.wrong("at", fmt.Sprintf("%s is before the line above (%s); events are in order of time", event.When(), r.last))
+	}
+	r.last = event.When()
+	_, r.ended = event.(End)
+	r.trace.Events = append(r.trace.Events, event)
+	return nil
+}
+
+func (r *reader) header(text []byte) error {
+	h := &r.trace.Header
+	if err := r.strict(text, h); err != nil {
+		return err
+	}
+	if h.Kind != kindHeader {
+		return r.wrong("kind", fmt.Sprintf("the first line must be the header, not %q", h.Kind))
+	}
+	if h.Version != headerVersion {
+		return r.wrong("version", fmt.Sprintf("%d is not known; this release reads version %d", h.Version, headerVersion))
+	}
+	f, err := fleet.New(h.DataCentres)
+	if err != nil {
+		return r.wrong("dataCentres", err.Error())
+	}
+	for _, ws := range h.Workspaces {
+		if ws.Name == "" || r.spaces[ws.Name] {
+			return r.wrong("workspaces", fmt.Sprintf("name %q must be unique and not empty", ws.Name))
+		}
+		r.spaces[ws.Name] = true
+		for _, promise := range ws.Guarantees {
+			if promise.Count < 0 || promise.Members < 1 || promise.Resources.IsZero() {
+				return r.wrong("guarantees", fmt.Sprintf("workspace %q: count must not be negative, members must be 1 or more, and some capacity is needed", ws.Name))
+			}
+		}
+	}
+	if _, err := guard.New(f, h.Workspaces, h.Seed); err != nil {
+		return r.wrong("guarantees", err.Error())
+	}
+	r.fleet = f
+	return nil
+}
+
+func (r *reader) decode(kind string, text []byte) (Event, error) {
+	switch kind {
+	case kindSubmit:
+		return r.submit(text)
+	case kindCancel:
+		var e Cancel
+		if err := r.strict(text, &e); err != nil {
+			return nil, err
+		}
+		if !r.jobs[e.Job] {
+			return nil, r.wrong("job", fmt.Sprintf("job %q was not submitted before", e.Job))
+		}
+		return e, nil
+	case kindDrain:
+		var e Drain
+		if err := r.strict(text, &e); err != nil {
+			return nil, err
+		}
+		if e.Deadline.Duration < 0 {
+			return nil, r.wrong("deadline", "may not be negative")
+		}
+		return e, r.centre(e.DataCentre, false)
+	case KindRestore, KindDataCentreDown, KindDataCentreUp, KindOwnerLost, KindStoreDown, KindStoreUp:
+		var e Centre
+		if err := r.strict(text, &e); err != nil {
+			return nil, err
+		}
+		return e, r.centre(e.DataCentre, kind == KindStoreDown || kind == KindStoreUp)
+	case KindWorkerDown, KindWorkerUp, KindWorkerBad, KindWorkerGood:
+		return r.worker(text)
+	case kindEnd:
+		var e End
+		if err := r.strict(text, &e); err != nil {
+			return nil, err
+		}
+		return e, nil
+	default:
+		return nil, r.wrong("kind", fmt.Sprintf("%q is not known", kind))
+	}
+}
+
+func (r *reader) submit(text []byte) (Event, error) {
+	var e Submit
+	if err := r.strict(text, &e); err != nil {
+		return nil, err
+	}
+	switch {
+	case e.Job == "":
+		return nil, r.wrong("job", "may not be empty")
+	case r.jobs[e.Job]:
+		return nil, r.wrong("job", fmt.Sprintf("job %q was submitted before", e.Job))
+	case !r.spaces[e.Workspace]:
+		return nil, r.wrong("workspace", fmt.Sprintf("workspace %q does not exist", e.Workspace))
+	case e.Members < 1:
+		return nil, r.wrong("members", "must be 1 or more")
+	case e.Accelerators < 0 || e.Cores < 0 || e.MemoryGB < 0:
+		return nil, r.wrong("accelerators", "no size may be negative")
+	case e.Actual.Duration <= 0:
+		return nil, r.wrong("actual", "must be more than 0s")
+	case e.Declared.Duration < 0 || e.CheckpointEvery.Duration < 0 || e.CheckpointTakes.Duration < 0 || e.FailsAfter.Duration < 0:
+		return nil, r.wrong("declared", "no duration may be negative")
+	}
+	r.jobs[e.Job] = true
+	return e, nil
+}
+
+func (r *reader) worker(text []byte) (Event, error) {
+	var e Worker
+	if err := r.strict(text, &e); err != nil {
+		return nil, err
+	}
+	if _, ok := r.fleet.Worker(e.Worker); !ok {
+		return nil, r.wrong("worker", fmt.Sprintf("worker %q does not exist", e.Worker))
+	}
+	return e, nil
+}
+
+func (r *reader) centre(name string, optional bool) error {
+	if name == "" && optional {
+		return nil
+	}
+	if _, ok := r.fleet.DataCentre(name); !ok {
+		return r.wrong("dataCentre", fmt.Sprintf("data centre %q does not exist", name))
+	}
+	return nil
+}
+
+// strict decodes one line and refuses fields that the kind does not have.
+func (r *reader) strict(text []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return r.wrap(err)
+	}
+	if decoder.More() {
+		return r.wrong("", "one object a line")
+	}
+	return nil
+}
+
+func (r *reader) wrong(field, problem string) error {
+	return &LineError{Line: r.line, Field: field, Problem: problem}
+}
+
+// wrap finds the field that the JSON library complains about.
+func (r *reader) wrap(err error) error {
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		return r.wrong(kind.Field, fmt.Sprintf("a %s is wrong here", kind.Value))
+	}
+	if _, rest, ok := strings.Cut(err.Error(), "unknown field "); ok {
+		return r.wrong(strings.Trim(rest, `"`), "is not known")
+	}
+	return r.wrong("", err.Error())
+}
