--- a/internal/node/owner/gang.go
+++ b/internal/node/owner/gang.go
@@ -135,7 +135,7 @@
 	if g.stage == starting {
 		g.stage = running
 	}
-	t.engine.Abort(g.spec.Job, why)
+	t.engine.Abort(g.spec.Job, why, g.began)
 	o.order(t, g, false)
 	t.dirty = true
 }
--- a/internal/oper/cmds/replay.go
+++ b/internal/oper/cmds/replay.go
@@ -162,6 +162,7 @@
 		{"slowdown mean", func(r *replay.Report) string { return fmt.Sprintf("%.1f", r.Slowdown.Mean) }},
 		{"makespan s", func(r *replay.Report) string { return fmt.Sprintf("%.0f", r.Makespan) }},
 		{"fragmentation", func(r *replay.Report) string { return fmt.Sprintf("%.4f", r.Fragmentation) }},
+		{"idle share while jobs wait", func(r *replay.Report) string { return fmt.Sprintf("%.4f", r.Idle) }},
 		{"urgent start max s", func(r *replay.Report) string { return fmt.Sprintf("%.1f", r.Starts.Urgent.Max) }},
 		{"reclaims, max s", func(r *replay.Report) string { return fmt.Sprintf("%d, %.1f", r.Reclaim.Count, r.Reclaim.Max) }},
 		{"change useful share", func(r *replay.Report) string { return fmt.Sprintf("%.3f", r.Change.Ratio) }},
--- a/internal/place/engine/decide.go
+++ b/internal/place/engine/decide.go
@@ -24,6 +24,7 @@
 	now     time.Time
 	misses  map[searchKey]reason.Reason
 	preempt int
+	compact int
 	blocker string
 }
 
@@ -108,7 +109,7 @@
 		}
 	}
 	j.Reason = miss
-	return e.preempt(j, centres, p)
+	return e.preempt(j, centres, p) || e.compact(j, centres, p)
 }
 
 // viewFor is the capacity that the job may take without stopping anyone.
@@ -222,7 +223,7 @@
 		e.requeue(victim, now)
 		return
 	case queue.Running:
-		e.stop(victim, e.byCheckpoint(victim, claimant, now), "gives way to "+claimant.Job)
+		e.stop(victim, e.byCheckpoint(victim, claimant, now), "gives way to "+claimant.Job, now)
 	}
 	if victim.Phase == queue.Stopping {
 		e.claims[victim.Job] = append(e.claims[victim.Job], claimant)
@@ -231,8 +232,12 @@
 }
 
 // stop asks for the job to be stopped; it holds its capacity until the stop is reported.
-func (e *Engine) stop(j *queue.Job, checkpoint bool, why string) {
+func (e *Engine) stop(j *queue.Job, checkpoint bool, why string, now time.Time) {
 	j.Phase = queue.Stopping
+	j.StopsAt = now
+	if checkpoint {
+		j.StopsAt = now.Add(j.CheckpointTakes.Duration)
+	}
 	e.act(Stop{Job: j.Job, Attempt: j.Attempt, Workers: append([]int(nil), j.Workers...), Checkpoint: checkpoint, Why: why})
 }
 
--- a/internal/place/engine/engine.go
+++ b/internal/place/engine/engine.go
@@ -41,8 +41,6 @@
 	health   []workerState
 	drains   []drainState
 	centres  map[string][]int
-	holds    map[int]string
-	held     map[string]bool
 	actions  []Action
 }
 
@@ -74,7 +72,7 @@
 		jobs: make(map[string]*queue.Job), open: make(map[string][]*queue.Job),
 		onWorker: make([][]*queue.Job, len(f.Workers)), claims: make(map[string][]*queue.Job),
 		health: make([]workerState, len(f.Workers)), drains: make([]drainState, len(f.DataCentres)),
-		centres: make(map[string][]int), holds: make(map[int]string), held: make(map[string]bool),
+		centres: make(map[string][]int),
 	}
 	for _, ws := range cfg.Workspaces {
 		if e.centres[ws.Name], err = guard.Centres(f, ws); err != nil {
--- a/internal/place/engine/events.go
+++ b/internal/place/engine/events.go
@@ -66,9 +66,9 @@
 }
 
 // Abort stops a running job that can't go on; its fate is reported once all members are over.
-func (e *Engine) Abort(id, why string) {
+func (e *Engine) Abort(id, why string, now time.Time) {
 	if j := e.jobs[id]; j != nil && j.Phase == queue.Running {
-		e.stop(j, false, why)
+		e.stop(j, false, why, now)
 	}
 }
 
--- a/internal/place/engine/failure.go
+++ b/internal/place/engine/failure.go
@@ -88,7 +88,8 @@
 		if worker.Quarantined && !now.Before(e.health[w].probeAt) {
 			worker.Quarantined = false
 			released = true
-			e.health[w].failedJobs = e.health[w].failedJobs[:failuresToQuarantine-1]
+			// A task that was still running may have cleared the worker meanwhile.
+			e.health[w].failedJobs = e.health[w].failedJobs[:min(len(e.health[w].failedJobs), failuresToQuarantine-1)]
 		}
 	}
 	if released {
--- a/internal/place/engine/order.go
+++ b/internal/place/engine/order.go
@@ -119,14 +119,13 @@
 
 // yields reports whether a running job may be stopped for order.
 func (e *Engine) yields(j *queue.Job, bar float64, now time.Time) bool {
-	if j.Phase != queue.Running || !j.Checkpoints() || e.seated(j) || j.Class != queue.Batch {
+	if j.Phase != queue.Running || !j.Checkpoints() || j.Slot >= 0 || j.Class != queue.Batch {
 		return false
 	}
-	if now.Sub(j.Started) < max(e.policy.MinRun, minRunCheckpoints*j.CheckpointTakes.Duration) {
-		return false
-	}
-	return e.score(j, now) >= bar
+	return e.ranEnough(j, now) && e.score(j, now) >= bar
 }
 
-// minRunCheckpoints is how many times its checkpoint a job runs before it may be stopped for order.
-const minRunCheckpoints = 10
+// ranEnough keeps jobs from being stopped again and again.
+func (e *Engine) ranEnough(j *queue.Job, now time.Time) bool {
+	return now.Sub(j.Started) >= max(e.policy.MinRun, time.Duration(e.policy.MinCheckpoints)*j.CheckpointTakes.Duration)
+}
--- a/internal/place/engine/outage.go
+++ b/internal/place/engine/outage.go
@@ -102,7 +102,7 @@
 		for _, w := range e.Fleet.DataCentres[d].Workers {
 			for _, j := range append([]*queue.Job(nil), e.onWorker[w]...) {
 				if j.Phase == queue.Running && !now.Before(e.leaveAt(j, d)) {
-					e.stop(j, j.Checkpoints(), "data centre is drained")
+					e.stop(j, j.Checkpoints(), "data centre is drained", now)
 				}
 			}
 		}
@@ -143,7 +143,7 @@
 	for _, j := range e.waiting {
 		earliest(j.NotBefore)
 	}
-	if len(e.waiting) > 0 && (e.policy.Preempt > 0 || e.policy.HoldAfter > 0) {
+	if len(e.waiting) > 0 && (e.policy.Preempt > 0 || e.policy.Compact > 0) {
 		earliest(now.Add(reviewEvery))
 	}
 	return at, ok
--- a/internal/place/engine/policy.go
+++ b/internal/place/engine/policy.go
@@ -31,8 +31,10 @@
 	Preempt float64
 	// MinRun is how long a job runs before it may be stopped for order.
 	MinRun time.Duration
-	// HoldAfter is how long a gang waits before a place is held for it; zero never holds.
-	HoldAfter time.Duration
+	// MinCheckpoints is how many times its checkpoint a job runs before it may be stopped for order.
+	MinCheckpoints int
+	// Compact is how many times the work of moving others a job's need must be worth; zero never moves any.
+	Compact float64
 	// Aging is the wait after which a job's need counts as half.
 	Aging time.Duration
 }
@@ -47,7 +49,10 @@
 	Policies.Register("fifo", Policy{Order: ByArrival})
 	Policies.Register("backfill", Policy{Order: ByArrival, Skip: true})
 	Policies.Register("guarded", Policy{Order: ByArrival, Skip: true, BestFit: true, Guarantees: true})
+	Policies.Register("unpacked", Policy{
+		Order: ByRemaining, Skip: true, BestFit: true, Guarantees: true, Aging: 4 * time.Hour, Preempt: 3, MinRun: 5 * time.Minute, MinCheckpoints: 10,
+	})
 	Policies.Register(DefaultPolicy, Policy{
-		Order: ByRemaining, Skip: true, BestFit: true, Guarantees: true, Aging: 4 * time.Hour,
+		Order: ByRemaining, Skip: true, BestFit: true, Guarantees: true, Aging: 12 * time.Hour, Preempt: 3, MinRun: 5 * time.Minute, MinCheckpoints: 10, Compact: 10,
 	})
 }
--- a/internal/place/engine/victims.go
+++ b/internal/place/engine/victims.go
@@ -41,7 +41,7 @@
 // stopCost is what stopping the job for the claimant throws away, in accelerator-seconds.
 func (e *Engine) stopCost(j, claimant *queue.Job, now time.Time) float64 {
 	if j.Phase != queue.Running {
-		return 0
+		return e.waitCost(j, claimant, now)
 	}
 	spent := j.Unsaved(now)
 	if e.byCheckpoint(j, claimant, now) {
@@ -57,6 +57,14 @@
 	return cost
 }
 
+// waitCost is what waiting for a job that stops anyway costs; only a pressing claimant can't wait for long.
+func (e *Engine) waitCost(j, claimant *queue.Job, now time.Time) float64 {
+	if claimant.Class != queue.Batch && j.Phase == queue.Stopping && j.StopsAt.Sub(now) > urgentStop {
+		return slowStopPenalty
+	}
+	return 0
+}
+
 // byCheckpoint reports whether the victim is better stopped with a checkpoint than at once.
 func (e *Engine) byCheckpoint(j, claimant *queue.Job, now time.Time) bool {
 	if !j.Checkpoints() || !j.Idempotent {
--- a/internal/proof/check/checker.go
+++ b/internal/proof/check/checker.go
@@ -44,7 +44,6 @@
 // state is a job as the checker sees it.
 type state struct {
 	submit   *trace.Submit
-	order    int
 	running  bool
 	stopping bool
 	over     bool
--- a/internal/proof/replay/account.go
+++ b/internal/proof/replay/account.go
@@ -30,6 +30,8 @@
 	// stuck and waited are the integrals behind fragmentation.
 	stuck  float64
 	waited float64
+	// idle is the integral of the share of accelerators that are free while a job waits.
+	idle float64
 	// windows are the times around changes of data centres; away tells since when each one is out.
 	windows   []stretch
 	away      []bool
@@ -56,6 +58,7 @@
 		return
 	}
 	if stuck, ok := a.stuckShare(); ok {
+		a.idle += a.idleShare() * span
 		a.stuck += stuck * span
 		a.waited += span
 	}
--- a/internal/proof/replay/clock.go
+++ b/internal/proof/replay/clock.go
@@ -19,6 +19,8 @@
 	items []due
 	seq   int
 	busy  int
+	// look is when the next idle look is due; zero if none is.
+	look time.Duration
 }
 
 func (a *agenda) Len() int { return len(a.items) }
@@ -46,7 +48,12 @@
 	heap.Push(a, due{at: at, seq: a.seq, do: do})
 }
 
+// addIdle puts a look on the agenda unless an earlier one is due anyway.
 func (a *agenda) addIdle(at time.Duration) {
+	if a.look > 0 && a.look <= at {
+		return
+	}
+	a.look = at
 	a.seq++
 	heap.Push(a, due{at: at, seq: a.seq, do: func() {}, idle: true})
 }
@@ -55,6 +62,8 @@
 	d := heap.Pop(a).(due)
 	if !d.idle {
 		a.busy--
+	} else if d.at >= a.look {
+		a.look = 0
 	}
 	return d
 }
--- a/internal/proof/replay/fragment.go
+++ b/internal/proof/replay/fragment.go
@@ -40,6 +40,18 @@
 	return float64(free-used) / float64(free), true
 }
 
+// idleShare is the share of live accelerators that are free.
+func (a *account) idleShare() float64 {
+	free, all := 0, 0
+	for w := range a.sim.engine.Fleet.Workers {
+		if n, live := a.free(w); live {
+			free += n
+			all += a.sim.engine.Fleet.Workers[w].Capacity.Accelerators
+		}
+	}
+	return float64(free) / float64(max(all, 1))
+}
+
 // free is how many accelerators of a live worker are free.
 func (a *account) free(w int) (int, bool) {
 	f := a.sim.engine.Fleet
--- a/internal/proof/replay/report.go
+++ b/internal/proof/replay/report.go
@@ -83,19 +83,21 @@
 	Lost        int    `json:"lost"`
 	RanTwice    int    `json:"ranTwice"`
 
-	Completion    Completion   `json:"completionSeconds"`
-	Slowdown      Slowdown     `json:"slowdown"`
-	Starts        Starts       `json:"startSeconds"`
-	Makespan      float64      `json:"makespanSeconds"`
-	LowerBound    Bound        `json:"lowerBound"`
-	Fragmentation float64      `json:"fragmentation"`
-	Useful        float64      `json:"usefulAcceleratorSeconds"`
-	Wasted        float64      `json:"wastedAcceleratorSeconds"`
-	Change        Change       `json:"dataCentreChange"`
-	Reclaim       Reclaim      `json:"reclaim"`
-	Violations    check.Counts `json:"violations"`
-	Decisions     int          `json:"decisions"`
-	Micros        Micros       `json:"decisionMicros"`
+	Completion    Completion `json:"completionSeconds"`
+	Slowdown      Slowdown   `json:"slowdown"`
+	Starts        Starts     `json:"startSeconds"`
+	Makespan      float64    `json:"makespanSeconds"`
+	LowerBound    Bound      `json:"lowerBound"`
+	Fragmentation float64    `json:"fragmentation"`
+	// Idle is the mean share of accelerators that are free while a job waits.
+	Idle       float64      `json:"idleWhileWaiting"`
+	Useful     float64      `json:"usefulAcceleratorSeconds"`
+	Wasted     float64      `json:"wastedAcceleratorSeconds"`
+	Change     Change       `json:"dataCentreChange"`
+	Reclaim    Reclaim      `json:"reclaim"`
+	Violations check.Counts `json:"violations"`
+	Decisions  int          `json:"decisions"`
+	Micros     Micros       `json:"decisionMicros"`
 }
 
 func (s *sim) report(policy string, checker *check.Checker) Report {
@@ -107,6 +109,7 @@
 	r.LowerBound.MeanCompletionSeconds, r.LowerBound.MakespanSeconds = s.bounds()
 	if s.account.waited > 0 {
 		r.Fragmentation = s.account.stuck / s.account.waited
+		r.Idle = s.account.idle / s.account.waited
 	}
 	r.Useful, r.Wasted = s.account.work()
 	r.Change = Change{Useful: s.account.change(), Available: s.account.available}
--- a/internal/proof/sample/scenes.go
+++ b/internal/proof/sample/scenes.go
@@ -67,10 +67,10 @@
 func morning(b *builder) {
 	b.usual()
 	b.many(14, 0, 3*time.Hour, recounts)
-	b.many(70, 0, 6*time.Hour, trials)
-	b.many(120, 0, 8*time.Hour, smalls)
-	b.many(60, 2*time.Hour, 9*time.Hour, plans)
-	b.many(400, 6*time.Hour, 9*time.Hour, calls)
+	b.many(84, 0, 6*time.Hour, trials)
+	b.many(144, 0, 8*time.Hour, smalls)
+	b.many(72, 2*time.Hour, 9*time.Hour, plans)
+	b.many(480, 6*time.Hour, 9*time.Hour, calls)
 	b.many(25, 5*time.Hour, 9*time.Hour, urgents)
 }
 
@@ -81,27 +81,27 @@
 	long.median, long.sigma = 2*time.Hour, 0.9
 	odd := smalls
 	odd.shape, odd.median = gang(1, 3, shape.Worker), 80*time.Minute
-	b.many(260, 0, 3*time.Hour, long)
-	b.many(140, 0, 4*time.Hour, odd)
+	b.many(338, 0, 3*time.Hour, long)
+	b.many(182, 0, 4*time.Hour, odd)
 	b.many(20, 0, 4*time.Hour, tallies)
 	whole := trials
 	whole.shape = gang(8, 8, shape.Rack)
 	b.many(16, 30*time.Minute, 5*time.Hour, whole)
-	b.many(30, 0, 5*time.Hour, plans)
+	b.many(39, 0, 5*time.Hour, plans)
 	b.many(6, time.Hour, 4*time.Hour, recounts)
 }
 
 // borrow fills the fleet with borrowers, and the promised workspaces ask again and again.
 func borrow(b *builder) {
 	b.usual()
-	b.many(60, 0, 30*time.Minute, trials)
-	b.many(80, 0, 4*time.Hour, smalls)
+	b.many(96, 0, 30*time.Minute, trials)
+	b.many(128, 0, 4*time.Hour, smalls)
 	for n := range 12 {
 		short := recounts
 		short.median = 35 * time.Minute
 		b.submit(time.Duration(n)*25*time.Minute+20*time.Minute, short)
 	}
-	b.many(40, 30*time.Minute, 6*time.Hour, urgents)
+	b.many(64, 30*time.Minute, 6*time.Hour, urgents)
 	b.many(10, 0, 5*time.Hour, tallies)
 }
 
@@ -109,9 +109,9 @@
 func drains(b *builder) {
 	b.usual()
 	b.many(12, 0, 4*time.Hour, recounts)
-	b.many(60, 0, 5*time.Hour, trials)
-	b.many(120, 0, 6*time.Hour, smalls)
-	b.many(50, 0, 6*time.Hour, plans)
+	b.many(90, 0, 5*time.Hour, trials)
+	b.many(180, 0, 6*time.Hour, smalls)
+	b.many(75, 0, 6*time.Hour, plans)
 	b.many(20, 0, 7*time.Hour, urgents)
 	b.drain(time.Hour, "haskovo", 2*time.Minute)
 	b.centre(2*time.Hour, trace.KindRestore, "haskovo")
@@ -125,9 +125,9 @@
 func loss(b *builder) {
 	b.usual()
 	b.many(12, 0, 4*time.Hour, recounts)
-	b.many(55, 0, 5*time.Hour, trials)
-	b.many(100, 0, 6*time.Hour, smalls)
-	b.many(40, 0, 6*time.Hour, plans)
+	b.many(99, 0, 5*time.Hour, trials)
+	b.many(180, 0, 6*time.Hour, smalls)
+	b.many(72, 0, 6*time.Hour, plans)
 	b.many(15, 0, 6*time.Hour, tallies)
 	b.many(20, 0, 6*time.Hour, urgents)
 	b.centre(90*time.Minute, trace.KindDataCentreDown, "plovdiv")
@@ -147,12 +147,12 @@
 	wild := trials
 	wild.median, wild.sigma, wild.off, wild.bias = 25*time.Minute, 1.9, 2, -0.5
 	wild.shape = gang(1, 8, shape.Worker)
-	b.many(220, 0, 8*time.Hour, wild)
+	b.many(286, 0, 8*time.Hour, wild)
 	wide := trials
 	wide.sigma, wide.off, wide.bias = 1.4, 1.8, 1
-	b.many(50, 0, 8*time.Hour, wide)
+	b.many(65, 0, 8*time.Hour, wide)
 	b.many(12, 0, 6*time.Hour, recounts)
-	b.many(150, 0, 8*time.Hour, smalls)
+	b.many(195, 0, 8*time.Hour, smalls)
 	never := trials
 	never.shape = gang(9, 8, shape.Rack)
 	b.many(3, time.Hour, 2*time.Hour, never)
@@ -162,9 +162,9 @@
 func badWorkers(b *builder) {
 	b.usual()
 	b.many(10, 0, 4*time.Hour, recounts)
-	b.many(50, 0, 5*time.Hour, trials)
-	b.many(160, 0, 6*time.Hour, smalls)
-	b.many(40, 0, 6*time.Hour, plans)
+	b.many(110, 0, 5*time.Hour, trials)
+	b.many(352, 0, 6*time.Hour, smalls)
+	b.many(88, 0, 6*time.Hour, plans)
 	for _, name := range []string{"plv-1/2", "hsk-2/5", "paz-1/0"} {
 		b.worker(b.between(10*time.Minute, time.Hour), trace.KindWorkerBad, name)
 	}
@@ -184,11 +184,11 @@
 func cancels(b *builder) {
 	b.usual()
 	b.many(10, 0, 4*time.Hour, recounts)
-	b.many(30, 0, 5*time.Hour, plans)
-	b.many(80, 0, 6*time.Hour, smalls)
+	b.many(66, 0, 5*time.Hour, plans)
+	b.many(176, 0, 6*time.Hour, smalls)
 	for wave := range 4 {
 		from := time.Duration(wave) * 75 * time.Minute
-		names := b.many(40, from, from+10*time.Minute, trials)
+		names := b.many(88, from, from+10*time.Minute, trials)
 		for i, name := range names {
 			if i%4 != 0 {
 				b.cancel(from+20*time.Minute+time.Duration(b.rng.IntN(60))*time.Second, name)
@@ -201,9 +201,9 @@
 func outage(b *builder) {
 	b.usual()
 	b.many(10, 0, 5*time.Hour, recounts)
-	b.many(50, 0, 6*time.Hour, trials)
-	b.many(100, 0, 7*time.Hour, smalls)
-	b.many(40, 0, 7*time.Hour, plans)
+	b.many(100, 0, 6*time.Hour, trials)
+	b.many(200, 0, 7*time.Hour, smalls)
+	b.many(80, 0, 7*time.Hour, plans)
 	b.centre(time.Hour, trace.KindStoreDown, "")
 	b.centre(70*time.Minute, trace.KindOwnerLost, "haskovo")
 	b.centre(80*time.Minute, trace.KindStoreUp, "")
