--- a/internal/place/engine/compact.go
+++ b/internal/place/engine/compact.go
@@ -22,7 +22,7 @@
 	if len(j.FailedOn) > 0 {
 		limit = avoiding(limit, j.FailedOn)
 	}
-	search := evict.Search{Fleet: e.Fleet, Shape: j.Shape, Limit: limit, Source: e.movable(j, p.now)}
+	search := evict.Search{Fleet: e.Fleet, Scratch: &e.scratch, Shape: j.Shape, Limit: limit, Source: e.movable(j, p.now)}
 	plan, ok := search.Best(centres)
 	if !ok || plan.Cost*e.policy.Compact > e.est.Remaining(j, p.now).Seconds()*weight(j) {
 		return false
--- a/internal/place/engine/decide.go
+++ b/internal/place/engine/decide.go
@@ -21,15 +21,16 @@
 
 // pass is what one decision has learned so far.
 type pass struct {
-	now     time.Time
-	misses  map[searchKey]reason.Reason
-	preempt int
-	compact int
-	blocker string
+	now    time.Time
+	misses map[searchKey]reason.Reason
+	// searches counts the searches for victims, compact those for moves.
+	searches int
+	compact  int
+	blocker  string
 }
 
-// preemptionsPerPass bounds the searches for victims in one decision.
-const preemptionsPerPass = 6
+// searchesPerPass bounds the searches for victims in one decision.
+const searchesPerPass = 6
 
 // Decide carries the queue as far as it goes now and returns what must be done.
 func (e *Engine) Decide(now time.Time) []Action {
@@ -109,7 +110,15 @@
 		}
 	}
 	j.Reason = miss
-	return e.preempt(j, centres, p) || e.compact(j, centres, p)
+	if p.now.Sub(j.TriedAt) < reviewEvery || p.searches >= searchesPerPass {
+		return false
+	}
+	p.searches++
+	if e.preempt(j, centres, p) || e.compact(j, centres, p) {
+		return true
+	}
+	j.TriedAt = p.now
+	return false
 }
 
 // viewFor is the capacity that the job may take without stopping anyone.
@@ -166,7 +175,7 @@
 			return true
 		}
 	}
-	search := evict.Search{Fleet: e.Fleet, Shape: j.Shape, Limit: limit, Source: e.reclaimable(j, now)}
+	search := evict.Search{Fleet: e.Fleet, Scratch: &e.scratch, Shape: j.Shape, Limit: limit, Source: e.reclaimable(j, now)}
 	plan, ok := search.Best(centres)
 	if !ok {
 		return false
--- a/internal/place/engine/engine.go
+++ b/internal/place/engine/engine.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/place/evict"
 	"github.com/lentildeck/lentildeck/internal/place/fleet"
 	"github.com/lentildeck/lentildeck/internal/place/guard"
 	"github.com/lentildeck/lentildeck/internal/place/queue"
@@ -42,6 +43,7 @@
 	drains   []drainState
 	centres  map[string][]int
 	actions  []Action
+	scratch  evict.Scratch
 }
 
 // Config is what an engine is made from.
--- a/internal/place/engine/order.go
+++ b/internal/place/engine/order.go
@@ -85,15 +85,14 @@
 
 // preempt stops larger work for the job if the policy and the numbers favour it.
 func (e *Engine) preempt(j *queue.Job, centres []int, p *pass) bool {
-	if e.policy.Preempt <= 0 || p.preempt >= preemptionsPerPass || j.Pinned() {
+	if e.policy.Preempt <= 0 || j.Pinned() {
 		return false
 	}
-	p.preempt++
 	limit := e.Fleet.EmptyUsableView()
 	if len(j.FailedOn) > 0 {
 		limit = avoiding(limit, j.FailedOn)
 	}
-	search := evict.Search{Fleet: e.Fleet, Shape: j.Shape, Limit: limit, Source: e.outranked(j, p.now)}
+	search := evict.Search{Fleet: e.Fleet, Scratch: &e.scratch, Shape: j.Shape, Limit: limit, Source: e.outranked(j, p.now)}
 	plan, ok := search.Best(centres)
 	if !ok {
 		return false
--- a/internal/place/evict/plan.go
+++ b/internal/place/evict/plan.go
@@ -31,8 +31,9 @@
 	Fleet *fleet.Fleet
 	Shape shape.Shape
 	// Limit is what the newcomer may use of a worker in total, whoever uses it now.
-	Limit  fleet.View
-	Source Source
+	Limit   fleet.View
+	Source  Source
+	Scratch *Scratch
 }
 
 // Best returns the cheapest plan over the given data centres, or ok false.
@@ -52,18 +53,40 @@
 // space is the simulated state of one unit.
 type space struct {
 	search  Search
-	free    map[int]shape.Resources
-	fits    map[int]int
+	cells   []cell
 	total   int
 	workers []int
 }
 
+// cell is the simulated state of one worker; it is part of the unit if its mark is the search's present one.
+type cell struct {
+	mark  int
+	free  shape.Resources
+	limit shape.Resources
+	fits  int
+}
+
+// Scratch is memory that searches use again and again; one search at a time may have it.
+type Scratch struct {
+	cells []cell
+	mark  int
+}
+
+// reset makes the scratch ready for another unit.
+func (s *Scratch) reset(workers int) []cell {
+	if len(s.cells) < workers {
+		s.cells = make([]cell, workers)
+	}
+	s.mark++
+	return s.cells
+}
+
 func (s Search) unit(u fleet.Unit) (Plan, bool) {
-	room := space{search: s, free: make(map[int]shape.Resources), fits: make(map[int]int)}
-	room.load(u)
-	if room.possible() < s.Shape.Members {
+	if s.possible(u) < s.Shape.Members {
 		return Plan{}, false
 	}
+	room := space{search: s, cells: s.Scratch.reset(len(s.Fleet.Workers))}
+	room.load(u)
 	chosen := room.evict(s.victims(room.workers))
 	if room.total < s.Shape.Members {
 		return Plan{}, false
@@ -77,30 +100,40 @@
 }
 
 func (r *space) load(u fleet.Unit) {
+	r.workers = make([]int, 0, len(u.Workers))
 	for _, w := range u.Workers {
-		if _, ok := r.search.Limit(w); !ok {
+		limit, ok := r.search.Limit(w)
+		if !ok {
 			continue
 		}
 		r.workers = append(r.workers, w)
+		r.cells[w] = cell{mark: r.search.Scratch.mark, limit: limit}
 		r.set(w, r.search.Fleet.Workers[w].Free)
 	}
 }
 
+// known reports whether the worker is part of the unit.
+func (r *space) known(w int) bool { return r.cells[w].mark == r.search.Scratch.mark }
+
 // set records what is free on a worker and keeps the count of members that fit.
 func (r *space) set(w int, free shape.Resources) {
-	limit, _ := r.search.Limit(w)
-	fits := r.search.Shape.Resources.Count(free.Min(limit), r.search.Shape.Members)
-	r.free[w] = free
-	r.total += fits - r.fits[w]
-	r.fits[w] = fits
+	c := &r.cells[w]
+	fits := r.search.Shape.Resources.Count(free.Min(c.limit), r.search.Shape.Members)
+	c.free = free
+	r.total += fits - c.fits
+	c.fits = fits
 }
 
 // possible is an upper bound of the members that fit if everything else were stopped.
-func (r *space) possible() int {
+func (s Search) possible(u fleet.Unit) int {
 	n := 0
-	for _, w := range r.workers {
-		limit, _ := r.search.Limit(w)
-		n += r.search.Shape.Resources.Count(limit, r.search.Shape.Members)
+	for _, w := range u.Workers {
+		if limit, ok := s.Limit(w); ok {
+			n += s.Shape.Resources.Count(limit, s.Shape.Members)
+		}
+		if n >= s.Shape.Members {
+			break
+		}
 	}
 	return n
 }
@@ -146,11 +179,7 @@
 // helps reports whether the victim frees anything on a worker whose limit could hold a member.
 func (r *space) helps(v Victim) bool {
 	for _, w := range v.Workers {
-		if _, known := r.fits[w]; !known {
-			continue
-		}
-		limit, _ := r.search.Limit(w)
-		if r.search.Shape.Resources.Count(limit, 1) > r.fits[w] {
+		if r.known(w) && r.search.Shape.Resources.Count(r.cells[w].limit, 1) > r.cells[w].fits {
 			return true
 		}
 	}
@@ -160,8 +189,8 @@
 // change frees (sign 1) or takes back (sign -1) what a victim holds in the unit.
 func (r *space) change(v Victim, sign int) {
 	for _, w := range v.Workers {
-		if free, ok := r.free[w]; ok {
-			r.set(w, free.Add(v.Each.Times(sign)))
+		if r.known(w) {
+			r.set(w, r.cells[w].free.Add(v.Each.Times(sign)))
 		}
 	}
 }
@@ -184,11 +213,11 @@
 func (r *space) place() []int {
 	members := r.search.Shape.Members
 	sort.SliceStable(r.workers, func(i, j int) bool {
-		return r.free[r.workers[i]].Accelerators < r.free[r.workers[j]].Accelerators
+		return r.cells[r.workers[i]].free.Accelerators < r.cells[r.workers[j]].free.Accelerators
 	})
 	placed := make([]int, 0, members)
 	for _, w := range r.workers {
-		for range min(r.fits[w], members-len(placed)) {
+		for range min(r.cells[w].fits, members-len(placed)) {
 			placed = append(placed, w)
 		}
 	}
--- a/internal/place/queue/job.go
+++ b/internal/place/queue/job.go
@@ -86,6 +86,8 @@
 	PinCounted bool
 	// Centres are the data centres the job may run in.
 	Centres []int
+	// TriedAt is when making room for the job was last tried in vain.
+	TriedAt time.Time
 	// StopsAt is when a stopping job will have stopped, as far as its checkpoint says.
 	StopsAt time.Time
 	// Victims is how many jobs must still stop before a claiming job starts.
