Owner: tests under failure; a start that never ran is told by the workers

Cause: tests found that (1) a non-idempotent gang whose start orders were all lost ended as interrupted although nothing had run, (2) a job resumed from a checkpoint kept its attempt number, so that workers refused the task they had acknowledged before, for ever. Change: workers' reports without a start time prove that a member never ran; every start has its own attempt number; retries wait on an injected pause. Conclusion: ruled out that the lease or the ledger was at fault; the fault was the identity of tasks.

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -130,7 +130,7 @@
 	d.owner = owner.New(owner.Config{
 		Instance: s.Instance, Centre: s.DataCentre, Policy: d.policy, Lease: s.Workers.Lease.Duration, Every: s.Workers.Every.Duration,
 		Holder: d.holder, Ledger: d.ledger, Conf: d.conf, Link: openWorkers(s.Workers.Endpoint, s.Workers.Token),
-		Permits: d.permit, Log: d.log, Now: d.now,
+		Permits: d.permit, Log: d.log, Now: d.now, Pause: rest,
 	})
 	if keys != nil {
 		d.operators = keys.listener(d.operators)
--- a/internal/node/daemon/watch.go
+++ b/internal/node/daemon/watch.go
@@ -125,11 +125,14 @@
 	return &doc, nil
 }
 
-func rest(ctx context.Context, wait time.Duration) {
+// rest waits; it reports false if ctx ended first.
+func rest(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-timer.C:
+		return true
 	}
 }
--- a/internal/node/owner/gang.go
+++ b/internal/node/owner/gang.go
@@ -140,17 +140,14 @@
 	t.dirty = true
 }
 
-// fate is what a gang comes to that lost a member: one that a new owner found only reserved has never run.
-func (g *gang) fate() verdict {
-	if !g.recalled {
-		return vanished
-	}
+// neverRan reports whether every worker says that it stopped its member before it was started.
+func (g *gang) neverRan() bool {
 	for i := range g.members {
-		if !g.members[i].neverRan {
-			return vanished
+		if g.members[i].gone || !g.members[i].neverRan {
+			return false
 		}
 	}
-	return startFailed
+	return true
 }
 
 // judge moves the gang on after news of its members.
@@ -176,7 +173,10 @@
 			o.halt(t, g, failed, "a member failed on "+g.workers[i])
 			return
 		case m.gone || (m.known && m.phase == worker.Stopped):
-			o.halt(t, g, g.fate(), "a member on "+g.workers[i]+" is gone")
+			o.halt(t, g, vanished, "a member on "+g.workers[i]+" is gone")
+			return
+		case g.recalled && m.known && m.phase == worker.Reserved:
+			o.halt(t, g, vanished, "the start was not complete when its owner was lost")
 			return
 		}
 	}
@@ -188,7 +188,7 @@
 	t.engine.Finished(g.spec.Job, now)
 	t.dirty = true
 	result := g.members[0].result
-	o.wg.Go(func() {
+	o.spawn(func() {
 		if o.persist(g.spec.Job, func(r *ledger.Record, _ bool) error {
 			r.End(queue.Finished, "finished", result, o.cfg.Now())
 			return nil
@@ -224,6 +224,9 @@
 func (o *Owner) conclude(t *term, g *gang, now time.Time) {
 	progress := g.progress()
 	o.acknowledge(t, g)
+	if g.verdict == vanished && g.neverRan() {
+		g.verdict = startFailed
+	}
 	switch g.verdict {
 	case failed:
 		if w, ok := t.engine.Fleet.Worker(g.blamed); ok {
--- a/internal/node/owner/launch.go
+++ b/internal/node/owner/launch.go
@@ -37,7 +37,7 @@
 	g.began = now
 	t.gangs[a.Job] = g
 	progress := j.Progress
-	o.wg.Go(func() { o.startGang(t, g, progress) })
+	o.spawn(func() { o.startGang(t, g, progress) })
 }
 
 // startGang starts all members or none.
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/edge/worker"
@@ -47,6 +48,8 @@
 	Permits Permitter
 	Log     *event.Log
 	Now     func() time.Time
+	// Pause waits before a retry; it reports false if ctx ended first.
+	Pause func(ctx context.Context, wait time.Duration) bool
 }
 
 // Owner is the part that decides for a data centre.
@@ -58,6 +61,17 @@
 	work context.Context
 	quit context.CancelFunc
 	done chan struct{}
+	// active is how many background calls are at work, those that wait before a retry aside.
+	active atomic.Int64
+}
+
+// spawn runs a call in the background.
+func (o *Owner) spawn(call func()) {
+	o.active.Add(1)
+	o.wg.Go(func() {
+		defer o.active.Add(-1)
+		call()
+	})
 }
 
 // New returns an owner that does nothing until Run.
--- a/internal/node/owner/record.go
+++ b/internal/node/owner/record.go
@@ -21,7 +21,7 @@
 
 // record stores a change in the background, as often as it takes.
 func (o *Owner) record(job string, change table.Change[ledger.Record]) {
-	o.wg.Go(func() { o.persist(job, change) })
+	o.spawn(func() { o.persist(job, change) })
 }
 
 // persist repeats the change until it is stored or refused; it reports whether it was stored.
@@ -36,12 +36,11 @@
 		if !temporary(err) {
 			return false
 		}
-		timer := time.NewTimer(pause.NextBackOff())
-		select {
-		case <-o.work.Done():
-			timer.Stop()
+		o.active.Add(-1)
+		again := o.cfg.Pause(o.work, pause.NextBackOff())
+		o.active.Add(1)
+		if !again {
 			return false
-		case <-timer.C:
 		}
 	}
 }
--- a/internal/node/owner/sweep.go
+++ b/internal/node/owner/sweep.go
@@ -29,7 +29,7 @@
 	request := worker.Request{Worker: s.name, Stop: s.stops, Ack: s.acks}
 	s.busy, s.sent = true, now
 	s.stops, s.acks = nil, nil
-	o.wg.Go(func() {
+	o.spawn(func() {
 		response, err := o.call(t, request)
 		o.mu.Lock()
 		defer o.mu.Unlock()
@@ -101,9 +101,7 @@
 			continue
 		}
 		m.known, m.phase, m.progress, m.result = true, status.Phase, status.Progress.Duration, status.Result
-		if status.Phase == worker.Reserved && g.stage == running && g.recalled {
-			m.phase, m.neverRan = worker.Stopped, true
-		}
+		m.neverRan = status.Phase == worker.Stopped && status.Started.IsZero()
 	}
 }
 
--- a/internal/oper/cmds/local.go
+++ b/internal/oper/cmds/local.go
@@ -6,11 +6,14 @@
 	"flag"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/apex/log"
 	logjson "github.com/apex/log/handlers/json"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/node/local"
+	"github.com/lentildeck/lentildeck/internal/node/setup"
+	"github.com/lentildeck/lentildeck/internal/peer/list"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
@@ -50,11 +53,29 @@
 	return event.NewLog(&log.Logger{Handler: logjson.New(out), Level: log.DebugLevel})
 }
 
+// listEntries puts the instances of the settings files on the instance list.
+func listEntries(cluster *local.Cluster, files string) error {
+	for _, file := range strings.Split(files, ",") {
+		if file == "" {
+			continue
+		}
+		settings, err := setup.Load(file)
+		if err != nil {
+			return &UsageError{Problem: file + ": " + err.Error()}
+		}
+		cluster.List.Add(list.Instance{
+			Name: settings.Instance, Kind: list.Entry, DataCentre: settings.DataCentre, Address: settings.Listen.Peers,
+		})
+	}
+	return nil
+}
+
 func platformCommand(env *Env) *ffcli.Command {
-	var platformAt, workersAt string
+	var platformAt, workersAt, entries string
 	set := flag.NewFlagSet("platform", flag.ContinueOnError)
 	set.StringVar(&platformAt, "platform", "127.0.0.1:7100", "where the key-value service and the instance list answer")
 	set.StringVar(&workersAt, "workers", "127.0.0.1:7200", "where the workers answer")
+	set.StringVar(&entries, "entries", "", "settings files of the instances to list, separated by commas")
 	return &ffcli.Command{
 		Name: "platform", ShortUsage: "lentildeck platform [flags]", ShortHelp: "run only the stand-ins, for daemons started by hand", FlagSet: set,
 		Exec: func(ctx context.Context, _ []string) error {
@@ -62,6 +83,9 @@
 			if err != nil {
 				return err
 			}
+			if err := listEntries(cluster, entries); err != nil {
+				return errors.Join(err, cluster.Close())
+			}
 			_, _ = fmt.Fprintf(env.Out, "stand-ins serve at %s and %s\n", platformAt, workersAt)
 			<-ctx.Done()
 			return cluster.Close()
--- a/internal/oper/query/grammar.go
+++ b/internal/oper/query/grammar.go
@@ -114,7 +114,11 @@
 	var unexpected *participle.UnexpectedTokenError
 	if errors.As(err, &unexpected) {
 		column := unexpected.Position().Column
-		return &SyntaxError{Column: column, Problem: unexpected.Message(), Nearest: nearest(wordAt(line, column), keywords)}
+		problem := unexpected.Message()
+		if column == 1 {
+			problem += "; expected jobs, workers, centres, instances, guarantees, why, show, admit, cancel, drain or restore"
+		}
+		return &SyntaxError{Column: column, Problem: problem, Nearest: nearest(wordAt(line, column), keywords)}
 	}
 	var at participle.Error
 	if errors.As(err, &at) {
--- a/internal/place/engine/decide.go
+++ b/internal/place/engine/decide.go
@@ -202,9 +202,7 @@
 func (e *Engine) launch(j *queue.Job, why string, now time.Time) {
 	j.Phase = queue.Running
 	j.Started = now
-	if j.Idempotent || j.Attempt == 0 {
-		j.Attempt++
-	}
+	j.Attempt++
 	j.Reason = reason.Reason{}
 	e.act(Start{Job: j.Job, Attempt: j.Attempt, Workers: append([]int(nil), j.Workers...), Why: why})
 }
--- a/internal/place/engine/events.go
+++ b/internal/place/engine/events.go
@@ -52,7 +52,6 @@
 		return
 	}
 	e.giveUp(j)
-	j.Attempt--
 	j.NotBefore = now.Add(startBackoff + time.Duration(e.rng.Int64N(int64(startBackoff))))
 	e.requeue(j, now)
 }
--- a/internal/place/queue/job.go
+++ b/internal/place/queue/job.go
@@ -77,7 +77,8 @@
 	Progress time.Duration
 	Phase    Phase
 	Outcome  Outcome
-	Attempt  int
+	// Attempt numbers the starts, those that failed or went on from a checkpoint included.
+	Attempt int
 	// Workers has one entry per member while the job holds capacity.
 	Workers []int
 	// Slot is the guarantee the job is entitled to, or -1.
