--- /dev/null
+++ b/internal/state/config/holder_test.go
@@ -0,0 +1,127 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/engine"
+	"github.com/lentildeck/lentildeck/internal/place/fleet"
+	"github.com/lentildeck/lentildeck/internal/place/guard"
+	"github.com/lentildeck/lentildeck/internal/place/shape"
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/state/config"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"gotest.tools/v3/assert"
+)
+
+var (
+	ctx = context.Background()
+	ids atomic.Int64
+)
+
+func at() time.Time { return time.Unix(1000, 0) }
+
+func holder(t *testing.T, kv *fake.KV, name string) *config.Holder {
+	t.Helper()
+	policy, err := engine.Policies.Lookup(engine.DefaultPolicy)
+	assert.NilError(t, err)
+	client := store.NewClient(kv, store.NewBudget(1e6, 1e6), at, func() string { return fmt.Sprint(name, ids.Add(1)) })
+	client.Pause = func(ctx context.Context, _ time.Duration) bool { return ctx.Err() == nil }
+	return config.NewHolder(client, policy)
+}
+
+func base(doc *config.Document) error {
+	doc.DataCentres = []fleet.DataCentreSpec{{Name: "plovdiv", Racks: []fleet.RackSpec{{
+		Name: "plv-1", Workers: 2, Resources: shape.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128},
+	}}}}
+	return nil
+}
+
+func TestRacingOperatorsOneWinsTheOtherIsToldWho(t *testing.T) {
+	kv := fake.NewKV(at)
+	first := holder(t, kv, "seed")
+	_, err := first.Apply(ctx, "seed", "seed", base, at())
+	assert.NilError(t, err)
+	var wg sync.WaitGroup
+	var won, lost atomic.Int64
+	for n := range 8 {
+		h := holder(t, kv, fmt.Sprint("h", n))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := h.Apply(ctx, fmt.Sprint("op", n), fmt.Sprint("drain ", n), func(doc *config.Document) error {
+				doc.Workspaces = append(doc.Workspaces, guard.Workspace{Name: fmt.Sprint("ws", n)})
+				return nil
+			}, at())
+			var race *config.RaceError
+			switch {
+			case err == nil:
+				won.Add(1)
+			case errors.As(err, &race):
+				lost.Add(1)
+				assert.Check(t, race.Winner != "" && race.Revision > 1, "%v", race)
+			default:
+				t.Errorf("unexpected: %v", err)
+			}
+		}()
+	}
+	wg.Wait()
+	assert.Equal(t, won.Load()+lost.Load(), int64(8))
+	assert.Equal(t, won.Load() >= 1, true)
+	reader := holder(t, kv, "reader")
+	doc, err := reader.Apply(ctx, "reader", "read", func(*config.Document) error { return nil }, at())
+	assert.NilError(t, err)
+	assert.Equal(t, int64(len(doc.Workspaces)), won.Load(), "nothing is merged, nothing accepted is lost")
+}
+
+func TestRevisionNeverReverts(t *testing.T) {
+	h := holder(t, fake.NewKV(at), "h")
+	for _, revision := range []int64{3, 1, 2, 5, 4, 5} {
+		h.Offer(&config.Document{Revision: revision}, config.FromPeer, at())
+	}
+	assert.Equal(t, h.InForce().Document.Revision, int64(5))
+}
+
+func TestGuaranteesThatDoNotFitAtOnceAreRefused(t *testing.T) {
+	h := holder(t, fake.NewKV(at), "h")
+	_, err := h.Apply(ctx, "op", "config apply", func(doc *config.Document) error {
+		_ = base(doc)
+		whole := shape.Shape{Members: 1, Resources: shape.Resources{Accelerators: 8, Cores: 8, MemoryGB: 8}}
+		doc.Workspaces = []guard.Workspace{
+			{Name: "a", Guarantees: []guard.Guarantee{{Count: 2, Shape: whole}}}, {Name: "b", Guarantees: []guard.Guarantee{{Count: 1, Shape: whole}}},
+		}
+		return nil
+	}, at())
+	assert.ErrorContains(t, err, "do not fit at once")
+	assert.Equal(t, h.InForce().Document == nil, true)
+}
+
+func TestCommandDuringAnOutageIsNotAccepted(t *testing.T) {
+	kv := fake.NewKV(at)
+	h := holder(t, kv, "h")
+	kv.SetFault(fake.Fault{Down: true})
+	_, err := h.Apply(ctx, "op", "drain plovdiv", base, at())
+	var down *store.UnavailableError
+	assert.Equal(t, errors.As(err, &down), true)
+	assert.Equal(t, h.Applying(), false)
+}
+
+func TestUnknownCommandBlocksPermitsUntilItsFateIsRead(t *testing.T) {
+	kv := fake.NewKV(at)
+	h := holder(t, kv, "h")
+	kv.SetFault(fake.Fault{LoseAnswers: 1 << 20})
+	short, cancel := context.WithCancel(ctx)
+	cancel()
+	_, err := h.Apply(short, "op", "drain plovdiv", base, at())
+	assert.Equal(t, err != nil, true)
+	assert.Equal(t, h.Applying(), true)
+	h.Confirm(at().Add(time.Second))
+	assert.Equal(t, h.Applying(), true)
+	h.Confirm(at().Add(time.Minute))
+	assert.Equal(t, h.Applying(), false)
+}
--- /dev/null
+++ b/internal/state/lease/holder_test.go
@@ -0,0 +1,131 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/edge/worker"
+	"github.com/lentildeck/lentildeck/internal/kern/span"
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/state/lease"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"gotest.tools/v3/assert"
+)
+
+var ctx = context.Background()
+
+// scene is two candidates, one worker, the service, and time.
+type scene struct {
+	at      time.Time
+	kv      *fake.KV
+	workers *fake.Workers
+	holders [2]*lease.Holder
+	// seen is the epoch that each candidate acts on, as a paused one remembers it.
+	seen    [2]int64
+	highest int64
+	ids     int
+}
+
+func newScene() *scene {
+	s := &scene{at: time.Unix(1000, 0)}
+	now := func() time.Time { return s.at }
+	s.kv, s.workers = fake.NewKV(now), fake.NewWorkers(now)
+	for i := range s.holders {
+		client := store.NewClient(s.kv, store.NewBudget(1e6, 1e6), now, func() string { s.ids++; return fmt.Sprint(s.ids) })
+		client.Pause = func(context.Context, time.Duration) bool { return true }
+		s.holders[i] = lease.NewHolder(client, "plovdiv", fmt.Sprint("instance-", i))
+	}
+	return s
+}
+
+// moves are everything that can happen next.
+var moves = []struct {
+	name string
+	do   func(s *scene, t *testing.T)
+}{
+	{"a steps", func(s *scene, _ *testing.T) { _ = s.holders[0].Step(ctx, s.at) }},
+	{"b steps", func(s *scene, _ *testing.T) { _ = s.holders[1].Step(ctx, s.at) }},
+	{"a looks at its lease", func(s *scene, _ *testing.T) { s.seen[0], _ = s.holders[0].Epoch(s.at) }},
+	{"b looks at its lease", func(s *scene, _ *testing.T) { s.seen[1], _ = s.holders[1].Epoch(s.at) }},
+	{"a orders", func(s *scene, t *testing.T) { s.order(t, 0) }},
+	{"b orders", func(s *scene, t *testing.T) { s.order(t, 1) }},
+	{"time passes", func(s *scene, _ *testing.T) { s.at = s.at.Add(1600 * time.Millisecond) }},
+	{"an answer will be lost", func(s *scene, _ *testing.T) { s.kv.SetFault(fake.Fault{LoseAnswers: 1}) }},
+}
+
+// order calls the worker with the epoch that the candidate believes in, however long ago it looked.
+func (s *scene) order(t *testing.T, i int) {
+	if s.seen[i] == 0 {
+		return
+	}
+	_, err := s.workers.Sync(ctx, worker.Request{Worker: "w", Epoch: s.seen[i], Lease: span.Of(time.Second)})
+	if err == nil {
+		assert.Equal(t, s.seen[i] >= s.highest, true, "the worker obeyed epoch %d after %d", s.seen[i], s.highest)
+		s.highest = s.seen[i]
+	}
+}
+
+func (s *scene) check(t *testing.T, path []int) {
+	first, a := s.holders[0].Epoch(s.at)
+	second, b := s.holders[1].Epoch(s.at)
+	if a && b {
+		names := make([]string, len(path))
+		for i, m := range path {
+			names[i] = moves[m].name
+		}
+		t.Fatalf("two valid leases, epochs %d and %d, after %v", first, second, names)
+	}
+}
+
+// depth is how many moves the exploration makes.
+const depth = 6
+
+func TestEveryInterleavingHasOneOwnerAtATime(t *testing.T) {
+	states := 0
+	path := make([]int, depth)
+	var explore func(level int)
+	explore = func(level int) {
+		if level == depth {
+			s := newScene()
+			for i, m := range path {
+				moves[m].do(s, t)
+				s.check(t, path[:i+1])
+			}
+			states++
+			return
+		}
+		for m := range moves {
+			path[level] = m
+			explore(level + 1)
+		}
+	}
+	explore(0)
+	assert.Equal(t, states, 262144)
+	t.Logf("%d sequences of %d moves", states, depth)
+}
+
+func TestLapsedHolderKnowsBeforeTheServiceDoes(t *testing.T) {
+	s := newScene()
+	assert.NilError(t, s.holders[0].Step(ctx, s.at))
+	s.kv.SetFault(fake.Fault{Down: true})
+	s.at = s.at.Add(lease.TTL - 200*time.Millisecond)
+	_, ok := s.holders[0].Epoch(s.at)
+	assert.Equal(t, ok, false)
+	s.kv.SetFault(fake.Fault{})
+	assert.NilError(t, s.holders[1].Step(ctx, s.at))
+	_, ok = s.holders[1].Epoch(s.at)
+	assert.Equal(t, ok, false, "the service still holds the first lease")
+}
+
+func TestReleaseHandsOverAtOnce(t *testing.T) {
+	s := newScene()
+	assert.NilError(t, s.holders[0].Step(ctx, s.at))
+	first, _ := s.holders[0].Epoch(s.at)
+	assert.NilError(t, s.holders[0].Release(ctx))
+	assert.NilError(t, s.holders[1].Step(ctx, s.at))
+	second, ok := s.holders[1].Epoch(s.at)
+	assert.Equal(t, ok, true)
+	assert.Equal(t, second > first, true)
+}
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -44,11 +44,13 @@
 	budget *Budget
 	now    func() time.Time
 	newID  func() string
+	// Pause waits before a write is tried again; it reports false if ctx ended first.
+	Pause func(ctx context.Context, wait time.Duration) bool
 }
 
 // NewClient returns a client; newID must never return the same write ID twice.
 func NewClient(driver Driver, budget *Budget, now func() time.Time, newID func() string) *Client {
-	return &Client{driver: driver, budget: budget, now: now, newID: newID}
+	return &Client{driver: driver, budget: budget, now: now, newID: newID, Pause: sleep}
 }
 
 // Budget returns the client's call budget.
@@ -137,7 +139,7 @@
 		case !maybe:
 			return 0, err
 		}
-		if !sleep(ctx, pause.NextBackOff()) {
+		if !c.Pause(ctx, pause.NextBackOff()) {
 			return 0, &UnknownError{Key: old.Key, Cause: err}
 		}
 	}
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -168,12 +168,23 @@
 func (t *Table[T]) commitGroup(ctx context.Context, s *shard[T], group []operation[T]) ([]error, error) {
 	results := make([]error, len(group))
 	for {
-		if err := t.load(ctx, s); err != nil {
+		fresh, err := t.load(ctx, s)
+		if err != nil {
 			return results, err
 		}
 		entry, next := s.copy()
+		changed := false
 		for i, op := range group {
 			results[i] = apply(next, op)
+			changed = changed || results[i] == nil
+		}
+		if !changed && fresh {
+			return results, nil
+		}
+		if !changed {
+			// A refusal may rest on an old copy, so it is decided once more on a new one.
+			s.forget()
+			continue
 		}
 		t.expire(next)
 		if err := checkSize(next); err != nil {
@@ -220,20 +231,20 @@
 	return nil
 }
 
-// load reads the shard if this instance has no valid copy.
-func (t *Table[T]) load(ctx context.Context, s *shard[T]) error {
+// load reads the shard if this instance has no valid copy; it reports whether it did.
+func (t *Table[T]) load(ctx context.Context, s *shard[T]) (fresh bool, err error) {
 	s.mu.Lock()
 	loaded := s.loaded
 	s.mu.Unlock()
 	if loaded {
-		return nil
+		return false, nil
 	}
 	entry, err := t.client.Get(ctx, t.cfg.Class, s.key)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer t.generation.Add(1)
-	return s.absorb(entry)
+	return true, s.absorb(entry)
 }
 
 func (s *shard[T]) absorb(entry store.Entry) error {
