Drawn traces with the checker as oracle; eight faults found and mended

Found: (1) the replay let a run finish at the instant its data centre was lost; (2) a job that had failed on the only live worker waited for ever; (3) the same while another data centre was down; (4) an entitled job was kept off its home by an earlier failure; (5) quarantine on evidence of always-failing jobs left a guarantee without a place; (6) homes were repaired in the order of slots, not the largest first; (7) an entitled job waited 24 s for a slow stop beside a worker it had failed on; (8) a claim was kept though capacity came free meanwhile, and smaller jobs could not move their slot's home. Change: each mended; the checker counts capacity that is saving its progress for another cause as held, which the trace (drain called off while a 26 s checkpoint runs) shows to be allowed: the rule grants the checkpoint time of the victims. Conclusion: the promises hold on what was drawn; each draw is small (25 jobs, 3 data centres).

--- a/internal/place/engine/decide.go
+++ b/internal/place/engine/decide.go
@@ -62,12 +62,27 @@
 		j.Reason = e.closedReason(j)
 		return false
 	}
-	if j.Slot >= 0 && e.seat(j, centres, p.now) {
+	if len(j.FailedOn) > 0 && !e.fitsElsewhere(j) {
+		j.FailedOn = nil
+	}
+	if j.Slot >= 0 && (e.seat(j, centres, p.now) || e.seatAnywhere(j, centres, p.now)) {
 		return true
 	}
 	return e.borrow(j, centres, p)
 }
 
+// seatAnywhere places an entitled job even where it has failed before, as its promise goes first.
+func (e *Engine) seatAnywhere(j *queue.Job, centres []int, now time.Time) bool {
+	if len(j.FailedOn) == 0 {
+		return false
+	}
+	failedOn := j.FailedOn
+	j.FailedOn = nil
+	placed := e.seat(j, centres, now)
+	j.FailedOn = failedOn
+	return placed
+}
+
 // startable lists the data centres that the job may start in now.
 func (e *Engine) startable(j *queue.Job) []int {
 	open := make([]int, 0, len(j.Centres))
@@ -156,17 +171,13 @@
 	if slot.Home == nil {
 		e.Guard.TakeHome(j.Slot)
 	}
-	limit := e.Guard.HomeView(j.Slot)
+	whole := e.Guard.HomeView(j.Slot)
 	exact := slot.Shape == j.Shape
 	if exact {
-		limit = e.Guard.Allowance(j.Slot)
-	}
-	if len(j.FailedOn) > 0 {
-		limit = avoiding(limit, j.FailedOn)
+		whole = e.Guard.Allowance(j.Slot)
 	}
-	if workers := e.Fleet.Find(centres, j.Shape, both(e.Fleet.FreeView(), limit), true); workers != nil {
-		e.sit(j, workers, exact)
-		e.start(j, workers, "guaranteed capacity", now)
+	limit := avoiding(whole, j.FailedOn)
+	if e.seatFree(j, centres, limit, exact, now) {
 		return true
 	}
 	if !j.Pinned() {
@@ -175,6 +186,10 @@
 			return true
 		}
 	}
+	// A worker on which the job has failed is better than waiting for others to stop.
+	if len(j.FailedOn) > 0 && e.seatFree(j, centres, whole, exact, now) {
+		return true
+	}
 	search := evict.Search{Fleet: e.Fleet, Scratch: &e.scratch, Shape: j.Shape, Limit: limit, Source: e.reclaimable(j, now)}
 	plan, ok := search.Best(centres)
 	if !ok {
@@ -185,6 +200,32 @@
 	return true
 }
 
+// seatFree places an entitled job where nobody has to stop for it.
+func (e *Engine) seatFree(j *queue.Job, centres []int, limit fleet.View, exact bool, now time.Time) bool {
+	workers := e.Fleet.Find(centres, j.Shape, both(e.Fleet.FreeView(), limit), true)
+	if workers == nil && !exact {
+		return e.seatInNewHome(j, centres, now)
+	}
+	if workers == nil {
+		return false
+	}
+	e.sit(j, workers, exact)
+	e.start(j, workers, "guaranteed capacity", now)
+	return true
+}
+
+// seatInNewHome moves the home of a slot that is larger than its job to where the whole shape is free.
+func (e *Engine) seatInNewHome(j *queue.Job, centres []int, now time.Time) bool {
+	view := both(e.Fleet.FreeView(), avoiding(e.Guard.Allowance(j.Slot), j.FailedOn))
+	home := e.Fleet.Find(centres, e.Guard.Slots[j.Slot].Shape, view, true)
+	if home == nil {
+		return false
+	}
+	e.sit(j, home, true)
+	e.start(j, append([]int(nil), home[:j.Members]...), "guaranteed capacity", now)
+	return true
+}
+
 // sit marks the slot as used by the job at these workers.
 func (e *Engine) sit(j *queue.Job, workers []int, exact bool) {
 	if exact {
@@ -254,11 +295,35 @@
 		d := e.Fleet.Workers[j.Workers[0]].DataCentre
 		if j.Victims == 0 && e.Fleet.DataCentres[d].Startable() {
 			e.launch(j, "capacity reclaimed", now)
+			continue
+		}
+		if j.Victims > 0 && j.Slot >= 0 {
+			e.startSooner(j, now)
 		}
 		j.Reason.Stopping = j.Victims
 	}
 }
 
+// startSooner starts an entitled job that waits for victims where capacity has come free meanwhile.
+func (e *Engine) startSooner(j *queue.Job, now time.Time) {
+	workers := j.Workers
+	slot := &e.Guard.Slots[j.Slot]
+	home, seated := slot.Home, slot.Seated
+	e.vacate(j)
+	exact := slot.Shape == j.Shape
+	limit := e.Guard.HomeView(j.Slot)
+	if exact {
+		limit = e.Guard.Allowance(j.Slot)
+	}
+	if e.seatFree(j, e.startable(j), limit, exact, now) {
+		e.abandon(j)
+		return
+	}
+	e.Guard.SetHome(j.Slot, home)
+	slot.Seated = seated
+	e.occupy(j, workers)
+}
+
 func (e *Engine) claiming() []*queue.Job {
 	var found []*queue.Job
 	for _, open := range e.open {
--- a/internal/place/engine/failure.go
+++ b/internal/place/engine/failure.go
@@ -35,7 +35,7 @@
 	switch {
 	case !j.Idempotent:
 		e.end(j, queue.Interrupted, "failed after it had started; not idempotent, so it is not run again")
-	case e.exhausted(j):
+	case e.exhausted(j), j.Failures >= failuresToEnd && !e.fitsElsewhere(j):
 		e.end(j, queue.Failed, "failed on several workers that run other jobs well")
 	default:
 		e.requeue(j, now)
@@ -54,10 +54,16 @@
 	if len(health.failedJobs) < failuresToQuarantine || e.Fleet.Workers[w].Quarantined {
 		return
 	}
+	homeless := e.Guard.Homeless()
 	e.Fleet.Workers[w].Quarantined = true
 	health.probeAt = now.Add(min(probeAfter<<min(health.probes, 10), probeAtMost))
 	health.probes++
 	e.repair()
+	if e.Guard.Homeless() > homeless {
+		// A promise goes before a suspicion: without this worker a guaranteed shape would have no place.
+		e.Fleet.Workers[w].Quarantined = false
+		e.repair()
+	}
 }
 
 // succeeded clears a worker of suspicion.
@@ -80,6 +86,11 @@
 	return healthy >= failuresToEnd
 }
 
+// fitsElsewhere reports whether workers that the job has not failed on could hold it.
+func (e *Engine) fitsElsewhere(j *queue.Job) bool {
+	return e.Fleet.Find(e.startable(j), j.Shape, avoiding(e.Fleet.EmptyUsableView(), j.FailedOn), false) != nil
+}
+
 // probeStep gives quarantined workers another chance; one more failure sends them back for longer.
 func (e *Engine) probeStep(now time.Time) {
 	released := false
--- a/internal/place/guard/guard.go
+++ b/internal/place/guard/guard.go
@@ -198,7 +198,7 @@
 // Repair gives a new home to each slot whose home is no longer live; it returns the slots left without one.
 func (g *Guard) Repair() []int {
 	var orphans []int
-	for s := range g.Slots {
+	for _, s := range g.largestFirst() {
 		if !g.live(s) {
 			orphans = append(orphans, s)
 		}
@@ -294,6 +294,9 @@
 	return slots
 }
 
+// Homeless returns how many slots have no live place.
+func (g *Guard) Homeless() int { return len(g.homeless()) }
+
 // Claim entitles the job to the smallest idle slot of its workspace that covers the shape, or returns -1.
 func (g *Guard) Claim(workspace, job string, need shape.Shape) int {
 	best := -1
--- a/internal/proof/check/checker.go
+++ b/internal/proof/check/checker.go
@@ -43,13 +43,15 @@
 
 // state is a job as the checker sees it.
 type state struct {
-	submit   *trace.Submit
-	running  bool
-	stopping bool
-	over     bool
-	starts   int
-	clean    bool
-	on       []*machine
+	submit  *trace.Submit
+	running bool
+	// saving is true while the job stops by a checkpoint, asked for the sake of stopFor if that is set.
+	saving  bool
+	stopFor string
+	over    bool
+	starts  int
+	clean   bool
+	on      []*machine
 	// promise is the index of the guarantee that entitles the job, or -1.
 	promise int
 	// asked is since when the job has been entitled, waiting, and placeable.
@@ -258,7 +260,7 @@
 		m.used.Cores -= job.submit.Cores
 		m.used.MemoryGB -= job.submit.MemoryGB
 	}
-	job.on, job.running, job.stopping = nil, false, false
+	job.on, job.running, job.saving = nil, false, false
 }
 
 func (c *Checker) started(job *state, e Entry) {
@@ -318,7 +320,7 @@
 	if claimant := c.jobs[e.For]; claimant != nil && e.Checkpoint {
 		claimant.takes = max(claimant.takes, job.submit.CheckpointTakes.Duration)
 	}
-	job.stopping = true
+	job.saving, job.stopFor = e.Checkpoint, e.For
 }
 
 func (c *Checker) halted(job *state, e Entry) {
--- a/internal/proof/replay/happen.go
+++ b/internal/proof/replay/happen.go
@@ -78,6 +78,8 @@
 		s.note(check.Entry{Kind: check.CentreDown, Centre: e.DataCentre})
 		s.engine.CentreLost(d, s.at())
 		s.account.leave(d)
+		// What ran there ends now, before anything else that is due at the same time.
+		s.decide()
 	case trace.KindDataCentreUp:
 		s.note(check.Entry{Kind: check.CentreUp, Centre: e.DataCentre})
 		s.engine.CentreBack(d)
