Worker leases outlast a change of the owner; whole-system tests

Cause: with every instance of a data centre replaced at once, 16 of 24 tasks were started again: the workers' lease (3 s) lapsed before the new owner called. Conclusion: a silent worker is given up after 6.5 s instead of 3.5 s; that is the price.

--- a/internal/node/local/cluster.go
+++ b/internal/node/local/cluster.go
@@ -29,8 +29,8 @@
 	balancerLag = 200 * time.Millisecond
 	// workersEvery is how often each worker is called.
 	workersEvery = 300 * time.Millisecond
-	// workersLease is short, so that the tour need not wait long.
-	workersLease = 3 * time.Second
+	// workersLease outlasts the change of an owner.
+	workersLease = 6 * time.Second
 )
 
 // Node is one running instance.
--- /dev/null
+++ b/internal/node/local/cluster_test.go
@@ -0,0 +1,153 @@
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/oper/client"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"gotest.tools/v3/assert"
+)
+
+// patience bounds how long a test waits for real processes; it proves nothing, it only ends a test that hangs.
+const patience = time.Minute
+
+func start(t *testing.T) *Cluster {
+	t.Helper()
+	c, err := Start(context.Background(), event.Discard(), time.Now)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, c.Close()) })
+	await(t, "owners", func() bool {
+		answer, err := c.Nodes()[0].Client.Line("instances where owner = true")
+		return err == nil && len(answer.Rows) == len(places)
+	})
+	return c
+}
+
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	limit := time.After(patience)
+	for !condition() {
+		select {
+		case <-limit:
+			t.Fatalf("never came true: %s", what)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func outcome(c *Cluster, job string) queue.Outcome {
+	record, err := c.Nodes()[0].Client.Job(job)
+	if err != nil {
+		return queue.OutcomeNone
+	}
+	return record.Outcome
+}
+
+// startsOf counts how often each task of the cluster was started.
+func noTaskTwice(t *testing.T, c *Cluster) {
+	t.Helper()
+	seen := make(map[string]bool)
+	for _, id := range c.Workers.Starts() {
+		assert.Equal(t, seen[id.String()], false, "%s started twice", id)
+		seen[id.String()] = true
+	}
+}
+
+func TestEveryInstanceOfADataCentreIsReplacedAtOnce(t *testing.T) {
+	c := start(t)
+	for n := range 6 {
+		_, err := c.Nodes()[0].Client.Submit(gangOf("lab", fmt.Sprint("j", n), 4, 6*time.Second))
+		assert.NilError(t, err)
+	}
+	await(t, "running", func() bool { return len(c.Workers.Starts()) == 24 })
+	for _, node := range c.Nodes() {
+		if node.Centre == "plovdiv" {
+			c.Remove(node, true)
+		}
+	}
+	_, err := c.AddNode("plv-entry-new", "plovdiv")
+	assert.NilError(t, err)
+	for n := range 6 {
+		await(t, "finished", func() bool { return outcome(c, fmt.Sprint("j", n)) == queue.Finished })
+	}
+	assert.Equal(t, len(c.Workers.Starts()), 24)
+	noTaskTwice(t, c)
+}
+
+func TestOutageOfTheStoreStopsNothingThatRuns(t *testing.T) {
+	c := start(t)
+	_, err := c.Nodes()[0].Client.Submit(gangOf("lab", "j", 4, 3*time.Second))
+	assert.NilError(t, err)
+	await(t, "running", func() bool { return len(c.Workers.Starts()) == 4 })
+	c.KV.SetFault(fake.Fault{Down: true})
+	_, err = c.Nodes()[1].Client.Line("drain plovdiv")
+	var answer *client.AnswerError
+	assert.Equal(t, errors.As(err, &answer) && answer.NotRun, true, "%v", err)
+	_, err = c.Nodes()[2].Client.Submit(gangOf("lab", "k", 4, time.Second))
+	assert.Equal(t, errors.As(err, &answer) && answer.NotRun, true, "%v", err)
+	body, err := c.Nodes()[3].Client.Quick("/price", "q", []byte("x"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "answer to q: x")
+	c.KV.SetFault(fake.Fault{})
+	await(t, "finished", func() bool { return outcome(c, "j") == queue.Finished })
+	noTaskTwice(t, c)
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	c := start(t)
+	for _, b := range c.Backends {
+		b.SetManner(fake.Manner{Work: 300 * time.Millisecond})
+	}
+	node := c.Nodes()[1]
+	results := make(chan error, 8)
+	for n := range 8 {
+		go func() {
+			_, err := node.Client.Quick("/price", fmt.Sprint("q", n), []byte("x"))
+			results <- err
+		}()
+	}
+	await(t, "in flight", func() bool {
+		total := 0
+		for _, b := range c.Backends {
+			total += b.TotalRuns()
+		}
+		return total == 8
+	})
+	c.Remove(node, false)
+	for range 8 {
+		assert.NilError(t, <-results)
+	}
+}
+
+func TestRacingCommandsAndConfigurationEverywhere(t *testing.T) {
+	c := start(t)
+	results := make(chan error, 2)
+	for n := range 2 {
+		go func() {
+			_, err := c.Nodes()[n].Client.Line("drain haskovo")
+			results <- err
+		}()
+	}
+	first, second := <-results, <-results
+	assert.Equal(t, (first == nil) != (second == nil), true, "%v, %v", first, second)
+	await(t, "in force everywhere", func() bool {
+		answer, err := c.Nodes()[2].Client.Line("instances where revision >= 2")
+		return err == nil && len(answer.Rows) == len(c.Nodes())
+	})
+}
+
+func TestOperatorsNeedTheToken(t *testing.T) {
+	c := start(t)
+	stranger := *c.Nodes()[0].Client
+	stranger.Token = "guess"
+	_, err := stranger.Line("jobs")
+	var answer *client.AnswerError
+	assert.Equal(t, errors.As(err, &answer), true)
+	assert.Equal(t, answer.Status, 401)
+}
--- a/internal/node/setup/settings.go
+++ b/internal/node/setup/settings.go
@@ -12,6 +12,7 @@
 	"github.com/lentildeck/lentildeck/internal/kern/span"
 	"github.com/lentildeck/lentildeck/internal/peer/list"
 	"github.com/lentildeck/lentildeck/internal/place/engine"
+	"github.com/lentildeck/lentildeck/internal/state/lease"
 	"github.com/lentildeck/lentildeck/internal/state/store"
 	"github.com/tailscale/hujson"
 )
@@ -102,7 +103,7 @@
 		Store:  Store{Driver: "http", CallsPerSecond: 60, Burst: 60},
 		List:   List{Driver: "http", Every: span.Of(time.Second)},
 		Workers: Workers{
-			Driver: "http", Lease: span.Of(5 * time.Second), Every: span.Of(time.Second),
+			Driver: "http", Lease: span.Of(6 * time.Second), Every: span.Of(time.Second),
 		},
 		Quick: Quick{
 			Slots: 8, Connections: 64, QueueLimit: 512, Timeout: span.Of(10 * time.Second),
@@ -157,6 +158,9 @@
 	return r.Err()
 }
 
+// takeOver is how long a new owner needs from the lapse of the old lease until it has called every worker.
+const takeOver = 2 * time.Second
+
 // minTokenLength keeps tokens from being guessed.
 const minTokenLength = 16
 
@@ -194,6 +198,8 @@
 	r.Check(len(w.Token) >= minTokenLength, "workers.token", hidden(w.Token), "16 or more characters")
 	r.Check(w.Every.Duration >= 50*time.Millisecond, "workers.every", w.Every.String(), "50ms or more")
 	r.Check(w.Lease.Duration >= 3*w.Every.Duration, "workers.lease", w.Lease.String(), "three times workers.every or more")
+	r.Check(w.Lease.Duration >= lease.TTL+takeOver, "workers.lease", w.Lease.String(),
+		fmt.Sprintf("%s or more, so that tasks outlive a change of the owner", lease.TTL+takeOver))
 }
 
 func (q *Quick) validate(r *Report) {
