Capacity benchmarks at three sizes; brief worker reports

Change: make bench-capacity; once an owner knows its gangs, workers leave the specs out; a spec has its own IsZero, as the promoted one dropped specs without resources (found by the worker contract over HTTP).

--- a/Makefile
+++ b/Makefile
@@ -11,3 +11,6 @@
 
 local:
 	go run ./cmd/lentildeck local
+
+bench-capacity:
+	go test -run '^$$' -bench . -benchtime 1s -timeout 20m ./internal/proof/slope
--- a/internal/edge/worker/protocol.go
+++ b/internal/edge/worker/protocol.go
@@ -41,9 +41,9 @@
 // Task is what a worker is asked to run; it carries all that a new owner needs to know about it.
 type Task struct {
 	TaskID
-	Spec      queue.Spec    `json:"spec"`
-	Submitted time.Time     `json:"submitted"`
-	Progress  span.Duration `json:"progress"`
+	Spec      queue.Spec    `json:"spec,omitzero"`
+	Submitted time.Time     `json:"submitted,omitzero"`
+	Progress  span.Duration `json:"progress,omitzero"`
 }
 
 // StopOrder asks for a task to be stopped.
@@ -63,13 +63,15 @@
 	Start   []TaskID      `json:"start,omitempty"`
 	Stop    []StopOrder   `json:"stop,omitempty"`
 	Ack     []TaskID      `json:"ack,omitempty"`
+	// Brief leaves out of the answer what the owner knows already: the tasks' specs.
+	Brief bool `json:"brief,omitempty"`
 }
 
 // Status is one task as the worker sees it.
 type Status struct {
 	Task
 	Phase   Phase     `json:"phase"`
-	Started time.Time `json:"started"`
+	Started time.Time `json:"started,omitzero"`
 	Result  string    `json:"result,omitempty"`
 	Denied  string    `json:"denied,omitempty"`
 }
--- a/internal/node/owner/sweep.go
+++ b/internal/node/owner/sweep.go
@@ -26,7 +26,7 @@
 
 // send makes one call to the worker in the background with all orders that wait for it.
 func (o *Owner) send(t *term, s *session, now time.Time) {
-	request := worker.Request{Worker: s.name, Stop: s.stops, Ack: s.acks}
+	request := worker.Request{Worker: s.name, Stop: s.stops, Ack: s.acks, Brief: t.heardAll}
 	s.busy, s.sent = true, now
 	s.stops, s.acks = nil, nil
 	o.spawn(func() {
--- a/internal/place/queue/job.go
+++ b/internal/place/queue/job.go
@@ -59,6 +59,9 @@
 	Payload string `json:"payload,omitempty"`
 }
 
+// IsZero reports whether the spec is left out; without it, that of the embedded resources would answer.
+func (s Spec) IsZero() bool { return s.Job == "" }
+
 // Checkpoints reports whether the job can save its progress when asked to stop.
 func (s *Spec) Checkpoints() bool { return s.CheckpointEvery.Duration > 0 }
 
--- a/internal/proof/fake/worker.go
+++ b/internal/proof/fake/worker.go
@@ -8,6 +8,7 @@
 
 	"github.com/lentildeck/lentildeck/internal/edge/worker"
 	"github.com/lentildeck/lentildeck/internal/kern/span"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
 )
 
 // reservationTTL is how long a worker keeps a reservation that is not started.
@@ -96,7 +97,7 @@
 	m.epoch = request.Epoch
 	m.lease = now.Add(request.Lease.Duration)
 	f.obey(m, request, now)
-	return m.report(), nil
+	return m.report(request.Brief), nil
 }
 
 func (f *Workers) obey(m *machine, request worker.Request, now time.Time) {
@@ -186,10 +187,14 @@
 	}
 }
 
-func (m *machine) report() worker.Response {
+func (m *machine) report(brief bool) worker.Response {
 	response := worker.Response{Epoch: m.epoch, Tasks: make([]worker.Status, 0, len(m.tasks))}
 	for _, task := range m.tasks {
-		response.Tasks = append(response.Tasks, task.Status)
+		status := task.Status
+		if brief {
+			status.Spec, status.Submitted = queue.Spec{}, time.Time{}
+		}
+		response.Tasks = append(response.Tasks, status)
 	}
 	sort.Slice(response.Tasks, func(i, j int) bool {
 		return response.Tasks[i].TaskID.String() < response.Tasks[j].TaskID.String()
