Documentation: architecture, design notes, operators, capacity, failures, measures, traces

Cause: nothing told a newcomer how it works, what holds and what it carries. Change: the pages; a test keeps docs/FAULTS.md and KNOWN-RED.txt to tests that exist; a benchmark of a configuration change.

--- /dev/null
+++ b/internal/proof/fault/page_test.go
@@ -0,0 +1,80 @@
+package fault_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const root = "../../.."
+
+var (
+	testName = regexp.MustCompile(`Test[A-Z][A-Za-z0-9]*`)
+	testFunc = regexp.MustCompile(`(?m)^func (Test[A-Z][A-Za-z0-9]*)\(`)
+)
+
+// columns is the failure and the nine promises.
+const columns = 10
+
+func tests(t *testing.T) map[string]bool {
+	t.Helper()
+	found := make(map[string]bool)
+	err := filepath.WalkDir(filepath.Join(root, "internal"), func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		for _, match := range testFunc.FindAllStringSubmatch(string(source), -1) {
+			found[match[1]] = true
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	return found
+}
+
+func TestPageNamesTestsThatExist(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs/FAULTS.md"))
+	assert.NilError(t, err)
+	known := tests(t)
+	for _, name := range testName.FindAllString(string(page), -1) {
+		assert.Equal(t, known[name], true, "docs/FAULTS.md names %s, which does not exist", name)
+	}
+}
+
+func TestEveryCellOfTheTableIsFilled(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs/FAULTS.md"))
+	assert.NilError(t, err)
+	table, _, ok := strings.Cut(string(page), "## Two at once")
+	assert.Equal(t, ok, true)
+	rows := 0
+	for _, line := range strings.Split(table, "\n") {
+		if !strings.HasPrefix(line, "| ") || strings.HasPrefix(line, "| ---") || strings.HasPrefix(line, "| failure") {
+			continue
+		}
+		rows++
+		cells := strings.Split(strings.Trim(line, "|"), "|")
+		assert.Equal(t, len(cells), columns, "%s", line)
+		for _, cell := range cells[1:] {
+			cell = strings.TrimSpace(cell)
+			assert.Equal(t, cell == "-" || cell == "open" || testName.MatchString(cell), true, "%q in %s", cell, line)
+		}
+	}
+	assert.Equal(t, rows >= 15, true)
+}
+
+func TestListedRedTestsExist(t *testing.T) {
+	list, err := os.ReadFile(filepath.Join(root, "KNOWN-RED.txt"))
+	assert.NilError(t, err)
+	known := tests(t)
+	for _, line := range strings.Split(string(list), "\n") {
+		if name, ok := strings.CutPrefix(line, "test: "); ok {
+			assert.Equal(t, known[strings.TrimSpace(name)], true, "KNOWN-RED.txt lists %s, which does not exist", name)
+		}
+	}
+}
--- a/internal/proof/slope/slope_test.go
+++ b/internal/proof/slope/slope_test.go
@@ -25,6 +25,7 @@
 	"github.com/lentildeck/lentildeck/internal/route/claim"
 	"github.com/lentildeck/lentildeck/internal/route/pool"
 	"github.com/lentildeck/lentildeck/internal/route/quick"
+	"github.com/lentildeck/lentildeck/internal/state/config"
 	"github.com/lentildeck/lentildeck/internal/state/store"
 )
 
@@ -261,3 +262,31 @@
 		})
 	}
 }
+
+// BenchmarkConfigChange works out one owner's part of a new revision.
+func BenchmarkConfigChange(b *testing.B) {
+	for _, workers := range sizes {
+		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) {
+			doc := config.Document{Revision: 1}
+			for d := range 6 {
+				spec := fleet.DataCentreSpec{Name: fmt.Sprint("dc", d)}
+				for r := range workers / 42 {
+					spec.Racks = append(spec.Racks, fleet.RackSpec{Name: fmt.Sprintf("d%d-%d", d, r), Workers: 7, Resources: shape.Resources{Accelerators: 8, Cores: 64, MemoryGB: 256}})
+				}
+				doc.DataCentres = append(doc.DataCentres, spec)
+			}
+			for n := range workers / workersPerSpace {
+				whole := shape.Shape{Members: 1 + n%4, Resources: shape.Resources{Accelerators: 2, Cores: 4, MemoryGB: 4}, Within: shape.Rack}
+				doc.Workspaces = append(doc.Workspaces, guard.Workspace{Name: fmt.Sprint("team", n), Guarantees: []guard.Guarantee{{Count: 1, Shape: whole}}})
+			}
+			policy, _ := engine.Policies.Lookup(engine.DefaultPolicy)
+			raw, _ := json.Marshal(doc)
+			b.ResetTimer()
+			for range b.N {
+				_, err := doc.ForCentre("dc0", policy)
+				fail(b, err)
+			}
+			b.ReportMetric(float64(len(raw))/1024, "document-KB")
+		})
+	}
+}
