TLS test, and benchmarks of trouble, commands and owner loss

Change: peers without a certificate of the authority are refused, a new certificate is used without a restart, a broken one is not; benchmarks in slope.

--- /dev/null
+++ b/internal/node/daemon/keys_test.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/node/setup"
+	"github.com/lentildeck/lentildeck/internal/peer/link"
+	"gotest.tools/v3/assert"
+)
+
+// authority signs certificates for 127.0.0.1.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	dir  string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{t: t, dir: t.TempDir()}
+	var err error
+	a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	assert.NilError(t, err)
+	a.cert, err = x509.ParseCertificate(raw)
+	assert.NilError(t, err)
+	a.write("authority.pem", "CERTIFICATE", raw)
+	return a
+}
+
+func (a *authority) write(name, kind string, raw []byte) {
+	a.t.Helper()
+	assert.NilError(a.t, os.WriteFile(filepath.Join(a.dir, name), pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600))
+}
+
+// issue writes a new certificate with the serial number over the old one.
+func (a *authority) issue(serial int64) setup.Keys {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(a.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "instance"}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	assert.NilError(a.t, err)
+	a.write("instance.pem", "CERTIFICATE", raw)
+	secret, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(a.t, err)
+	a.write("instance.key", "EC PRIVATE KEY", secret)
+	return setup.Keys{
+		Certificate: filepath.Join(a.dir, "instance.pem"), Key: filepath.Join(a.dir, "instance.key"), Authority: filepath.Join(a.dir, "authority.pem"),
+	}
+}
+
+// echo answers status calls and nothing else.
+type echo struct{ link.Handler }
+
+func (echo) Status(context.Context, *link.StatusRequest) (*link.StatusReply, error) {
+	return &link.StatusReply{Instance: "server"}, nil
+}
+
+func TestPeersProveWhoTheyAreAndKeysAreReloaded(t *testing.T) {
+	files := newAuthority(t)
+	pair, err := loadKeys(files.issue(2))
+	assert.NilError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server, err := link.NewServer(echo{})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = server.Serve(ctx, pair.listener(listener)) }()
+	t.Cleanup(func() { cancel(); <-server.Done() })
+	call := func(keys *tls.Config) error {
+		limit, stop := context.WithTimeout(ctx, 10*time.Second)
+		defer stop()
+		client := link.NewClient(keys)
+		defer func() { _ = client.Close() }()
+		_, err := client.Status(limit, listener.Addr().String(), &link.StatusRequest{})
+		return err
+	}
+	assert.NilError(t, call(pair.client()))
+
+	stranger, err := loadKeys(newAuthority(t).issue(3))
+	assert.NilError(t, err)
+	assert.Equal(t, call(stranger.client()) != nil, true, "a certificate of another authority is refused")
+
+	files.issue(9)
+	later := time.Now().Add(time.Minute)
+	assert.NilError(t, os.Chtimes(pair.files.Certificate, later, later))
+	renewed, err := pair.current()
+	assert.NilError(t, err)
+	leaf, err := x509.ParseCertificate(renewed.Certificate[0])
+	assert.NilError(t, err)
+	assert.Equal(t, leaf.SerialNumber.Int64(), int64(9))
+	assert.NilError(t, call(pair.client()), "the new certificate is in use without a restart")
+
+	assert.NilError(t, os.WriteFile(pair.files.Certificate, []byte("broken"), 0o600))
+	kept, err := pair.current()
+	assert.NilError(t, err)
+	assert.Equal(t, kept == renewed, true, "a broken file leaves the last good one in use")
+}
--- a/internal/proof/slope/slope_test.go
+++ b/internal/proof/slope/slope_test.go
@@ -290,3 +290,7 @@
 		})
 	}
 }
+
+func contextWith(limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, limit)
+}
--- /dev/null
+++ b/internal/proof/slope/trouble_test.go
@@ -0,0 +1,176 @@
+package slope_test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/edge/back"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/span"
+	"github.com/lentildeck/lentildeck/internal/node/local"
+	"github.com/lentildeck/lentildeck/internal/node/meter"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/place/shape"
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/route/pool"
+	"github.com/lentildeck/lentildeck/internal/route/quick"
+)
+
+// troubled is eight backend servers, three of which get into trouble: one dies, one leaves, one falls silent.
+func troubled(b *testing.B) []*fake.Backend {
+	b.Helper()
+	var servers []*fake.Backend
+	for n := range 8 {
+		s, err := fake.NewBackend(fmt.Sprint("runner-", n), "127.0.0.1:0", time.Now)
+		fail(b, err)
+		servers = append(servers, s)
+	}
+	return servers
+}
+
+func spoil(servers []*fake.Backend) {
+	_ = servers[0].Close()
+	servers[1].SetManner(fake.Manner{Leaving: true})
+	servers[2].SetManner(fake.Manner{Silent: true})
+}
+
+// share sends requests from eight callers, the trouble beginning after a third, and reports the share answered.
+func share(b *testing.B, servers []*fake.Backend, call func(id string) error) {
+	const requests, callers = 900, 8
+	var answered, sent atomic.Int64
+	var once sync.Once
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := sent.Add(1); n <= requests; n = sent.Add(1) {
+				if n > requests/3 {
+					once.Do(func() { spoil(servers) })
+				}
+				if call(fmt.Sprint("r", n)) == nil {
+					answered.Add(1)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	b.ReportMetric(100*float64(answered.Load())/requests, "%answered")
+	for _, s := range servers[1:] {
+		_ = s.Close()
+	}
+}
+
+// BenchmarkTrouble compares routing with plain round robin while servers die, leave and fall silent; nobody pings.
+func BenchmarkTrouble(b *testing.B) {
+	const patience = 300 * time.Millisecond
+	b.Run("round-robin", func(b *testing.B) {
+		for range b.N {
+			servers := troubled(b)
+			caller := back.NewHTTP(64)
+			var next atomic.Int64
+			share(b, servers, func(id string) error {
+				limit, cancel := contextWith(patience)
+				defer cancel()
+				_, err := caller.Call(limit, servers[next.Add(1)%8].Address(), back.Request{ID: id, Path: "/x", Body: []byte("x")})
+				return err
+			})
+		}
+	})
+	b.Run("routed", func(b *testing.B) {
+		for range b.N {
+			servers := troubled(b)
+			var members []pool.Member
+			for _, s := range servers {
+				members = append(members, pool.Member{Name: s.Name, DataCentre: "dc", Address: s.Address()})
+			}
+			p := pool.New("dc", pool.Limits{Slots: 8, Connections: 64}, 64, 1)
+			p.SetMembers(members, time.Now())
+			service := quick.New(p, back.NewHTTP(64), nil, event.Discard(), time.Now)
+			share(b, servers, func(id string) error {
+				limit, cancel := contextWith(3 * patience)
+				defer cancel()
+				_, err := service.Serve(limit, quick.Request{ID: id, Key: id, Path: "/x", Body: []byte("x"), Idempotent: true, AttemptTimeout: patience})
+				return err
+			})
+		}
+	})
+}
+
+// BenchmarkInForce times a command from its acceptance until the last of seven instances has it in force.
+func BenchmarkInForce(b *testing.B) {
+	c, err := local.Start(ctx, event.Discard(), time.Now)
+	fail(b, err)
+	defer func() { fail(b, c.Close()) }()
+	settle(b, c)
+	timer := meter.NewTimer()
+	for n := range b.N {
+		line := "drain haskovo"
+		if n%2 == 1 {
+			line = "restore haskovo"
+		}
+		began := time.Now()
+		_, err := c.Nodes()[n%7].Client.Line(line)
+		fail(b, err)
+		for {
+			answer, err := c.Nodes()[0].Client.Line(fmt.Sprint("instances where revision >= ", n+2))
+			if err == nil && len(answer.Rows) == 7 {
+				break
+			}
+		}
+		timer.Add(time.Since(began))
+	}
+	b.ReportMetric(float64(timer.Quantile(99).Microseconds())/1000, "p99-ms")
+	b.ReportMetric(float64(timer.Quantile(100).Microseconds())/1000, "max-ms")
+}
+
+func settle(b *testing.B, c *local.Cluster) {
+	b.Helper()
+	for {
+		answer, err := c.Nodes()[0].Client.Line("instances where owner = true")
+		if err == nil && len(answer.Rows) == 3 {
+			return
+		}
+	}
+}
+
+// BenchmarkOwnerLoss times the death of the only owner that may run a job until the job's first task starts under the next one.
+func BenchmarkOwnerLoss(b *testing.B) {
+	timer := meter.NewTimer()
+	for n := range b.N {
+		c, err := local.Start(ctx, event.Discard(), time.Now)
+		fail(b, err)
+		settle(b, c)
+		removed := make(chan struct{})
+		for _, centre := range []string{"haskovo", "pazardzhik"} {
+			_, err := c.Nodes()[0].Client.Line("drain " + centre)
+			fail(b, err)
+		}
+		for _, node := range c.Nodes() {
+			if node.Centre == "plovdiv" && node.Daemon.IsOwner() {
+				go func() {
+					defer close(removed)
+					c.Remove(node, true)
+				}()
+				break
+			}
+		}
+		began := time.Now()
+		_, err = c.Nodes()[6-1].Client.Submit(queue.Spec{
+			Job: fmt.Sprint("j", n), Workspace: "lab", Class: queue.Urgent, Idempotent: true, Declared: span.Of(time.Second), Payload: "1s",
+			Shape: shape.Shape{Members: 1, Resources: shape.Resources{Accelerators: 1, Cores: 1, MemoryGB: 1}},
+		})
+		fail(b, err)
+		for len(c.Workers.Starts()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		timer.Add(time.Since(began))
+		<-removed
+		fail(b, c.Close())
+	}
+	b.ReportMetric(float64(timer.Quantile(50).Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(timer.Quantile(100).Milliseconds()), "max-ms")
+}
