--- a/internal/node/daemon/operators.go
+++ b/internal/node/daemon/operators.go
@@ -226,10 +226,13 @@
 	return rows
 }
 
+// ageUnit is how exactly ages are shown.
+const ageUnit = 100 * time.Millisecond
+
 func instanceRow(s *link.StatusReply) view.Instance {
 	row := view.Instance{
 		Instance: s.Instance, DataCentre: s.DataCentre, State: "serving", Revision: s.Revision, Source: s.Source,
-		Age: s.Age, Owner: s.Owner, Store: "answers",
+		Age: s.Age.Round(ageUnit).String(), Owner: s.Owner, Store: "answers",
 	}
 	if s.Stopping {
 		row.State = "stopping"
@@ -314,7 +317,7 @@
 			phase = queue.Waiting
 		}
 		whole.Jobs = append(whole.Jobs, view.Job{
-			Job: r.Job, Workspace: r.Workspace, Class: r.Class.String(), Phase: phase.String(), Outcome: r.Outcome.String(),
+			Job: r.Job, Workspace: r.Workspace, Class: r.Class.String(), Phase: phase.String(), Outcome: view.OutcomeText(r.Outcome),
 			DataCentre: r.DataCentre, Members: r.Members, Accelerators: r.Total().Accelerators, Within: r.Within.String(),
 			Attempt: r.Attempt, Submitted: r.Submitted, Result: r.Result, Why: why,
 		})
--- a/internal/node/owner/view.go
+++ b/internal/node/owner/view.go
@@ -41,7 +41,7 @@
 		why = reason.Reason{}
 	}
 	return view.Job{
-		Job: j.Job, Workspace: j.Workspace, Class: j.Class.String(), Phase: j.Phase.String(), Outcome: j.Outcome.String(),
+		Job: j.Job, Workspace: j.Workspace, Class: j.Class.String(), Phase: j.Phase.String(), Outcome: view.OutcomeText(j.Outcome),
 		DataCentre: o.cfg.Centre, Members: j.Members, Accelerators: j.Total().Accelerators, Within: j.Within.String(),
 		Attempt: j.Attempt, Guaranteed: j.Slot >= 0, Workers: e.Fleet.Names(j.Workers), Submitted: j.Submitted,
 		Reason: why, Why: why.String(),
--- a/internal/oper/view/rows.go
+++ b/internal/oper/view/rows.go
@@ -3,9 +3,18 @@
 import (
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/place/queue"
 	"github.com/lentildeck/lentildeck/internal/place/reason"
 )
 
+// OutcomeText names an outcome, and is empty for a job that has not ended.
+func OutcomeText(outcome queue.Outcome) string {
+	if outcome == queue.OutcomeNone {
+		return ""
+	}
+	return outcome.String()
+}
+
 // Job is one job as an operator sees it.
 type Job struct {
 	Job          string        `json:"job"`
@@ -54,14 +63,14 @@
 
 // Instance is one entry instance.
 type Instance struct {
-	Instance   string        `json:"instance"`
-	DataCentre string        `json:"dataCentre"`
-	State      string        `json:"state"`
-	Revision   int64         `json:"revision"`
-	Source     string        `json:"source"`
-	Age        time.Duration `json:"ageNanoseconds"`
-	Owner      bool          `json:"owner"`
-	Store      string        `json:"store"`
+	Instance   string `json:"instance"`
+	DataCentre string `json:"dataCentre"`
+	State      string `json:"state"`
+	Revision   int64  `json:"revision"`
+	Source     string `json:"source"`
+	Age        string `json:"age"`
+	Owner      bool   `json:"owner"`
+	Store      string `json:"store"`
 }
 
 // Guarantee is one guaranteed shape.
--- a/internal/place/engine/compact.go
+++ b/internal/place/engine/compact.go
@@ -17,6 +17,10 @@
 	if e.policy.Compact <= 0 || p.compact >= compactionsPerPass || j.Pinned() {
 		return false
 	}
+	// What moves must fit beside the claimant, so all that is free together must hold the claimant.
+	if e.survey(p); p.free < j.Total().Accelerators {
+		return false
+	}
 	p.compact++
 	limit := e.Fleet.EmptyUsableView()
 	if len(j.FailedOn) > 0 {
--- a/internal/place/engine/decide.go
+++ b/internal/place/engine/decide.go
@@ -27,6 +27,12 @@
 	searches int
 	compact  int
 	blocker  string
+	// surveyed is true once largest and free are known; both only shrink in a pass.
+	surveyed bool
+	// largest is the greatest score of a running job that may be stopped for order.
+	largest float64
+	// free is how many accelerators are free on usable workers.
+	free int
 }
 
 // searchesPerPass bounds the searches for victims in one decision.
--- a/internal/place/engine/order.go
+++ b/internal/place/engine/order.go
@@ -92,6 +92,10 @@
 	if len(j.FailedOn) > 0 {
 		limit = avoiding(limit, j.FailedOn)
 	}
+	e.survey(p)
+	if e.score(j, p.now)*e.policy.Preempt > p.largest {
+		return false
+	}
 	search := evict.Search{Fleet: e.Fleet, Scratch: &e.scratch, Shape: j.Shape, Limit: limit, Source: e.outranked(j, p.now)}
 	plan, ok := search.Best(centres)
 	if !ok {
@@ -101,6 +105,25 @@
 	return true
 }
 
+// survey finds out once a pass what any search could find at best.
+func (e *Engine) survey(p *pass) {
+	if p.surveyed {
+		return
+	}
+	p.surveyed = true
+	for w := range e.Fleet.Workers {
+		worker := &e.Fleet.Workers[w]
+		if worker.Usable() {
+			p.free += max(worker.Free.Accelerators, 0)
+		}
+		for _, j := range e.onWorker[w] {
+			if e.yields(j, 0, p.now) {
+				p.largest = max(p.largest, e.score(j, p.now))
+			}
+		}
+	}
+}
+
 // outranked lists the jobs on a worker whose remaining need is so much larger that the waiting job goes first.
 func (e *Engine) outranked(claimant *queue.Job, now time.Time) evict.Source {
 	bar := e.score(claimant, now) * e.policy.Preempt
