Split the decision file; callers and configuration while an instance dies

Change: seat.go and claim.go; an order that no policy uses is gone; tests of callers while an instance dies, of a fresh instance without the store, and of a planned stop in an outage. Measured: 120 of 120 requests answered once while an instance dies; the fresh instance has its peers' revision; 8 of 8 in flight answered in the outage.

--- a/internal/node/local/cluster_test.go
+++ b/internal/node/local/cluster_test.go
@@ -101,6 +101,19 @@
 
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	c := start(t)
+	stopWithRequestsInFlight(t, c)
+}
+
+func TestPlannedStopInAnOutageCutsNoRequest(t *testing.T) {
+	c := start(t)
+	c.KV.SetFault(fake.Fault{Down: true})
+	stopWithRequestsInFlight(t, c)
+	c.KV.SetFault(fake.Fault{})
+}
+
+// stopWithRequestsInFlight stops an instance while eight of its requests are at work; all must be answered.
+func stopWithRequestsInFlight(t *testing.T, c *Cluster) {
+	t.Helper()
 	for _, b := range c.Backends {
 		b.SetManner(fake.Manner{Work: 300 * time.Millisecond})
 	}
@@ -151,3 +164,43 @@
 	assert.Equal(t, errors.As(err, &answer), true)
 	assert.Equal(t, answer.Status, 401)
 }
+
+func TestCallersOfOthersAreAnsweredWhileAnInstanceDies(t *testing.T) {
+	c := start(t)
+	victim := c.Nodes()[0]
+	others := c.Nodes()[1:]
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		c.Remove(victim, true)
+	}()
+	for n := range 120 {
+		id := fmt.Sprint("q", n)
+		body, err := others[n%len(others)].Client.Quick("/price", id, []byte("x"))
+		assert.NilError(t, err)
+		assert.Equal(t, body, "answer to "+id+": x")
+	}
+	<-gone
+	runs := 0
+	for _, b := range c.Backends {
+		runs += b.TotalRuns()
+	}
+	assert.Equal(t, runs, 120, "nothing that was answered ran twice")
+}
+
+func TestFreshInstanceTakesTheRevisionOfItsPeers(t *testing.T) {
+	c := start(t)
+	_, err := c.Nodes()[0].Client.Line("drain haskovo")
+	assert.NilError(t, err)
+	c.KV.SetFault(fake.Fault{Down: true})
+	fresh, err := c.AddNode("plv-entry-fresh", "plovdiv")
+	assert.NilError(t, err)
+	await(t, "the peers' revision", func() bool {
+		doc, err := fresh.Client.Config()
+		return err == nil && doc.Revision == 2
+	})
+	answer, err := fresh.Client.Line("instances where instance = plv-entry-fresh")
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Rows[0]["source"], "fromPeer")
+	c.KV.SetFault(fake.Fault{})
+}
--- /dev/null
+++ b/internal/place/engine/claim.go
@@ -0,0 +1,88 @@
+package engine
+
+import (
+	"sort"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/evict"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/place/reason"
+)
+
+func (e *Engine) start(j *queue.Job, workers []int, why string, now time.Time) {
+	e.occupy(j, workers)
+	e.launch(j, why, now)
+}
+
+func (e *Engine) launch(j *queue.Job, why string, now time.Time) {
+	j.Phase = queue.Running
+	j.Started = now
+	j.Attempt++
+	j.Reason = reason.Reason{}
+	e.act(Start{Job: j.Job, Attempt: j.Attempt, Workers: append([]int(nil), j.Workers...), Why: why})
+}
+
+func (e *Engine) claim(j *queue.Job, plan evict.Plan, why string, now time.Time) {
+	e.occupy(j, plan.Workers)
+	j.Phase = queue.Claiming
+	for _, v := range plan.Victims {
+		e.displace(e.jobs[v.Job], j, now)
+	}
+	if j.Victims == 0 {
+		e.launch(j, why, now)
+		return
+	}
+	where := e.Fleet.Racks[e.Fleet.Workers[plan.Workers[0]].Rack].Name
+	j.Reason = reason.Reason{Code: reason.Reclaiming, Shape: j.Shape, Where: where, Stopping: j.Victims}
+}
+
+func (e *Engine) displace(victim, claimant *queue.Job, now time.Time) {
+	switch victim.Phase {
+	case queue.Claiming:
+		e.giveUp(victim)
+		e.requeue(victim, now)
+		return
+	case queue.Running:
+		e.stop(victim, e.byCheckpoint(victim, claimant, now), "gives way to "+claimant.Job, now)
+	}
+	if victim.Phase == queue.Stopping {
+		e.claims[victim.Job] = append(e.claims[victim.Job], claimant)
+		claimant.Victims++
+	}
+}
+
+func (e *Engine) stop(j *queue.Job, checkpoint bool, why string, now time.Time) {
+	j.Phase = queue.Stopping
+	j.StopsAt = now
+	if checkpoint {
+		j.StopsAt = now.Add(j.CheckpointTakes.Duration)
+	}
+	e.act(Stop{Job: j.Job, Attempt: j.Attempt, Workers: append([]int(nil), j.Workers...), Checkpoint: checkpoint, Why: why})
+}
+
+func (e *Engine) startClaims(now time.Time) {
+	for _, j := range e.claiming() {
+		d := e.Fleet.Workers[j.Workers[0]].DataCentre
+		if j.Victims == 0 && e.Fleet.DataCentres[d].Startable() {
+			e.launch(j, "capacity reclaimed", now)
+			continue
+		}
+		if j.Victims > 0 && j.Slot >= 0 {
+			e.startSooner(j, now)
+		}
+		j.Reason.Stopping = j.Victims
+	}
+}
+
+func (e *Engine) claiming() []*queue.Job {
+	var found []*queue.Job
+	for _, open := range e.open {
+		for _, j := range open {
+			if j.Phase == queue.Claiming {
+				found = append(found, j)
+			}
+		}
+	}
+	sort.Slice(found, func(a, b int) bool { return found[a].Job < found[b].Job })
+	return found
+}
--- a/internal/place/engine/decide.go
+++ b/internal/place/engine/decide.go
@@ -1,10 +1,8 @@
 package engine
 
 import (
-	"sort"
 	"time"
 
-	"github.com/lentildeck/lentildeck/internal/place/evict"
 	"github.com/lentildeck/lentildeck/internal/place/fleet"
 	"github.com/lentildeck/lentildeck/internal/place/queue"
 	"github.com/lentildeck/lentildeck/internal/place/reason"
@@ -78,17 +76,6 @@
 }
 
 // seatAnywhere places an entitled job even where it has failed before, as its promise goes first.
-func (e *Engine) seatAnywhere(j *queue.Job, centres []int, now time.Time) bool {
-	if len(j.FailedOn) == 0 {
-		return false
-	}
-	failedOn := j.FailedOn
-	j.FailedOn = nil
-	placed := e.seat(j, centres, now)
-	j.FailedOn = failedOn
-	return placed
-}
-
 // startable lists the data centres that the job may start in now.
 func (e *Engine) startable(j *queue.Job) []int {
 	open := make([]int, 0, len(j.Centres))
@@ -172,177 +159,15 @@
 }
 
 // seat places an entitled job: in its home, or a better one, or on borrowed capacity, or by stopping borrowers.
-func (e *Engine) seat(j *queue.Job, centres []int, now time.Time) bool {
-	slot := &e.Guard.Slots[j.Slot]
-	if slot.Home == nil {
-		e.Guard.TakeHome(j.Slot)
-	}
-	whole := e.Guard.HomeView(j.Slot)
-	exact := slot.Shape == j.Shape
-	if exact {
-		whole = e.Guard.Allowance(j.Slot)
-	}
-	limit := avoiding(whole, j.FailedOn)
-	if e.seatFree(j, centres, limit, exact, now) {
-		return true
-	}
-	if !j.Pinned() {
-		if workers := e.Fleet.Find(centres, j.Shape, e.viewFor(j), true); workers != nil {
-			e.start(j, workers, "free capacity outside its guarantee", now)
-			return true
-		}
-	}
-	// A worker on which the job has failed is better than waiting for others to stop.
-	if len(j.FailedOn) > 0 && e.seatFree(j, centres, whole, exact, now) {
-		return true
-	}
-	search := evict.Search{Fleet: e.Fleet, Scratch: &e.scratch, Shape: j.Shape, Limit: limit, Source: e.reclaimable(j, now)}
-	plan, ok := search.Best(centres)
-	if !ok {
-		return false
-	}
-	e.sit(j, plan.Workers, exact)
-	e.claim(j, plan, "reclaims its guarantee", now)
-	return true
-}
-
 // seatFree places an entitled job where nobody has to stop for it.
-func (e *Engine) seatFree(j *queue.Job, centres []int, limit fleet.View, exact bool, now time.Time) bool {
-	workers := e.Fleet.Find(centres, j.Shape, both(e.Fleet.FreeView(), limit), true)
-	if workers == nil && !exact {
-		return e.seatInNewHome(j, centres, now)
-	}
-	if workers == nil {
-		return false
-	}
-	e.sit(j, workers, exact)
-	e.start(j, workers, "guaranteed capacity", now)
-	return true
-}
-
 // seatInNewHome moves the home of a slot that is larger than its job to where the whole shape is free.
-func (e *Engine) seatInNewHome(j *queue.Job, centres []int, now time.Time) bool {
-	view := both(e.Fleet.FreeView(), avoiding(e.Guard.Allowance(j.Slot), j.FailedOn))
-	home := e.Fleet.Find(centres, e.Guard.Slots[j.Slot].Shape, view, true)
-	if home == nil {
-		return false
-	}
-	e.sit(j, home, true)
-	e.start(j, append([]int(nil), home[:j.Members]...), "guaranteed capacity", now)
-	return true
-}
-
 // sit marks the slot as used by the job at these workers.
-func (e *Engine) sit(j *queue.Job, workers []int, exact bool) {
-	if exact {
-		e.Guard.SetHome(j.Slot, append([]int(nil), workers...))
-	}
-	e.Guard.Slots[j.Slot].Seated = true
-}
-
 // start occupies the workers and asks for the members to be started.
-func (e *Engine) start(j *queue.Job, workers []int, why string, now time.Time) {
-	e.occupy(j, workers)
-	e.launch(j, why, now)
-}
-
-func (e *Engine) launch(j *queue.Job, why string, now time.Time) {
-	j.Phase = queue.Running
-	j.Started = now
-	j.Attempt++
-	j.Reason = reason.Reason{}
-	e.act(Start{Job: j.Job, Attempt: j.Attempt, Workers: append([]int(nil), j.Workers...), Why: why})
-}
-
 // claim sets the plan's place aside and stops its victims.
-func (e *Engine) claim(j *queue.Job, plan evict.Plan, why string, now time.Time) {
-	e.occupy(j, plan.Workers)
-	j.Phase = queue.Claiming
-	for _, v := range plan.Victims {
-		e.displace(e.jobs[v.Job], j, now)
-	}
-	if j.Victims == 0 {
-		e.launch(j, why, now)
-		return
-	}
-	where := e.Fleet.Racks[e.Fleet.Workers[plan.Workers[0]].Rack].Name
-	j.Reason = reason.Reason{Code: reason.Reclaiming, Shape: j.Shape, Where: where, Stopping: j.Victims}
-}
-
 // displace makes one victim give way to the claimant.
-func (e *Engine) displace(victim, claimant *queue.Job, now time.Time) {
-	switch victim.Phase {
-	case queue.Claiming:
-		e.giveUp(victim)
-		e.requeue(victim, now)
-		return
-	case queue.Running:
-		e.stop(victim, e.byCheckpoint(victim, claimant, now), "gives way to "+claimant.Job, now)
-	}
-	if victim.Phase == queue.Stopping {
-		e.claims[victim.Job] = append(e.claims[victim.Job], claimant)
-		claimant.Victims++
-	}
-}
-
 // stop asks for the job to be stopped; it holds its capacity until the stop is reported.
-func (e *Engine) stop(j *queue.Job, checkpoint bool, why string, now time.Time) {
-	j.Phase = queue.Stopping
-	j.StopsAt = now
-	if checkpoint {
-		j.StopsAt = now.Add(j.CheckpointTakes.Duration)
-	}
-	e.act(Stop{Job: j.Job, Attempt: j.Attempt, Workers: append([]int(nil), j.Workers...), Checkpoint: checkpoint, Why: why})
-}
-
 // startClaims starts the jobs whose victims have all stopped.
-func (e *Engine) startClaims(now time.Time) {
-	for _, j := range e.claiming() {
-		d := e.Fleet.Workers[j.Workers[0]].DataCentre
-		if j.Victims == 0 && e.Fleet.DataCentres[d].Startable() {
-			e.launch(j, "capacity reclaimed", now)
-			continue
-		}
-		if j.Victims > 0 && j.Slot >= 0 {
-			e.startSooner(j, now)
-		}
-		j.Reason.Stopping = j.Victims
-	}
-}
-
 // startSooner starts an entitled job that waits for victims where capacity has come free meanwhile.
-func (e *Engine) startSooner(j *queue.Job, now time.Time) {
-	workers := j.Workers
-	slot := &e.Guard.Slots[j.Slot]
-	home, seated := slot.Home, slot.Seated
-	e.vacate(j)
-	exact := slot.Shape == j.Shape
-	limit := e.Guard.HomeView(j.Slot)
-	if exact {
-		limit = e.Guard.Allowance(j.Slot)
-	}
-	if e.seatFree(j, e.startable(j), limit, exact, now) {
-		e.abandon(j)
-		return
-	}
-	e.Guard.SetHome(j.Slot, home)
-	slot.Seated = seated
-	e.occupy(j, workers)
-}
-
-func (e *Engine) claiming() []*queue.Job {
-	var found []*queue.Job
-	for _, open := range e.open {
-		for _, j := range open {
-			if j.Phase == queue.Claiming {
-				found = append(found, j)
-			}
-		}
-	}
-	sort.Slice(found, func(a, b int) bool { return found[a].Job < found[b].Job })
-	return found
-}
-
 // compactWaiting drops the jobs that hold capacity now.
 func (e *Engine) compactWaiting() {
 	kept := e.waiting[:0]
--- a/internal/place/engine/order.go
+++ b/internal/place/engine/order.go
@@ -68,8 +68,6 @@
 	case ByRemaining:
 		need := e.est.Remaining(j, now).Seconds() * weight(j)
 		return need * e.aged(j, now)
-	case ByService:
-		return (1 + j.Attained(now).Seconds()) * weight(j) * e.aged(j, now)
 	default:
 		return float64(j.Submitted.UnixNano())
 	}
--- a/internal/place/engine/order_enumer.go
+++ b/internal/place/engine/order_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _OrderName = "byArrivalbyRemainingbyService"
+const _OrderName = "byArrivalbyRemaining"
 
-var _OrderIndex = [...]uint8{0, 9, 20, 29}
+var _OrderIndex = [...]uint8{0, 9, 20}
 
-const _OrderLowerName = "byarrivalbyremainingbyservice"
+const _OrderLowerName = "byarrivalbyremaining"
 
 func (i Order) String() string {
 	if i < 0 || i >= Order(len(_OrderIndex)-1) {
@@ -26,24 +26,20 @@
 	var x [1]struct{}
 	_ = x[ByArrival-(0)]
 	_ = x[ByRemaining-(1)]
-	_ = x[ByService-(2)]
 }
 
-var _OrderValues = []Order{ByArrival, ByRemaining, ByService}
+var _OrderValues = []Order{ByArrival, ByRemaining}
 
 var _OrderNameToValueMap = map[string]Order{
-	_OrderName[0:9]:        ByArrival,
-	_OrderLowerName[0:9]:   ByArrival,
-	_OrderName[9:20]:       ByRemaining,
-	_OrderLowerName[9:20]:  ByRemaining,
-	_OrderName[20:29]:      ByService,
-	_OrderLowerName[20:29]: ByService,
+	_OrderName[0:9]:       ByArrival,
+	_OrderLowerName[0:9]:  ByArrival,
+	_OrderName[9:20]:      ByRemaining,
+	_OrderLowerName[9:20]: ByRemaining,
 }
 
 var _OrderNames = []string{
 	_OrderName[0:9],
 	_OrderName[9:20],
-	_OrderName[20:29],
 }
 
 // OrderString retrieves an enum value from the enum constants string name.
--- a/internal/place/engine/policy.go
+++ b/internal/place/engine/policy.go
@@ -13,7 +13,6 @@
 const (
 	ByArrival Order = iota
 	ByRemaining
-	ByService
 )
 
 //go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Order -transform=title-lower
--- /dev/null
+++ b/internal/place/engine/seat.go
@@ -0,0 +1,104 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/evict"
+	"github.com/lentildeck/lentildeck/internal/place/fleet"
+	"github.com/lentildeck/lentildeck/internal/place/queue"
+)
+
+func (e *Engine) seatAnywhere(j *queue.Job, centres []int, now time.Time) bool {
+	if len(j.FailedOn) == 0 {
+		return false
+	}
+	failedOn := j.FailedOn
+	j.FailedOn = nil
+	placed := e.seat(j, centres, now)
+	j.FailedOn = failedOn
+	return placed
+}
+
+func (e *Engine) seat(j *queue.Job, centres []int, now time.Time) bool {
+	slot := &e.Guard.Slots[j.Slot]
+	if slot.Home == nil {
+		e.Guard.TakeHome(j.Slot)
+	}
+	whole := e.Guard.HomeView(j.Slot)
+	exact := slot.Shape == j.Shape
+	if exact {
+		whole = e.Guard.Allowance(j.Slot)
+	}
+	limit := avoiding(whole, j.FailedOn)
+	if e.seatFree(j, centres, limit, exact, now) {
+		return true
+	}
+	if !j.Pinned() {
+		if workers := e.Fleet.Find(centres, j.Shape, e.viewFor(j), true); workers != nil {
+			e.start(j, workers, "free capacity outside its guarantee", now)
+			return true
+		}
+	}
+	// A worker on which the job has failed is better than waiting for others to stop.
+	if len(j.FailedOn) > 0 && e.seatFree(j, centres, whole, exact, now) {
+		return true
+	}
+	search := evict.Search{Fleet: e.Fleet, Scratch: &e.scratch, Shape: j.Shape, Limit: limit, Source: e.reclaimable(j, now)}
+	plan, ok := search.Best(centres)
+	if !ok {
+		return false
+	}
+	e.sit(j, plan.Workers, exact)
+	e.claim(j, plan, "reclaims its guarantee", now)
+	return true
+}
+
+func (e *Engine) seatFree(j *queue.Job, centres []int, limit fleet.View, exact bool, now time.Time) bool {
+	workers := e.Fleet.Find(centres, j.Shape, both(e.Fleet.FreeView(), limit), true)
+	if workers == nil && !exact {
+		return e.seatInNewHome(j, centres, now)
+	}
+	if workers == nil {
+		return false
+	}
+	e.sit(j, workers, exact)
+	e.start(j, workers, "guaranteed capacity", now)
+	return true
+}
+
+func (e *Engine) seatInNewHome(j *queue.Job, centres []int, now time.Time) bool {
+	view := both(e.Fleet.FreeView(), avoiding(e.Guard.Allowance(j.Slot), j.FailedOn))
+	home := e.Fleet.Find(centres, e.Guard.Slots[j.Slot].Shape, view, true)
+	if home == nil {
+		return false
+	}
+	e.sit(j, home, true)
+	e.start(j, append([]int(nil), home[:j.Members]...), "guaranteed capacity", now)
+	return true
+}
+
+func (e *Engine) sit(j *queue.Job, workers []int, exact bool) {
+	if exact {
+		e.Guard.SetHome(j.Slot, append([]int(nil), workers...))
+	}
+	e.Guard.Slots[j.Slot].Seated = true
+}
+
+func (e *Engine) startSooner(j *queue.Job, now time.Time) {
+	workers := j.Workers
+	slot := &e.Guard.Slots[j.Slot]
+	home, seated := slot.Home, slot.Seated
+	e.vacate(j)
+	exact := slot.Shape == j.Shape
+	limit := e.Guard.HomeView(j.Slot)
+	if exact {
+		limit = e.Guard.Allowance(j.Slot)
+	}
+	if e.seatFree(j, e.startable(j), limit, exact, now) {
+		e.abandon(j)
+		return
+	}
+	e.Guard.SetHome(j.Slot, home)
+	slot.Seated = seated
+	e.occupy(j, workers)
+}
