The lower bound holds for traces that are cut short

Cause: a trace with an end event gave a mean below its bound, as open jobs count until the end but the bound let them run on. Change: the bound is capped at the end whenever a job that counts is open there; the mean-busy-time bound is left out then.

--- a/internal/proof/replay/bound.go
+++ b/internal/proof/replay/bound.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"sort"
 	"time"
 
@@ -42,16 +43,29 @@
 	if len(list) == 0 {
 		return 0, 0
 	}
-	run, first := 0.0, 0.0
+	horizon := s.horizon()
+	run := 0.0
 	for i := range list {
-		run += list[i].run
+		run += min(list[i].run, horizon-list[i].release)
 		makespan = max(makespan, list[i].release+list[i].run)
 	}
 	n := float64(len(list))
-	shortest, _ := fluid(list, func(p *piece) float64 { return p.left })
-	_, busy := fluid(list, func(p *piece) float64 { return p.work })
-	first = max(run/n, shortest, busy+run/(2*n))
-	return first, max(makespan, backlog(list))
+	shortest, _ := fluid(list, horizon, func(p *piece) float64 { return p.left })
+	if !math.IsInf(horizon, 1) {
+		return max(run/n, shortest), 0
+	}
+	_, busy := fluid(list, horizon, func(p *piece) float64 { return p.work })
+	return max(run/n, shortest, busy+run/(2*n)), max(makespan, backlog(list))
+}
+
+// horizon is until when open jobs are counted: for ever if every job that counts has finished.
+func (s *sim) horizon() float64 {
+	for _, j := range s.order {
+		if j.counts() && j.outcome != queue.Finished {
+			return s.now.Seconds()
+		}
+	}
+	return math.Inf(1)
 }
 
 // pieces lists the jobs that count: all but refused, cancelled and always-failing ones.
@@ -86,8 +100,8 @@
 }
 
 // fluid runs the jobs on the one machine, always the one of the lowest rank;
-// it returns the mean completion and the mean of the mean busy times, both since release.
-func fluid(list []piece, rank func(*piece) float64) (completion, busy float64) {
+// it returns the mean completion, counted up to the horizon, and the mean of the mean busy times, both since release.
+func fluid(list []piece, horizon float64, rank func(*piece) float64) (completion, busy float64) {
 	var ready pieces
 	now, next := 0.0, 0
 	for next < len(list) || len(ready) > 0 {
@@ -118,7 +132,7 @@
 			heap.Push(&ready, p)
 			continue
 		}
-		completion += now - p.release
+		completion += min(now, horizon) - p.release
 		busy += p.busy - p.release
 	}
 	n := float64(len(list))
--- a/internal/proof/replay/replay_test.go
+++ b/internal/proof/replay/replay_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/kern/span"
 	"github.com/lentildeck/lentildeck/internal/proof/replay"
 	"github.com/lentildeck/lentildeck/internal/proof/sample"
 	"github.com/lentildeck/lentildeck/internal/proof/trace"
@@ -166,6 +167,26 @@
 	assert.Equal(t, got >= 1.1, true, "%.3f of the better baseline; at least 1.1", got)
 }
 
+func TestBoundHoldsForATraceThatIsCutShort(t *testing.T) {
+	whole := recorded(t, "borrow")
+	for _, at := range []time.Duration{time.Hour, 3 * time.Hour, 9 * time.Hour} {
+		cut := &trace.Trace{Header: whole.Header}
+		for _, e := range whole.Events {
+			if e.When() <= at {
+				cut.Events = append(cut.Events, e)
+			}
+		}
+		cut.Events = append(cut.Events, trace.End{At: trace.At{At: span.Of(at), Kind: "end"}})
+		for _, policy := range []string{"fifo", "backfill", "default"} {
+			result, err := replay.Run(cut, policy, still)
+			assert.NilError(t, err)
+			r := result.Report
+			assert.Equal(t, r.Unfinished > 0, true)
+			assert.Equal(t, r.Completion.Mean >= r.LowerBound.MeanCompletionSeconds, true, "%s cut at %s: %v < %v", policy, at, r.Completion.Mean, r.LowerBound.MeanCompletionSeconds)
+		}
+	}
+}
+
 func TestReplayIsTheSameEveryTime(t *testing.T) {
 	first, err := replay.Run(recorded(t, "loss"), "default", still)
 	assert.NilError(t, err)
