--- a/internal/node/daemon/operators.go
+++ b/internal/node/daemon/operators.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -21,7 +20,6 @@
 	"github.com/lentildeck/lentildeck/internal/state/config"
 	"github.com/lentildeck/lentildeck/internal/state/ledger"
 	"github.com/lentildeck/lentildeck/internal/state/store"
-	"github.com/tailscale/hujson"
 )
 
 const (
@@ -142,22 +140,8 @@
 	return c.JSON(doc)
 }
 
-func parseConfig(source []byte) (*config.Document, error) {
-	standard, err := hujson.Standardize(append([]byte(nil), source...))
-	if err != nil {
-		return nil, &config.InvalidError{Problem: err.Error()}
-	}
-	var doc config.Document
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&doc); err != nil {
-		return nil, &config.InvalidError{Problem: err.Error()}
-	}
-	return &doc, nil
-}
-
 func (d *Daemon) checkConfig(c *fiber.Ctx) error {
-	doc, err := parseConfig(c.Body())
+	doc, err := config.Parse(c.Body())
 	if err == nil {
 		err = doc.Validate(d.policy)
 	}
@@ -169,7 +153,7 @@
 
 // applyConfig replaces fleet and workspaces; drains stay as the operators' commands have set them.
 func (d *Daemon) applyConfig(c *fiber.Ctx) error {
-	wanted, err := parseConfig(c.Body())
+	wanted, err := config.Parse(c.Body())
 	if err != nil {
 		return d.commandFailed(c, err)
 	}
--- a/internal/node/local/cluster_test.go
+++ b/internal/node/local/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/lentildeck/lentildeck/internal/oper/client"
 	"github.com/lentildeck/lentildeck/internal/place/queue"
 	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/state/config"
 	"gotest.tools/v3/assert"
 )
 
@@ -155,6 +157,27 @@
 	})
 }
 
+func TestHeldJobRunsOnceAdmitted(t *testing.T) {
+	c := start(t)
+	doc, err := c.Nodes()[0].Client.Config()
+	assert.NilError(t, err)
+	doc.Admissions = []config.Admission{{Workspace: "lab", Manual: true}}
+	source, err := encode(doc)
+	assert.NilError(t, err)
+	_, err = c.Nodes()[0].Client.Apply(source)
+	assert.NilError(t, err)
+	_, err = c.Nodes()[0].Client.Submit(gangOf("lab", "held", 4, time.Second))
+	assert.NilError(t, err)
+	await(t, "why", func() bool {
+		answer, err := c.Nodes()[0].Client.Line("why held")
+		return err == nil && strings.Contains(answer.Message, "admit held")
+	})
+	assert.Equal(t, len(c.Workers.Starts()), 0)
+	_, err = c.Nodes()[1].Client.Line("admit held")
+	assert.NilError(t, err)
+	await(t, "finished", func() bool { return outcome(c, "held") == queue.Finished })
+}
+
 func TestOperatorsNeedTheToken(t *testing.T) {
 	c := start(t)
 	stranger := *c.Nodes()[0].Client
--- a/internal/state/config/document.go
+++ b/internal/state/config/document.go
@@ -1,12 +1,15 @@
 package config
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/place/engine"
 	"github.com/lentildeck/lentildeck/internal/place/fleet"
 	"github.com/lentildeck/lentildeck/internal/place/guard"
+	"github.com/tailscale/hujson"
 )
 
 // Drain says that a data centre is out of service.
@@ -35,6 +38,21 @@
 	Drains      []Drain                `json:"drains,omitempty"`
 }
 
+// Parse reads a document from JSON with comments; unknown fields are refused.
+func Parse(source []byte) (*Document, error) {
+	standard, err := hujson.Standardize(append([]byte(nil), source...))
+	if err != nil {
+		return nil, &InvalidError{Problem: err.Error()}
+	}
+	var doc Document
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&doc); err != nil {
+		return nil, &InvalidError{Problem: err.Error()}
+	}
+	return &doc, nil
+}
+
 // Drained returns the drain of a data centre, if there is one.
 func (d *Document) Drained(centre string) (Drain, bool) {
 	for _, drain := range d.Drains {
--- a/internal/state/config/holder_test.go
+++ b/internal/state/config/holder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -101,6 +102,23 @@
 	assert.Equal(t, h.InForce().Document == nil, true)
 }
 
+func TestExampleIsValidAndMistakesAreNamed(t *testing.T) {
+	source, err := os.ReadFile("../../../examples/config/studenets.json")
+	assert.NilError(t, err)
+	doc, err := config.Parse(source)
+	assert.NilError(t, err)
+	policy, err := engine.Policies.Lookup(engine.DefaultPolicy)
+	assert.NilError(t, err)
+	assert.NilError(t, doc.Validate(policy))
+	assert.Equal(t, doc.Manual("lab"), true)
+	doc.Workspaces[1].DataCentres = []string{"sofia"}
+	assert.ErrorContains(t, doc.Validate(policy), "sofia")
+	doc.Workspaces[1] = guard.Workspace{Name: "recount"}
+	assert.ErrorContains(t, doc.Validate(policy), "workspaces[1].name")
+	_, err = config.Parse([]byte(`{"workspaces": [], "dataCenters": []}`))
+	assert.ErrorContains(t, err, "dataCenters")
+}
+
 func TestCommandDuringAnOutageIsNotAccepted(t *testing.T) {
 	kv := fake.NewKV(at)
 	h := holder(t, kv, "h")
