--- /dev/null
+++ b/internal/kern/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for time to pass.
+package pause
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/lentildeck/lentildeck/internal/edge/back"
 	"github.com/lentildeck/lentildeck/internal/edge/worker"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/node/meter"
 	"github.com/lentildeck/lentildeck/internal/node/owner"
 	"github.com/lentildeck/lentildeck/internal/node/setup"
@@ -130,7 +131,7 @@
 	d.owner = owner.New(owner.Config{
 		Instance: s.Instance, Centre: s.DataCentre, Policy: d.policy, Lease: s.Workers.Lease.Duration, Every: s.Workers.Every.Duration,
 		Holder: d.holder, Ledger: d.ledger, Conf: d.conf, Link: openWorkers(s.Workers.Endpoint, s.Workers.Token),
-		Permits: d.permit, Log: d.log, Now: d.now, Pause: rest,
+		Permits: d.permit, Log: d.log, Now: d.now, Pause: pause.For,
 	})
 	if keys != nil {
 		d.operators = keys.listener(d.operators)
@@ -172,7 +173,7 @@
 	d.log.Emit(event.Started, event.Fields{"instance": d.settings.Instance, "dataCentre": d.settings.DataCentre, "callers": c, "operators": o, "peers": p})
 	<-ctx.Done()
 	d.stop(callers, stopOwner)
-	err = errors.Join(operators.Shutdown())
+	err = operators.Shutdown()
 	cancel()
 	loops.Wait()
 	ports.Wait()
--- a/internal/node/daemon/watch.go
+++ b/internal/node/daemon/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v4"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/state/config"
 	"github.com/lentildeck/lentildeck/internal/state/ledger"
 	"github.com/lentildeck/lentildeck/internal/state/store"
@@ -29,7 +30,7 @@
 func (d *Daemon) watch(ctx context.Context) {
 	var relays conc.WaitGroup
 	defer relays.Wait()
-	pause := backoff.NewExponentialBackOff(backoff.WithInitialInterval(100*time.Millisecond),
+	retry := backoff.NewExponentialBackOff(backoff.WithInitialInterval(100*time.Millisecond),
 		backoff.WithMaxInterval(retryAtMost), backoff.WithMaxElapsedTime(0), backoff.WithRandomizationFactor(0.9))
 	lost := false
 	after := int64(0)
@@ -44,16 +45,16 @@
 			err = d.poll(ctx)
 		}
 		if err != nil {
-			wait = pause.NextBackOff()
+			wait = retry.NextBackOff()
 		} else {
-			pause.Reset()
+			retry.Reset()
 		}
 		if (err != nil) != lost && ctx.Err() == nil {
 			lost = err != nil
 			d.noteStore(err)
 		}
 		if wait > 0 {
-			rest(ctx, wait)
+			pause.For(ctx, wait)
 		}
 	}
 }
@@ -124,15 +125,3 @@
 	}
 	return &doc, nil
 }
-
-// rest waits; it reports false if ctx ended first.
-func rest(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/node/owner/launch.go
+++ b/internal/node/owner/launch.go
@@ -99,14 +99,13 @@
 	if epoch, ok := o.cfg.Holder.Epoch(now); !ok || epoch != t.epoch {
 		return &NotOwnerError{Epoch: t.epoch}
 	}
-	if doc := o.cfg.Conf.InForce().Document; !o.cfg.Permits.Permit(now) || drained(doc.Drained(o.cfg.Centre)) {
+	_, drained := o.cfg.Conf.InForce().Document.Drained(o.cfg.Centre)
+	if drained || !o.cfg.Permits.Permit(now) {
 		return &NoPermitError{}
 	}
 	return nil
 }
 
-func drained[T any](_ T, is bool) bool { return is }
-
 // dropStart ends a start that never left this process.
 func (o *Owner) dropStart(t *term, g *gang, err error) {
 	o.mu.Lock()
@@ -127,15 +126,12 @@
 	defer o.mu.Unlock()
 	o.cfg.Log.Emit(event.StartFailed, event.Fields{"job": g.spec.Job, "attempt": g.attempt, "error": err.Error()})
 	v := vanished
-	if o.noneStarted(g) {
+	if !g.startSent.Load() {
 		v = startFailed
 	}
 	o.halt(t, g, v, "not every member could be started")
 }
 
-// noneStarted reports whether no start order can have reached a worker.
-func (o *Owner) noneStarted(g *gang) bool { return !g.startSent.Load() }
-
 // toAll sends one request to each distinct worker of the gang and returns the first failure.
 func (o *Owner) toAll(t *term, g *gang, build func(members []int) worker.Request, tries int) error {
 	var wg conc.WaitGroup
--- a/internal/node/owner/sweep.go
+++ b/internal/node/owner/sweep.go
@@ -93,7 +93,7 @@
 				t.found = append(t.found, found{session: s, status: status})
 				continue
 			}
-			o.stray(t, s, status)
+			stray(s, status)
 			continue
 		}
 		m := &g.members[status.Member]
@@ -106,7 +106,7 @@
 }
 
 // stray ends a task that belongs to no gang of this term.
-func (o *Owner) stray(_ *term, s *session, status worker.Status) {
+func stray(s *session, status worker.Status) {
 	if status.Phase.Over() {
 		s.acks = append(s.acks, status.TaskID)
 		return
--- a/internal/node/owner/term.go
+++ b/internal/node/owner/term.go
@@ -154,7 +154,7 @@
 	t.heardAll = true
 	t.dirty = true
 	for _, f := range t.found {
-		o.stray(t, f.session, f.status)
+		stray(f.session, f.status)
 	}
 	t.found = nil
 	o.cfg.Log.Emit(event.OwnerReady, event.Fields{"dataCentre": o.cfg.Centre, "epoch": t.epoch, "took": now.Sub(t.began).String()})
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
 )
 
 const (
@@ -50,7 +51,7 @@
 
 // NewClient returns a client; newID must never return the same write ID twice.
 func NewClient(driver Driver, budget *Budget, now func() time.Time, newID func() string) *Client {
-	return &Client{driver: driver, budget: budget, now: now, newID: newID, Pause: sleep}
+	return &Client{driver: driver, budget: budget, now: now, newID: newID, Pause: pause.For}
 }
 
 // Budget returns the client's call budget.
@@ -117,7 +118,7 @@
 
 // settle repeats the write until its fate is known.
 func (c *Client) settle(ctx context.Context, class Class, old Entry, body []byte, id string, lease int64) (int64, error) {
-	pause := backoff.NewExponentialBackOff(backoff.WithInitialInterval(settleInterval),
+	retry := backoff.NewExponentialBackOff(backoff.WithInitialInterval(settleInterval),
 		backoff.WithMaxInterval(settleAtMost), backoff.WithMaxElapsedTime(0), backoff.WithRandomizationFactor(0.9))
 	maybe := false
 	for {
@@ -139,7 +140,7 @@
 		case !maybe:
 			return 0, err
 		}
-		if !c.Pause(ctx, pause.NextBackOff()) {
+		if !c.Pause(ctx, retry.NextBackOff()) {
 			return 0, &UnknownError{Key: old.Key, Cause: err}
 		}
 	}
@@ -216,18 +217,6 @@
 	return entry, nil
 }
 
-// sleep waits unless ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // RecordError says that a stored value can't be understood; it is left as it is.
 type RecordError struct {
 	Key     string
