--- a/internal/node/daemon/operators.go
+++ b/internal/node/daemon/operators.go
@@ -230,7 +230,7 @@
 // Snapshot gathers what all owners know; jobs that no owner reported are added from the ledger.
 func (d *Daemon) Snapshot(ctx context.Context) (view.Snapshot, error) {
 	var whole view.Snapshot
-	if own, ok := d.owner.Snapshot(d.now()); ok {
+	if own, ok := d.owner.Snapshot(); ok {
 		merge(&whole, own)
 	}
 	answers := askAll(ctx, d.peers.others(), func(one context.Context, address string) (*link.ViewReply, error) {
--- a/internal/node/daemon/serve.go
+++ b/internal/node/daemon/serve.go
@@ -46,7 +46,7 @@
 
 // View hands out what the owner knows.
 func (d *Daemon) View(_ context.Context, _ *link.ViewRequest) (*link.ViewReply, error) {
-	snapshot, ok := d.owner.Snapshot(d.now())
+	snapshot, ok := d.owner.Snapshot()
 	return &link.ViewReply{Owner: ok, Snapshot: snapshot}, nil
 }
 
--- a/internal/node/owner/term.go
+++ b/internal/node/owner/term.go
@@ -8,6 +8,7 @@
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/place/engine"
 	"github.com/lentildeck/lentildeck/internal/place/queue"
+	"github.com/lentildeck/lentildeck/internal/place/reason"
 	"github.com/lentildeck/lentildeck/internal/state/config"
 	"github.com/lentildeck/lentildeck/internal/state/ledger"
 )
@@ -42,6 +43,8 @@
 	permitted  bool
 	dirty      bool
 	wake       time.Time
+	// waits is the last logged reason of each waiting job.
+	waits map[string]reason.Code
 }
 
 // found is a task that a worker reported before the term was ready.
@@ -213,9 +216,19 @@
 	if at, ok := t.engine.NextWake(now); ok {
 		t.wake = at
 	}
+	o.logWaits(t)
+}
+
+// logWaits writes a line for each job whose reason to wait has changed.
+func (o *Owner) logWaits(t *term) {
+	waits := make(map[string]reason.Code, len(t.waits))
 	for _, j := range t.engine.Waiting() {
-		o.cfg.Log.Emit(event.Waits, event.Fields{"job": j.Job, "why": j.Reason.Code.String()})
+		waits[j.Job] = j.Reason.Code
+		if last, known := t.waits[j.Job]; !known || last != j.Reason.Code {
+			o.cfg.Log.Emit(event.Waits, event.Fields{"job": j.Job, "why": j.Reason.Code.String()})
+		}
 	}
+	t.waits = waits
 }
 
 func (o *Owner) carryOut(t *term, action engine.Action, now time.Time) {
--- a/internal/node/owner/view.go
+++ b/internal/node/owner/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"time"
 
 	"github.com/lentildeck/lentildeck/internal/oper/view"
 	"github.com/lentildeck/lentildeck/internal/place/engine"
@@ -11,7 +10,7 @@
 )
 
 // Snapshot returns what the owner knows; ok is false if this instance decides for nothing.
-func (o *Owner) Snapshot(now time.Time) (snapshot view.Snapshot, ok bool) {
+func (o *Owner) Snapshot() (snapshot view.Snapshot, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.term == nil {
