--- a/internal/node/owner/view.go
+++ b/internal/node/owner/view.go
@@ -95,6 +95,8 @@
 	switch {
 	case d.Drained:
 		state = "drained"
+	case !o.term.heardAll:
+		state = "taken over; its workers are heard first"
 	case d.Unowned:
 		state = "lease not confirmed; nothing starts"
 	case d.NoPermit:
--- a/internal/place/engine/decide.go
+++ b/internal/place/engine/decide.go
@@ -200,16 +200,19 @@
 	case total >= j.Members:
 		r.Code = reason.Fragmented
 	}
-	r.BlockedBy = e.largestAt(r.Where)
+	r.BlockedBy = e.largestAt(r.Where, centres)
 	return r
 }
 
-// largestAt names the job that holds the most on the rack or worker.
-func (e *Engine) largestAt(where string) string {
+// largestAt names the largest job on the rack or worker, or anywhere in the data centres if no place is named.
+func (e *Engine) largestAt(where string, centres []int) string {
 	var largest *queue.Job
 	for w := range e.Fleet.Workers {
 		worker := &e.Fleet.Workers[w]
-		if worker.Name != where && e.Fleet.Racks[worker.Rack].Name != where {
+		if where == "" && firstIndex(centres, worker.DataCentre) < 0 {
+			continue
+		}
+		if where != "" && worker.Name != where && e.Fleet.Racks[worker.Rack].Name != where {
 			continue
 		}
 		for _, j := range e.onWorker[w] {
