Doc comments back on their functions; one view, one loop and one wait where there were two

Cause: splitting decide.go had left the comments of moved functions behind; the seat's view, the dropping of claims and the tour's wait for busy workers stood twice; two switches of the stand-ins had no user. Change: comments moved; seatView, dropClaims and busy; Peak and SetLag removed. Behaviour unchanged.

--- a/internal/node/local/tour.go
+++ b/internal/node/local/tour.go
@@ -235,14 +235,7 @@
 	if err != nil {
 		return "", err
 	}
-	err = t.until(ctx, func() (bool, string) {
-		rows, err := t.node(0).Client.Line("workers in haskovo where jobs != \"\"")
-		if err != nil {
-			return false, err.Error()
-		}
-		return len(rows.Rows) == 0, fmt.Sprintf("%d workers still have jobs", len(rows.Rows))
-	})
-	return answer.Message, err
+	return answer.Message, t.busy(ctx, "haskovo", false)
 }
 
 func (t *tour) restore(ctx context.Context) (string, error) {
@@ -250,14 +243,18 @@
 	if err != nil {
 		return "", err
 	}
-	err = t.until(ctx, func() (bool, string) {
-		rows, err := t.node(0).Client.Line("workers in haskovo where jobs != \"\"")
+	return answer.Message, t.busy(ctx, "haskovo", true)
+}
+
+// busy waits until some worker of the data centre has jobs, or until none has.
+func (t *tour) busy(ctx context.Context, centre string, want bool) error {
+	return t.until(ctx, func() (bool, string) {
+		answer, err := t.node(0).Client.Line("workers in " + centre + " where jobs != \"\"")
 		if err != nil {
 			return false, err.Error()
 		}
-		return len(rows.Rows) > 0, "nothing runs there yet"
+		return (len(answer.Rows) > 0) == want, fmt.Sprintf("%d workers of %s have jobs", len(answer.Rows), centre)
 	})
-	return answer.Message, err
 }
 
 func (t *tour) lose(ctx context.Context) (string, error) {
--- a/internal/place/engine/claim.go
+++ b/internal/place/engine/claim.go
@@ -9,11 +9,13 @@
 	"github.com/lentildeck/lentildeck/internal/place/reason"
 )
 
+// start occupies the workers and asks for the members to be started.
 func (e *Engine) start(j *queue.Job, workers []int, why string, now time.Time) {
 	e.occupy(j, workers)
 	e.launch(j, why, now)
 }
 
+// launch asks for the members of a job that has its workers to be started.
 func (e *Engine) launch(j *queue.Job, why string, now time.Time) {
 	j.Phase = queue.Running
 	j.Started = now
@@ -22,6 +24,7 @@
 	e.act(Start{Job: j.Job, Attempt: j.Attempt, Workers: append([]int(nil), j.Workers...), Why: why})
 }
 
+// claim sets the plan's place aside and stops its victims.
 func (e *Engine) claim(j *queue.Job, plan evict.Plan, why string, now time.Time) {
 	e.occupy(j, plan.Workers)
 	j.Phase = queue.Claiming
@@ -36,6 +39,7 @@
 	j.Reason = reason.Reason{Code: reason.Reclaiming, Shape: j.Shape, Where: where, Stopping: j.Victims}
 }
 
+// displace makes one victim give way to the claimant.
 func (e *Engine) displace(victim, claimant *queue.Job, now time.Time) {
 	switch victim.Phase {
 	case queue.Claiming:
@@ -51,6 +55,7 @@
 	}
 }
 
+// stop asks for the job to be stopped; it holds its capacity until the stop is reported.
 func (e *Engine) stop(j *queue.Job, checkpoint bool, why string, now time.Time) {
 	j.Phase = queue.Stopping
 	j.StopsAt = now
@@ -60,6 +65,7 @@
 	e.act(Stop{Job: j.Job, Attempt: j.Attempt, Workers: append([]int(nil), j.Workers...), Checkpoint: checkpoint, Why: why})
 }
 
+// startClaims starts the jobs whose victims have all stopped.
 func (e *Engine) startClaims(now time.Time) {
 	for _, j := range e.claiming() {
 		d := e.Fleet.Workers[j.Workers[0]].DataCentre
@@ -74,6 +80,7 @@
 	}
 }
 
+// claiming lists the jobs that wait for victims, by name.
 func (e *Engine) claiming() []*queue.Job {
 	var found []*queue.Job
 	for _, open := range e.open {
--- a/internal/place/engine/decide.go
+++ b/internal/place/engine/decide.go
@@ -75,7 +75,6 @@
 	return e.borrow(j, centres, p)
 }
 
-// seatAnywhere places an entitled job even where it has failed before, as its promise goes first.
 // startable lists the data centres that the job may start in now.
 func (e *Engine) startable(j *queue.Job) []int {
 	open := make([]int, 0, len(j.Centres))
@@ -158,16 +157,6 @@
 	}
 }
 
-// seat places an entitled job: in its home, or a better one, or on borrowed capacity, or by stopping borrowers.
-// seatFree places an entitled job where nobody has to stop for it.
-// seatInNewHome moves the home of a slot that is larger than its job to where the whole shape is free.
-// sit marks the slot as used by the job at these workers.
-// start occupies the workers and asks for the members to be started.
-// claim sets the plan's place aside and stops its victims.
-// displace makes one victim give way to the claimant.
-// stop asks for the job to be stopped; it holds its capacity until the stop is reported.
-// startClaims starts the jobs whose victims have all stopped.
-// startSooner starts an entitled job that waits for victims where capacity has come free meanwhile.
 // compactWaiting drops the jobs that hold capacity now.
 func (e *Engine) compactWaiting() {
 	kept := e.waiting[:0]
--- a/internal/place/engine/outage.go
+++ b/internal/place/engine/outage.go
@@ -21,12 +21,7 @@
 // WorkerDown records that a worker can't be used; the caller reports what becomes of its tasks.
 func (e *Engine) WorkerDown(w int, now time.Time) {
 	e.Fleet.Workers[w].Up = false
-	for _, j := range append([]*queue.Job(nil), e.onWorker[w]...) {
-		if j.Phase == queue.Claiming {
-			e.giveUp(j)
-			e.requeue(j, now)
-		}
-	}
+	e.dropClaims(w, now)
 	e.repair()
 }
 
@@ -63,16 +58,21 @@
 	e.Fleet.DataCentres[d].Drained = true
 	e.drains[d] = drainState{deadline: deadline, active: true}
 	for _, w := range e.Fleet.DataCentres[d].Workers {
-		for _, j := range append([]*queue.Job(nil), e.onWorker[w]...) {
-			if j.Phase == queue.Claiming {
-				e.giveUp(j)
-				e.requeue(j, now)
-			}
-		}
+		e.dropClaims(w, now)
 	}
 	e.repair()
 }
 
+// dropClaims puts the jobs that wait for victims on the worker back into the queue.
+func (e *Engine) dropClaims(w int, now time.Time) {
+	for _, j := range append([]*queue.Job(nil), e.onWorker[w]...) {
+		if j.Phase == queue.Claiming {
+			e.giveUp(j)
+			e.requeue(j, now)
+		}
+	}
+}
+
 // Reopen brings a drained data centre back.
 func (e *Engine) Reopen(d int) {
 	e.Fleet.DataCentres[d].Drained = false
--- a/internal/place/engine/seat.go
+++ b/internal/place/engine/seat.go
@@ -8,6 +8,7 @@
 	"github.com/lentildeck/lentildeck/internal/place/queue"
 )
 
+// seatAnywhere places an entitled job even where it has failed before, as its promise goes first.
 func (e *Engine) seatAnywhere(j *queue.Job, centres []int, now time.Time) bool {
 	if len(j.FailedOn) == 0 {
 		return false
@@ -19,16 +20,13 @@
 	return placed
 }
 
+// seat places an entitled job: in its home, or a better one, or on borrowed capacity, or by stopping borrowers.
 func (e *Engine) seat(j *queue.Job, centres []int, now time.Time) bool {
 	slot := &e.Guard.Slots[j.Slot]
 	if slot.Home == nil {
 		e.Guard.TakeHome(j.Slot)
 	}
-	whole := e.Guard.HomeView(j.Slot)
-	exact := slot.Shape == j.Shape
-	if exact {
-		whole = e.Guard.Allowance(j.Slot)
-	}
+	whole, exact := e.seatView(j)
 	limit := avoiding(whole, j.FailedOn)
 	if e.seatFree(j, centres, limit, exact, now) {
 		return true
@@ -53,6 +51,7 @@
 	return true
 }
 
+// seatFree places an entitled job where nobody has to stop for it.
 func (e *Engine) seatFree(j *queue.Job, centres []int, limit fleet.View, exact bool, now time.Time) bool {
 	workers := e.Fleet.Find(centres, j.Shape, both(e.Fleet.FreeView(), limit), true)
 	if workers == nil && !exact {
@@ -66,6 +65,7 @@
 	return true
 }
 
+// seatInNewHome moves the home of a slot that is larger than its job to where the whole shape is free.
 func (e *Engine) seatInNewHome(j *queue.Job, centres []int, now time.Time) bool {
 	view := both(e.Fleet.FreeView(), avoiding(e.Guard.Allowance(j.Slot), j.FailedOn))
 	home := e.Fleet.Find(centres, e.Guard.Slots[j.Slot].Shape, view, true)
@@ -77,6 +77,7 @@
 	return true
 }
 
+// sit marks the slot as used by the job at these workers.
 func (e *Engine) sit(j *queue.Job, workers []int, exact bool) {
 	if exact {
 		e.Guard.SetHome(j.Slot, append([]int(nil), workers...))
@@ -84,16 +85,13 @@
 	e.Guard.Slots[j.Slot].Seated = true
 }
 
+// startSooner starts an entitled job that waits for victims where capacity has come free meanwhile.
 func (e *Engine) startSooner(j *queue.Job, now time.Time) {
 	workers := j.Workers
 	slot := &e.Guard.Slots[j.Slot]
 	home, seated := slot.Home, slot.Seated
 	e.vacate(j)
-	exact := slot.Shape == j.Shape
-	limit := e.Guard.HomeView(j.Slot)
-	if exact {
-		limit = e.Guard.Allowance(j.Slot)
-	}
+	limit, exact := e.seatView(j)
 	if e.seatFree(j, e.startable(j), limit, exact, now) {
 		e.abandon(j)
 		return
@@ -102,3 +100,11 @@
 	slot.Seated = seated
 	e.occupy(j, workers)
 }
+
+// seatView is what an entitled job may use: all that its slot is allowed if it fills the slot exactly, else the slot's home.
+func (e *Engine) seatView(j *queue.Job) (view fleet.View, exact bool) {
+	if e.Guard.Slots[j.Slot].Shape == j.Shape {
+		return e.Guard.Allowance(j.Slot), true
+	}
+	return e.Guard.HomeView(j.Slot), false
+}
--- a/internal/proof/fake/backend.go
+++ b/internal/proof/fake/backend.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/edge/back"
@@ -38,8 +37,6 @@
 	runs     map[string]int
 	silentAt time.Time
 	now      func() time.Time
-	busy     atomic.Int64
-	peak     atomic.Int64
 }
 
 // NewBackend serves on the address until closed.
@@ -99,9 +96,6 @@
 	return total
 }
 
-// Peak returns the most requests that were in work at a time.
-func (b *Backend) Peak() int64 { return b.peak.Load() }
-
 func (b *Backend) state() (Manner, time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -131,10 +125,6 @@
 }
 
 func (b *Backend) run(c *fasthttp.RequestCtx, id string, manner Manner) {
-	if n := b.busy.Add(1); n > b.peak.Load() {
-		b.peak.Store(n)
-	}
-	defer b.busy.Add(-1)
 	b.mu.Lock()
 	b.runs[id]++
 	b.mu.Unlock()
--- a/internal/proof/fake/list.go
+++ b/internal/proof/fake/list.go
@@ -7,13 +7,11 @@
 	"github.com/lentildeck/lentildeck/internal/peer/list"
 )
 
-// List is an instance list that shows changes only when told to.
+// List is an instance list that can be made unreadable.
 type List struct {
 	mu      sync.Mutex
 	current []list.Instance
-	shown   []list.Instance
 	down    bool
-	lagging bool
 }
 
 // NewList returns an empty list.
@@ -43,14 +41,6 @@
 	l.current = next
 }
 
-// SetLag freezes what readers see until the lag ends.
-func (l *List) SetLag(lagging bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.shown = append([]list.Instance(nil), l.current...)
-	l.lagging = lagging
-}
-
 // SetDown makes the list unreadable.
 func (l *List) SetDown(down bool) {
 	l.mu.Lock()
@@ -65,8 +55,5 @@
 	if l.down {
 		return nil, &list.ReadError{Cause: "stand-in is down"}
 	}
-	if l.lagging {
-		return append([]list.Instance(nil), l.shown...), nil
-	}
 	return append([]list.Instance(nil), l.current...), nil
 }
