--- a/cmd/lentildeckd/main.go
+++ b/cmd/lentildeckd/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -16,10 +17,12 @@
 	"github.com/lentildeck/lentildeck/internal/kern/build"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/node/daemon"
+	"github.com/lentildeck/lentildeck/internal/node/deck"
 	"github.com/lentildeck/lentildeck/internal/node/setup"
 	"github.com/peterbourgon/ff/v3"
 
 	_ "github.com/lentildeck/lentildeck/internal/state/kvhttp"
+	_ "github.com/lentildeck/lentildeck/platform"
 )
 
 // The exit codes.
@@ -36,6 +39,7 @@
 	flags := flag.NewFlagSet("lentildeckd", flag.ContinueOnError)
 	path := flags.String("config", "", "settings file, JSON with comments")
 	check := flags.Bool("check", false, "check the settings and stop")
+	site := flags.String("site", "", "site to run on: "+strings.Join(deck.Sites.Names(), ", ")+"; it brings its own settings")
 	version := flags.Bool("version", false, "print the version and stop")
 	if err := ff.Parse(flags, os.Args[1:], ff.WithEnvVarPrefix("LENTILDECKD")); err != nil {
 		return exitUsage
@@ -44,6 +48,9 @@
 		fmt.Println("lentildeckd", build.Version())
 		return 0
 	}
+	if *site != "" {
+		return serveSite(*site)
+	}
 	settings, err := setup.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentildeckd:", err)
@@ -70,6 +77,25 @@
 	return 0
 }
 
+// serveSite runs the instance with the settings that its site provides.
+func serveSite(name string) int {
+	log := event.NewLog(&log.Logger{Handler: logjson.New(os.Stdout), Level: log.InfoLevel})
+	open, err := deck.Sites.Lookup(name)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lentildeckd:", err)
+		return exitUsage
+	}
+	parts, err := open(log)
+	if err == nil {
+		err = deck.New(parts, log).Run()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lentildeckd:", err)
+		return exitFailed
+	}
+	return 0
+}
+
 func logFor(s setup.Log) *event.Log {
 	var handler log.Handler = logjson.New(os.Stderr)
 	if s.Format == "text" {
--- /dev/null
+++ b/internal/kern/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock reads a steady clock that goes on while the machine is suspended.
+package clock
--- /dev/null
+++ b/internal/node/deck/deck.go
@@ -0,0 +1,163 @@
+package deck
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/edge/agent"
+	"github.com/lentildeck/lentildeck/internal/kern/build"
+	"github.com/lentildeck/lentildeck/internal/kern/clock"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
+	"github.com/lentildeck/lentildeck/internal/kern/plug"
+	"github.com/lentildeck/lentildeck/internal/node/meter"
+	"github.com/lentildeck/lentildeck/internal/node/term"
+	"github.com/lentildeck/lentildeck/internal/route/admit"
+	"github.com/lentildeck/lentildeck/internal/state/policy"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// refreshEvery is how often the configuration is read: several times within the oldest allowed age of its proof.
+	refreshEvery = 400 * time.Millisecond
+	// refreshTimeout bounds one read.
+	refreshTimeout = time.Second
+	// leaveBefore is kept of the grace period for closing channels and ending the process.
+	leaveBefore = 1500 * time.Millisecond
+)
+
+// Parts is what a site provides.
+type Parts struct {
+	Instance string
+	Store    store.Transactor
+	Agent    agent.Client
+	Lister   term.Lister
+	Source   policy.Source
+	Bounds   term.Bounds
+	// KeyAge is the oldest proof of the configuration under which keys are accepted.
+	KeyAge time.Duration
+	// Grace is the time between a request to stop and a kill.
+	Grace time.Duration
+	// Serve opens the listeners and returns after stop is closed or when one fails.
+	Serve func(node *Node, stop <-chan struct{}) error
+	// Check reads the settings again.
+	Check func() error
+}
+
+// Opener makes the parts of a site.
+type Opener func(log *event.Log) (Parts, error)
+
+// Sites are the registered sites.
+var Sites = plug.New[Opener]("site")
+
+// Node is one instance.
+type Node struct {
+	Parts
+	Jobs     *admit.Service
+	Meter    *meter.Set
+	Log      *event.Log
+	policy   *policy.Holder
+	elector  *term.Elector
+	stopping atomic.Bool
+	lost     bool
+}
+
+// New wires an instance.
+func New(parts Parts, log *event.Log) *Node {
+	n := &Node{Parts: parts, Log: log, Meter: meter.New(parts.Instance)}
+	n.policy = policy.NewHolder(parts.Source, clock.Now, n.inForce)
+	n.Jobs = &admit.Service{
+		Store: parts.Store, Policy: n.policy, MaxAge: parts.KeyAge, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
+	}
+	n.elector = &term.Elector{
+		Instance: parts.Instance, Store: parts.Store, Agent: parts.Agent, Lister: parts.Lister, Policy: n.policy,
+		Bounds: parts.Bounds, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
+	}
+	return n
+}
+
+func (n *Node) inForce(s policy.Snapshot) {
+	n.Log.Emit(event.PolicyInForce, event.Fields{"version": s.Policy.Version, "queues": len(s.Policy.Queues), "workspaces": len(s.Policy.Workspaces), "evacuated": len(s.Evacuated)})
+}
+
+// Stopping reports whether a planned stop has begun.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// Ready reports whether callers should be led here.
+func (n *Node) Ready() bool {
+	snapshot, proved := n.policy.Current()
+	return !n.Stopping() && snapshot.Policy != nil && clock.Now().Sub(proved) < n.KeyAge
+}
+
+// Run serves until the process is told to stop.
+func (n *Node) Run() error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop := make(chan struct{})
+	elected := make(chan struct{})
+	served := make(chan error, 1)
+	owning, resign := context.WithCancel(ctx)
+	defer resign()
+	var parts conc.WaitGroup
+	parts.Go(func() { n.refresh(ctx) })
+	parts.Go(func() { n.elector.Run(owning, elected) })
+	parts.Go(func() { served <- n.Serve(n, stop) })
+	n.Log.Emit(event.Started, event.Fields{"instance": n.Instance, "version": build.Version()})
+	for {
+		select {
+		case err := <-served:
+			return err
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				n.reload()
+				continue
+			}
+			n.stopping.Store(true)
+			n.Log.Emit(event.Stopping, event.Fields{"signal": sig.String(), "grace": n.Grace.String()})
+			resign()
+			pause.For(ctx, max(n.Grace-leaveBefore, 0))
+			close(stop)
+			err := <-served
+			n.Log.Emit(event.Stopped, event.Fields{})
+			return err
+		}
+	}
+}
+
+// reload reads the settings again; what they hold takes effect at the next start.
+func (n *Node) reload() {
+	fields := event.Fields{}
+	if err := n.Check(); err != nil {
+		fields["error"] = err.Error()
+	}
+	n.Log.Emit(event.Reloaded, fields)
+}
+
+// refresh keeps the configuration fresh.
+func (n *Node) refresh(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, done := context.WithTimeout(ctx, refreshTimeout)
+		err := n.policy.Refresh(call)
+		done()
+		if failed := err != nil; failed != n.lost {
+			n.lost = failed
+			if failed {
+				n.Log.Emit(event.StoreLost, event.Fields{"call": "configuration", "error": err.Error()})
+			} else {
+				n.Log.Emit(event.StoreBack, event.Fields{"call": "configuration"})
+			}
+		}
+		wait := refreshEvery
+		if err != nil {
+			wait = refreshEvery / 2
+		}
+		pause.For(ctx, wait)
+	}
+}
--- /dev/null
+++ b/internal/node/deck/doc.go
@@ -0,0 +1,2 @@
+// Package deck is one instance on a site: it keeps the configuration fresh, answers callers, and competes for ownership.
+package deck
--- /dev/null
+++ b/internal/node/term/elect.go
@@ -0,0 +1,175 @@
+package term
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/edge/agent"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
+	"github.com/lentildeck/lentildeck/internal/node/meter"
+	"github.com/lentildeck/lentildeck/internal/place/sets"
+	"github.com/lentildeck/lentildeck/internal/state/policy"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+)
+
+const (
+	// leaseTTL is how long the owner's lease lives without renewal: the price of losing an owner, against a slow store.
+	leaseTTL = 2 * time.Second
+	// renewEvery leaves four tries in a TTL.
+	renewEvery = leaseTTL / 5
+	// leaseMargin is how much earlier than the service the owner believes its lease has lapsed: two answers of a calm store and a late timer.
+	leaseMargin = 200 * time.Millisecond
+	// storeTimeout bounds one call; it is 250 times the usual answer.
+	storeTimeout = time.Second
+	// watchWait is how long a successor waits for the owner's key to change before it asks again.
+	watchWait = time.Second
+	// retryPause is the mean wait after a failed call to the key-value service.
+	retryPause = 100 * time.Millisecond
+	// sitOut is how long an instance that could not reach the workers leaves ownership to others.
+	sitOut = 6 * time.Second
+)
+
+// Bounds are the installation's limits that the owner keeps.
+type Bounds struct {
+	// MaxHold is the longest lease of what runs on a worker.
+	MaxHold time.Duration
+	// StopTimeout is how long a worker may take to stop a task.
+	StopTimeout time.Duration
+	// PolicyAge and ListAge are the oldest proofs under which tasks are started.
+	PolicyAge time.Duration
+	ListAge   time.Duration
+	// Retention is how long ended jobs are kept.
+	Retention time.Duration
+	// RemoteFactor is how much longer a task takes away from its data.
+	RemoteFactor float64
+}
+
+// Lister lists the workers; an answer is never older than the call.
+type Lister interface {
+	Workers(ctx context.Context) ([]sets.WorkerInfo, error)
+}
+
+// Elector competes for ownership and runs a term whenever it has it.
+type Elector struct {
+	Instance string
+	Store    store.Transactor
+	Agent    agent.Client
+	Lister   Lister
+	Policy   *policy.Holder
+	Bounds   Bounds
+	Log      *event.Log
+	Meter    *meter.Set
+	// Now is the steady clock, WallNow the time of day.
+	Now     func() time.Time
+	WallNow func() time.Time
+
+	mu      sync.Mutex
+	current *term
+}
+
+// owner is the stored form of who decides.
+type owner struct {
+	Instance string `json:"instance"`
+}
+
+// Run competes until ctx ends, then hands the lease back; done is closed at the very end.
+func (e *Elector) Run(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	for ctx.Err() == nil {
+		lease, token, sent, err := e.take(ctx)
+		if err != nil {
+			pause.For(ctx, jitter(retryPause))
+			continue
+		}
+		if token == 0 {
+			continue
+		}
+		t := newTerm(e, lease, token, sent)
+		e.mu.Lock()
+		e.current = t
+		e.mu.Unlock()
+		cause := t.run(ctx)
+		e.mu.Lock()
+		e.current = nil
+		e.mu.Unlock()
+		e.Log.Emit(event.TermEnded, event.Fields{"token": token, "why": cause.Error()})
+		var cut *cutOffError
+		if errors.As(cause, &cut) {
+			pause.For(ctx, sitOut)
+		}
+	}
+}
+
+// resign lets the next owner start at once; if it fails the lease lapses by itself.
+func (e *Elector) resign(lease int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout/2)
+	defer cancel()
+	if err := e.Store.Revoke(ctx, lease); err != nil {
+		e.Log.Emit(event.StoreLost, event.Fields{"call": "revoke", "error": err.Error()})
+	}
+}
+
+// take waits until the owner's key is free and creates it; token is zero if another instance was faster.
+func (e *Elector) take(ctx context.Context) (lease, token int64, sent time.Time, err error) {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, err := e.Store.Item(call, work.OwnerKey)
+	if err != nil {
+		return 0, 0, sent, err
+	}
+	if item.Revision != 0 {
+		return 0, 0, sent, e.await(ctx, item.Revision)
+	}
+	data, err := json.Marshal(owner{Instance: e.Instance})
+	if err != nil {
+		return 0, 0, sent, err
+	}
+	sent = e.Now()
+	if lease, err = e.Store.Grant(call, leaseTTL); err != nil {
+		return 0, 0, sent, err
+	}
+	token, err = e.Store.Commit(call, store.Transaction{
+		Expected: []store.Expectation{{Key: work.OwnerKey}},
+		Writes:   []store.Write{{Key: work.OwnerKey, Data: data, Lease: lease}},
+	})
+	var refused *store.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return 0, 0, sent, nil
+	case err != nil:
+		// The key may come to exist under this lease; it lapses with it and blocks nobody for longer.
+		return 0, 0, sent, err
+	}
+	return lease, token, sent, nil
+}
+
+// await returns once the owner's key may have gone.
+func (e *Elector) await(ctx context.Context, after int64) error {
+	call, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
+	defer cancel()
+	_, _, err := e.Store.Changes(call, work.OwnerKey, after, watchWait)
+	var gone *store.HistoryError
+	if errors.As(err, &gone) {
+		pause.For(ctx, jitter(retryPause))
+		return nil
+	}
+	return err
+}
+
+// jitter spreads a wait evenly from nothing to twice its mean.
+func jitter(mean time.Duration) time.Duration {
+	return time.Duration(rand.Int64N(int64(2 * mean)))
+}
+
+// Owns reports whether this instance decides at the moment.
+func (e *Elector) Owns() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current != nil
+}
--- /dev/null
+++ b/internal/node/term/load.go
@@ -0,0 +1,215 @@
+package term
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
+	"github.com/lentildeck/lentildeck/internal/place/sets"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+)
+
+const (
+	// maxAge bounds how old a job can look by the time of day, which may jump.
+	maxAge = time.Minute
+	// specWait is how long a watch for new jobs waits.
+	specWait = 2 * time.Second
+	// relistEvery bounds how long a job can go unnoticed if a watch keeps silent.
+	relistEvery = 3 * time.Second
+)
+
+// load reads the records of all jobs; it reports false if the term ended first.
+func (t *term) load(ctx context.Context) bool {
+	started := t.Now()
+	for ctx.Err() == nil {
+		if err := t.tryLoad(ctx); err != nil {
+			t.Log.Emit(event.StoreLost, event.Fields{"call": "load", "error": err.Error()})
+			pause.For(ctx, jitter(retryPause/2))
+			continue
+		}
+		t.Log.Emit(event.TermLoaded, event.Fields{"token": t.token, "jobs": len(t.revisions), "took": t.Now().Sub(started).String()})
+		return true
+	}
+	return false
+}
+
+func (t *term) tryLoad(ctx context.Context) error {
+	call, done := context.WithTimeout(ctx, 2*storeTimeout)
+	defer done()
+	if snapshot, _ := t.Policy.Current(); snapshot.Policy == nil {
+		if err := t.Policy.Refresh(call); err != nil {
+			return err
+		}
+	}
+	sent := t.Now()
+	workers, err := t.Lister.Workers(call)
+	if err != nil {
+		return err
+	}
+	records, _, err := t.Store.Range(call, work.RecordPrefix)
+	if err != nil {
+		return err
+	}
+	specs, _, err := t.Store.Range(call, work.SpecPrefix)
+	if err != nil {
+		return err
+	}
+	t.state.Lock()
+	defer t.state.Unlock()
+	if snapshot, _ := t.Policy.Current(); snapshot.Policy != nil {
+		t.engine.SetPolicy(snapshot.Policy.SetQueues(), snapshot.Policy.Promised(), snapshot.Evacuated)
+	}
+	t.engine.SetWorkers(workers, t.Now())
+	t.listed = sent
+	known := make(map[string]*work.Record, len(records))
+	for _, item := range records {
+		job := item.Key[len(work.RecordPrefix):]
+		record, err := work.DecodeRecord(item.Data)
+		if err != nil {
+			t.Log.Emit(event.RecordBad, event.Fields{"key": item.Key, "error": err.Error()})
+			continue
+		}
+		known[job] = record
+		t.revisions[job] = item.Revision
+	}
+	t.takeIn(specs, known)
+	t.engine.Actions()
+	return nil
+}
+
+// takeIn adds jobs and cancels; known has the records of an earlier owner. The caller holds the state.
+func (t *term) takeIn(items []store.Item, known map[string]*work.Record) {
+	now := t.Now()
+	for _, item := range items {
+		job, cancel := work.ParseSpecKey(item.Key)
+		if cancel {
+			t.cancelJob(job, now)
+			continue
+		}
+		if t.engine.Job(job) != nil {
+			continue
+		}
+		spec, err := work.DecodeSpec(item.Data)
+		if err != nil {
+			t.Log.Emit(event.RecordBad, event.Fields{"key": item.Key, "error": err.Error()})
+			continue
+		}
+		spec.Job = job
+		age := min(max(t.WallNow().Sub(spec.Accepted), 0), maxAge)
+		t.engine.Load(spec, known[job], age, now)
+		t.Log.Emit(event.JobSeen, event.Fields{"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "steps": len(spec.Steps), "tasks": spec.Steps[0].Count, "accelerators": spec.Steps[0].Accelerators, "estimate": spec.Steps[0].Estimate.String()})
+		if t.orphans[job] {
+			t.cancelJob(job, now)
+		}
+	}
+}
+
+func (t *term) cancelJob(job string, now time.Time) {
+	if t.engine.Job(job) == nil {
+		t.orphans[job] = true
+		return
+	}
+	delete(t.orphans, job)
+	t.engine.Cancel(job, now)
+}
+
+// watch takes in new jobs and cancels until the term ends.
+func (t *term) watch(ctx context.Context) {
+	var after int64
+	var listedAt time.Time
+	for ctx.Err() == nil {
+		if now := t.Now(); now.Sub(listedAt) > relistEvery {
+			upTo, err := t.relist(ctx)
+			if err != nil {
+				pause.For(ctx, jitter(retryPause/2))
+				continue
+			}
+			listedAt = now
+			after = upTo
+		}
+		call, done := context.WithTimeout(ctx, specWait+storeTimeout)
+		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, specWait)
+		done()
+		var gone *store.HistoryError
+		switch {
+		case errors.As(err, &gone):
+			listedAt = time.Time{}
+			continue
+		case err != nil:
+			listedAt = time.Time{}
+			pause.For(ctx, jitter(retryPause/2))
+			continue
+		}
+		after = upTo
+		items := make([]store.Item, 0, len(changes))
+		for _, change := range changes {
+			if !change.Deleted {
+				items = append(items, change.Item)
+			}
+		}
+		if len(items) > 0 {
+			t.state.Lock()
+			t.takeIn(items, nil)
+			t.state.Unlock()
+			t.wake()
+		}
+	}
+}
+
+func (t *term) relist(ctx context.Context) (int64, error) {
+	call, done := context.WithTimeout(ctx, 2*storeTimeout)
+	defer done()
+	items, asOf, err := t.Store.Range(call, work.SpecPrefix)
+	if err != nil {
+		return 0, err
+	}
+	t.state.Lock()
+	t.takeIn(items, nil)
+	t.state.Unlock()
+	t.wake()
+	return asOf, nil
+}
+
+// list reads the list of workers until the term ends and keeps a session with each.
+func (t *term) list(ctx context.Context) {
+	for ctx.Err() == nil {
+		t.openSessions(ctx)
+		if !pause.For(ctx, listEvery) {
+			return
+		}
+		sent := t.Now()
+		call, done := context.WithTimeout(ctx, storeTimeout)
+		workers, err := t.Lister.Workers(call)
+		done()
+		if err != nil {
+			t.Log.Emit(event.ListLost, event.Fields{"error": err.Error()})
+			continue
+		}
+		t.state.Lock()
+		t.noteList(workers)
+		t.engine.SetWorkers(workers, t.Now())
+		t.listed = sent
+		t.state.Unlock()
+		t.wake()
+	}
+}
+
+// noteList logs what differs from the last list. The caller holds the state.
+func (t *term) noteList(workers []sets.WorkerInfo) {
+	listed := make(map[string]bool, len(workers))
+	for _, info := range workers {
+		listed[info.ID] = true
+		w := t.engine.Worker(info.ID)
+		if w == nil || !w.Present || w.Draining != info.Draining || w.Born != info.Born && info.Born != 0 {
+			t.Log.Emit(event.WorkersListed, event.Fields{"worker": info.ID, "draining": info.Draining, "born": info.Born, "dataCentre": info.DataCentre, "rack": info.Rack, "new": w == nil})
+		}
+	}
+	for _, w := range t.engine.Workers() {
+		if w.Present && !listed[w.ID] {
+			t.Log.Emit(event.WorkersListed, event.Fields{"worker": w.ID, "gone": true, "busy": w.Busy()})
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/term/term.go
@@ -0,0 +1,243 @@
+package term
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
+	"github.com/lentildeck/lentildeck/internal/place/sets"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// tickEvery bounds how late a decision is that only time brings about.
+	tickEvery = 100 * time.Millisecond
+	// gather is how long changes are collected before a decision.
+	gather = 2 * time.Millisecond
+	// listEvery is how often the list of workers is read: three times within its oldest allowed age.
+	listEvery = 400 * time.Millisecond
+	// holdPast is how long a term keeps renewing workers' leases after its own lease may have lapsed.
+	holdPast = 8 * time.Second
+	// cutOffAfter is how long most workers must be silent before the owner leaves its place to another instance.
+	cutOffAfter = 1500 * time.Millisecond
+	// clockSlack is how much slower than ours a worker's clock may run.
+	clockSlack = 1.02
+	// leaseSlack is added to the time after which a worker's lease has surely ended.
+	leaseSlack = 100 * time.Millisecond
+)
+
+// cutOffError says that most workers can't be reached from here.
+type cutOffError struct{ silent, all int }
+
+// Error counts the workers.
+func (e *cutOffError) Error() string {
+	return fmt.Sprintf("%d of %d workers do not answer this instance", e.silent, e.all)
+}
+
+// fencedError says that another instance has taken over.
+type fencedError struct{ by string }
+
+// Error says how it is known.
+func (e *fencedError) Error() string { return "another owner has taken over, as seen " + e.by }
+
+// stopError says that the instance stops.
+type stopError struct{}
+
+// Error says so.
+func (stopError) Error() string { return "the instance stops" }
+
+// term is one time of ownership.
+type term struct {
+	*Elector
+	lease int64
+	token int64
+	// began is when the term started.
+	began time.Time
+
+	state      sync.Mutex
+	engine     *sets.Engine
+	validUntil time.Time
+	listed     time.Time
+	sessions   map[string]*session
+	stops      map[stopKey]bool
+	orphans    map[string]bool
+	revisions  map[string]int64
+	committing bool
+	cause      error
+
+	kick   chan struct{}
+	cancel context.CancelFunc
+	parts  conc.WaitGroup
+}
+
+type stopKey struct {
+	worker string
+	task   string
+	run    int
+}
+
+func newTerm(e *Elector, lease, token int64, sent time.Time) *term {
+	cfg := sets.DefaultConfig()
+	cfg.StopTimeout = e.Bounds.StopTimeout
+	cfg.Retention = e.Bounds.Retention
+	cfg.RemoteFactor = e.Bounds.RemoteFactor
+	// An earlier owner may have renewed until holdPast after its lease lapsed, and that lasts MaxHold.
+	cfg.InheritedLease = holdPast + stretch(e.Bounds.MaxHold)
+	return &term{
+		Elector: e, lease: lease, token: token, began: e.Now(), engine: sets.New(cfg), validUntil: sent.Add(leaseTTL - leaseMargin),
+		sessions: make(map[string]*session), stops: make(map[stopKey]bool), orphans: make(map[string]bool),
+		revisions: make(map[string]int64), kick: make(chan struct{}, 1),
+	}
+}
+
+// stretch is the longest that a lease can last by our clock.
+func stretch(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*clockSlack) + leaseSlack
+}
+
+// run decides until the term is over and returns why it ended.
+func (t *term) run(ctx context.Context) error {
+	ctx, t.cancel = context.WithCancel(ctx)
+	defer t.cancel()
+	t.Log.Emit(event.TermBegan, event.Fields{"token": t.token, "lease": t.lease})
+	t.parts.Go(func() { t.renew(ctx) })
+	if t.load(ctx) {
+		t.parts.Go(func() { t.list(ctx) })
+		t.parts.Go(func() { t.watch(ctx) })
+		t.loop(ctx)
+	}
+	t.cancel()
+	// The lease goes back before calls on their way have come to an end: their token fences them off.
+	t.resign(t.lease)
+	t.parts.Wait()
+	t.state.Lock()
+	defer t.state.Unlock()
+	if t.cause == nil {
+		t.cause = stopError{}
+	}
+	return t.cause
+}
+
+// end gives the term up for the first cause that is named.
+func (t *term) end(cause error) {
+	t.state.Lock()
+	if t.cause == nil {
+		t.cause = cause
+	}
+	t.state.Unlock()
+	t.cancel()
+}
+
+// renew keeps the lease.
+func (t *term) renew(ctx context.Context) {
+	for pause.For(ctx, renewEvery) {
+		sent := t.Now()
+		call, done := context.WithTimeout(ctx, storeTimeout)
+		err := t.Store.Renew(call, t.lease)
+		done()
+		var lapsed *store.LapsedError
+		switch {
+		case err == nil:
+			t.state.Lock()
+			t.validUntil = sent.Add(leaseTTL - leaseMargin)
+			t.state.Unlock()
+		case errors.As(err, &lapsed):
+			t.end(err)
+			return
+		default:
+			t.Log.Emit(event.StoreLost, event.Fields{"call": "renew", "error": err.Error()})
+		}
+	}
+}
+
+// valid reports whether the lease has certainly not lapsed. The caller holds the state.
+func (t *term) valid(now time.Time) bool { return now.Before(t.validUntil) }
+
+// mayStart reports whether tasks may be started. The caller holds the state.
+func (t *term) mayStart(now time.Time) bool {
+	_, proved := t.Policy.Current()
+	return t.valid(now) && now.Sub(proved) < t.Bounds.PolicyAge && now.Sub(t.listed) < t.Bounds.ListAge
+}
+
+// wake asks for a decision soon.
+func (t *term) wake() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+// loop decides at each change and at each tick.
+func (t *term) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.kick:
+			pause.For(ctx, gather)
+		case <-ticker.C:
+		}
+		t.step(ctx)
+	}
+}
+
+// step takes one decision and sends it on its way.
+func (t *term) step(ctx context.Context) {
+	now := t.Now()
+	snapshot, _ := t.Policy.Current()
+	t.state.Lock()
+	if snapshot.Policy != nil {
+		t.engine.SetPolicy(snapshot.Policy.SetQueues(), snapshot.Policy.Promised(), snapshot.Evacuated)
+	}
+	t.engine.Decide(t.mayStart(now), now)
+	var updates []sets.Update
+	if !t.committing {
+		updates = t.engine.Updates(now)
+		t.committing = len(updates) > 0
+	}
+	acknowledge := t.processed()
+	actions := t.engine.Actions()
+	silent, all := t.silent(now)
+	t.state.Unlock()
+	t.dispatch(ctx, actions)
+	if len(updates) > 0 {
+		t.parts.Go(func() { t.commit(ctx, updates, acknowledge) })
+	}
+	if 2*silent > all && now.Sub(t.began) > cutOffAfter {
+		t.end(&cutOffError{silent: silent, all: all})
+	}
+}
+
+// dispatch sends orders on their way and logs decisions.
+func (t *term) dispatch(ctx context.Context, actions []sets.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case sets.StartOrder:
+			t.parts.Go(func() { t.start(ctx, a) })
+		case sets.StopOrder:
+			t.stop(ctx, a)
+		case sets.Note:
+			t.Log.Emit(event.RunChanged, event.Fields{"what": a.What.String(), "job": a.Job, "worker": a.Worker, "task": a.Task, "run": a.Run, "why": a.Text, "token": t.token})
+			t.Meter.Count("run." + a.What.String())
+		}
+	}
+}
+
+// Detail says what the owner knows of a job, for operators.
+func (t *term) detail(id string) (work.Phase, string, bool) {
+	t.state.Lock()
+	defer t.state.Unlock()
+	j := t.engine.Job(id)
+	if j == nil {
+		return work.Queued, "", false
+	}
+	return j.Record.Phase, j.Waiting, true
+}
--- /dev/null
+++ b/internal/place/sets/action.go
@@ -0,0 +1,59 @@
+package sets
+
+// Action is something that the caller must carry out.
+type Action interface{ action() }
+
+// StartOrder asks a worker to start a task; its intent is recorded.
+type StartOrder struct {
+	Member  *Member
+	Worker  string
+	Task    string
+	Run     int
+	Payload string
+	Saved   string
+}
+
+// StopOrder asks a worker to stop a task, and not to start that run later.
+type StopOrder struct {
+	Worker string
+	Task   string
+	Run    int
+}
+
+//go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=What -transform=title-lower
+
+// What is the kind of a note.
+type What int
+
+// The kinds of notes.
+const (
+	RunPlaced What = iota
+	RunStopped
+	RunBroken
+	JobOver
+	WorkerAvoided
+	WorkerLapsed
+)
+
+// Note is a decision to be logged.
+type Note struct {
+	What   What
+	Job    string
+	Worker string
+	Task   string
+	Run    int
+	Text   string
+}
+
+func (StartOrder) action() {}
+func (StopOrder) action()  {}
+func (Note) action()       {}
+
+func (e *Engine) act(a Action) { e.actions = append(e.actions, a) }
+
+// Actions hands over what was decided since the last call.
+func (e *Engine) Actions() []Action {
+	out := e.actions
+	e.actions = nil
+	return out
+}
--- /dev/null
+++ b/internal/place/sets/decide.go
@@ -0,0 +1,248 @@
+package sets
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/state/work"
+)
+
+// Decide settles what time has brought and, if mayStart is true, plans runs for what is ready.
+func (e *Engine) Decide(mayStart bool, now time.Time) {
+	e.tick(now)
+	if !mayStart {
+		return
+	}
+	ready := e.ready(now)
+	e.startClaims(ready, now)
+	e.placeAll(ready, now)
+}
+
+// tick settles leases that ran out, starts without an answer, gangs that lost a member and tasks that stand still.
+func (e *Engine) tick(now time.Time) {
+	for _, w := range e.order {
+		if len(w.members) == 0 {
+			continue
+		}
+		lapsed := now.After(w.LeaseEnds)
+		for _, m := range w.sorted() {
+			switch {
+			case m.State == Planned || m.State == Ended:
+			case lapsed && (m.sent || m.State == Inherited):
+				e.act(Note{What: WorkerLapsed, Worker: w.ID, Job: m.Run.Set.Job.ID(), Task: m.task, Run: m.Run.Number})
+				e.endMember(m, Lost, "", now)
+			default:
+				e.check(m, now)
+			}
+		}
+	}
+}
+
+// brokenGrace is how long the other members of a broken gang get to end by themselves.
+const brokenGrace = 200 * time.Millisecond
+
+func (e *Engine) check(m *Member, now time.Time) {
+	run := m.Run
+	switch {
+	case m.stopSent || m.State == Ended:
+	case !run.broken.IsZero() && now.Sub(run.broken) > brokenGrace:
+		e.stopRun(run, "another member ended", now)
+	case m.State == Ordered && now.Sub(m.orderedAt) > e.cfg.StartTimeout:
+		m.Worker.avoid(now.Add(e.cfg.Avoid[Refused]))
+		e.stopRun(run, "a start had no answer", now)
+	case m.State == Started && e.hangs(m, now):
+		m.Worker.hungAt = now
+		m.Worker.avoid(now.Add(e.cfg.FaultPause))
+		e.act(Note{What: WorkerAvoided, Worker: m.Worker.ID, Job: run.Set.Job.ID(), Task: m.task, Text: "a task made no progress"})
+		e.stopRun(run, "no progress", now)
+	}
+}
+
+// hangs reports whether the member has stood still although its worker answers and its gang is complete.
+func (e *Engine) hangs(m *Member, now time.Time) bool {
+	limit := max(e.cfg.HangTimeout, time.Duration(float64(m.Run.Set.step().Estimate)*hangShare))
+	return m.Run.whole() && m.Percent < 99 && now.Sub(m.movedAt) > limit && now.Sub(m.Worker.HeardAt) < time.Second
+}
+
+// hangShare of a task's estimate may pass without a new percent: three steps of a task that is slow by RemoteFactor.
+const hangShare = 0.1
+
+// Lateness of a job, by what its caller still gains.
+const (
+	inTime = iota
+	late
+	hopeless
+)
+
+// lateFactor times its objective is when a job's completion has lost its worth.
+const lateFactor = 3
+
+// ready returns the sets that could start, the most pressing first.
+func (e *Engine) ready(now time.Time) []*Set {
+	e.entitle()
+	e.whole = Room{}
+	for _, w := range e.order {
+		if e.usable(w, now) {
+			e.whole = e.whole.Add(w.Capacity)
+		}
+	}
+	jobs := make([]*Job, 0, len(e.open))
+	for _, j := range e.open {
+		if j.Record.Phase.Final() || j.Cancelled {
+			continue
+		}
+		e.rank(j, now)
+		jobs = append(jobs, j)
+	}
+	slices.SortStableFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.rank, b.rank))
+	})
+	var list []*Set
+	for _, j := range jobs {
+		for i := range j.steps {
+			if j.left[i] == 0 || !j.unlocked(i) {
+				continue
+			}
+			for _, s := range j.steps[i] {
+				if s.Run == nil && !s.record().Done {
+					list = append(list, s)
+				}
+			}
+		}
+	}
+	return list
+}
+
+// unlocked reports whether all steps that come before the step are done.
+func (j *Job) unlocked(step int) bool {
+	for _, earlier := range j.Spec.Steps[step].After {
+		if j.left[earlier] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// entitle marks the jobs of priority 0 that are within their workspace's guarantee, the oldest first.
+func (e *Engine) entitle() {
+	used := make(map[string]int, len(e.promised))
+	for _, j := range e.open {
+		j.entitled = false
+		if j.Record.Phase.Final() || j.Cancelled || e.queue(j).Priority != 0 {
+			continue
+		}
+		ws := j.Spec.Workspace
+		need := j.openNeed()
+		if used[ws]+need > e.promised[ws] {
+			continue
+		}
+		used[ws] += need
+		j.entitled = true
+	}
+}
+
+// openNeed is the accelerators of all tasks that are not done.
+func (j *Job) openNeed() int {
+	need := 0
+	for _, s := range j.sets {
+		if !s.record().Done {
+			need += s.need().Accelerators
+		}
+	}
+	return need
+}
+
+// rank works out the job's place in the order.
+func (e *Engine) rank(j *Job, now time.Time) {
+	q := e.queue(j)
+	j.tier = q.Priority + 1
+	if j.entitled {
+		j.tier = 0
+	}
+	objective := time.Duration(q.Stretch*float64(j.Spec.Chain())) + q.Target
+	finish := now.Add(e.remaining(j))
+	j.lateness = hopeless
+	switch {
+	case !finish.After(j.Accepted.Add(objective)):
+		j.lateness = inTime
+	case !finish.After(j.Accepted.Add(lateFactor * objective)):
+		j.lateness = late
+	}
+	j.rank = -now.Sub(j.Accepted.Add(objective)).Seconds()
+}
+
+// remaining is the estimated time of the longest chain of steps that are not done.
+func (e *Engine) remaining(j *Job) time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(j.steps))
+	for i := range j.steps {
+		step := &j.Spec.Steps[i]
+		for _, earlier := range step.After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		if j.left[i] > 0 {
+			ends[i] += step.Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// placeAll plans runs in order; equal sets of a step are not tried again after one found no room.
+func (e *Engine) placeAll(ready []*Set, now time.Time) {
+	type stepKey struct {
+		job  *Job
+		step int
+	}
+	missed := make(map[stepKey]bool)
+	for _, s := range ready {
+		key := stepKey{s.Job, s.Step}
+		if s.Run != nil || s.claim != nil || missed[key] {
+			continue
+		}
+		if workers := e.find(s, e.freeView, now); workers != nil {
+			e.plan(s, workers, "free room", now)
+			continue
+		}
+		if e.preempt(s, now) {
+			continue
+		}
+		missed[key] = true
+		s.Job.Waiting = fmt.Sprintf("step %d: no room for %d x %+v on usable workers", s.Step, s.Count, s.room())
+	}
+}
+
+// plan makes a run of the set on the workers; it starts once the intent is durable.
+func (e *Engine) plan(s *Set, workers []*Worker, why string, now time.Time) {
+	rec := s.record()
+	rec.Run++
+	rec.From = rec.Saved
+	run := &Run{Set: s, Number: rec.Run, Began: now, alive: len(workers), from: rec.Saved}
+	s.Run = run
+	rec.On = make([]string, len(workers))
+	for i, w := range workers {
+		rec.On[i] = w.ID
+		m := &Member{Run: run, Worker: w, State: Planned, task: s.taskName(i), movedAt: now}
+		run.Members = append(run.Members, m)
+		w.attach(m)
+	}
+	s.Job.dirty = true
+	s.Job.Waiting = ""
+	e.act(Note{What: RunPlaced, Job: s.Job.ID(), Task: s.taskName(0), Run: run.Number, Worker: workers[0].ID,
+		Text: fmt.Sprintf("%s; %d tasks, tier %d, lateness %d, waited %s", why, len(workers), s.Job.tier, s.Job.lateness, now.Sub(s.readyAt).Round(time.Millisecond))})
+}
+
+// Fits reports whether every set of the spec could be placed on the workers if they were empty.
+func (e *Engine) Fits(spec *work.Spec, now time.Time) bool {
+	j := &Job{Spec: spec}
+	j.build()
+	j.Record.Sets = make([]work.SetRecord, len(j.sets))
+	for _, step := range j.steps {
+		if e.find(step[0], e.emptyView, now) == nil {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/place/sets/engine.go
@@ -0,0 +1,200 @@
+package sets
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/state/work"
+)
+
+// Config holds the engine's bounds.
+type Config struct {
+	// HeardWithin is how recently a worker must have answered to be given work.
+	HeardWithin time.Duration
+	// InheritedLease is how long tasks may live that an earlier owner kept alive.
+	InheritedLease time.Duration
+	// StopTimeout is how long a worker may take to stop a task.
+	StopTimeout time.Duration
+	// StartTimeout is how long a start may stay without an answer before the run is given up.
+	StartTimeout time.Duration
+	// HangTimeout is how long a task may make no progress before its run is moved.
+	HangTimeout time.Duration
+	// RemoteFactor is how much longer a task takes away from its data.
+	RemoteFactor float64
+	// Retention is how long a job is kept after its end.
+	Retention time.Duration
+	// Avoid is how long a worker gets no work after each kind of refusal.
+	Avoid map[StartResult]time.Duration
+	// FaultsBeforePause is how many distinct sets must fail on a worker before it gets no work for FaultPause.
+	FaultsBeforePause int
+	FaultPause        time.Duration
+}
+
+// DefaultConfig returns bounds that suit leases of a few seconds.
+func DefaultConfig() Config {
+	return Config{
+		// Two polls of an idle worker.
+		HeardWithin:    4 * time.Second,
+		InheritedLease: 15 * time.Second,
+		StopTimeout:    900 * time.Millisecond,
+		// Half of the shortest time after which members of a gang give up waiting for the others.
+		StartTimeout: 1500 * time.Millisecond,
+		// The longest task moves by a percent each 330 ms, so this is seven missed steps.
+		HangTimeout:  2500 * time.Millisecond,
+		RemoteFactor: 3,
+		Retention:    2 * time.Minute,
+		Avoid: map[StartResult]time.Duration{
+			NoRoom: 300 * time.Millisecond, Unhealthy: time.Second, Outdated: 0, Refused: time.Second,
+		},
+		FaultsBeforePause: 2,
+		FaultPause:        6 * time.Second,
+	}
+}
+
+// Engine is the decision state of the owner.
+type Engine struct {
+	cfg     Config
+	workers map[string]*Worker
+	// order has the workers by ID, so that decisions repeat.
+	order     []*Worker
+	jobs      map[string]*Job
+	open      []*Job
+	queues    map[string]Queue
+	promised  map[string]int
+	evacuated map[string]bool
+	actions   []Action
+	// whole is the room of all usable workers at the last decision.
+	whole Room
+}
+
+// New returns an engine that knows nothing yet.
+func New(cfg Config) *Engine {
+	return &Engine{
+		cfg: cfg, workers: make(map[string]*Worker), jobs: make(map[string]*Job),
+		queues: make(map[string]Queue), promised: make(map[string]int), evacuated: make(map[string]bool),
+	}
+}
+
+// SetPolicy replaces queues, guaranteed accelerators by workspace, and the data centres that must get no new tasks.
+func (e *Engine) SetPolicy(queues []Queue, promised map[string]int, evacuated map[string]bool) {
+	for _, q := range queues {
+		e.queues[q.Name] = q
+	}
+	e.promised, e.evacuated = promised, evacuated
+}
+
+// defaultAttempts is used for jobs of a queue that this owner never saw in a configuration.
+const defaultAttempts = 2
+
+func (e *Engine) queue(j *Job) Queue {
+	if q, ok := e.queues[j.Spec.Queue]; ok {
+		return q
+	}
+	return Queue{Name: j.Spec.Queue, Priority: 9, MaxAttempts: defaultAttempts, Stretch: 1}
+}
+
+// Job returns the job of that ID, or nil.
+func (e *Engine) Job(id string) *Job { return e.jobs[id] }
+
+// Jobs calls visit for each job.
+func (e *Engine) Jobs(visit func(*Job)) {
+	for _, j := range e.jobs {
+		visit(j)
+	}
+}
+
+// keepOpen inserts the job by acceptance, then ID.
+func (e *Engine) keepOpen(j *Job) {
+	at, _ := slices.BinarySearchFunc(e.open, j, func(a, b *Job) int {
+		if c := a.Accepted.Compare(b.Accepted); c != 0 {
+			return c
+		}
+		return strings.Compare(a.ID(), b.ID())
+	})
+	e.open = slices.Insert(e.open, at, j)
+}
+
+// Update is a change of a job that must be made durable.
+type Update struct {
+	Job    string
+	Record work.Record
+	// Begun means that the job no longer counts as pending.
+	Begun bool
+	// Forget means that the job and all its keys go.
+	Forget bool
+	Queue  string
+
+	planned []*Run
+}
+
+// Updates returns what changed since the last call; Committed must follow for each once it is durable.
+func (e *Engine) Updates(now time.Time) []Update {
+	var list []Update
+	for _, j := range e.open {
+		if j.dirty {
+			j.dirty = false
+			list = append(list, e.update(j))
+		} else if e.forgettable(j, now) {
+			list = append(list, Update{Job: j.ID(), Queue: j.Spec.Queue, Forget: true})
+		}
+	}
+	return list
+}
+
+func (e *Engine) forgettable(j *Job, now time.Time) bool {
+	return j.Record.Phase.Final() && now.Sub(j.endedAt) > e.cfg.Retention && j.alive() == 0
+}
+
+func (j *Job) alive() int {
+	n := 0
+	for _, s := range j.sets {
+		if s.Run != nil {
+			n += s.Run.alive
+		}
+	}
+	return n
+}
+
+func (e *Engine) update(j *Job) Update {
+	j.Record.Change++
+	u := Update{Job: j.ID(), Record: j.Record, Queue: j.Spec.Queue}
+	u.Record.Sets = slices.Clone(j.Record.Sets)
+	u.Begun = j.waitKept && (j.begun || j.Record.Phase.Final())
+	for _, s := range j.sets {
+		if s.Run != nil && s.Run.Members[0].State == Planned {
+			u.planned = append(u.planned, s.Run)
+		}
+	}
+	return u
+}
+
+// Committed notes that an update is durable; what it planned may start now.
+func (e *Engine) Committed(u Update, now time.Time) {
+	j := e.jobs[u.Job]
+	if j == nil {
+		return
+	}
+	if u.Forget {
+		delete(e.jobs, u.Job)
+		e.open = slices.DeleteFunc(e.open, func(o *Job) bool { return o == j })
+		return
+	}
+	if u.Begun {
+		j.waitKept = false
+	}
+	for _, run := range u.planned {
+		for _, m := range run.Members {
+			if m.State == Planned {
+				e.start(m, now)
+			}
+		}
+	}
+}
+
+// Uncommitted notes that an update did not become durable; it is handed out again.
+func (e *Engine) Uncommitted(u Update) {
+	if j := e.jobs[u.Job]; j != nil {
+		j.dirty = j.dirty || !u.Forget
+	}
+}
--- /dev/null
+++ b/internal/place/sets/room.go
@@ -0,0 +1,62 @@
+package sets
+
+// Room is what a task needs or a worker has.
+type Room struct {
+	MilliCores   int
+	MemoryMB     int
+	Accelerators int
+}
+
+// Add returns the sum of both.
+func (r Room) Add(o Room) Room {
+	return Room{r.MilliCores + o.MilliCores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o; fields may become negative.
+func (r Room) Sub(o Room) Room {
+	return Room{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Times returns r multiplied by n.
+func (r Room) Times(n int) Room {
+	return Room{r.MilliCores * n, r.MemoryMB * n, r.Accelerators * n}
+}
+
+// Count returns how many times r fits into free, at most limit.
+func (r Room) Count(free Room, limit int) int {
+	if free.MilliCores < 0 || free.MemoryMB < 0 || free.Accelerators < 0 {
+		return 0
+	}
+	n := limit
+	if r.MilliCores > 0 {
+		n = min(n, free.MilliCores/r.MilliCores)
+	}
+	if r.MemoryMB > 0 {
+		n = min(n, free.MemoryMB/r.MemoryMB)
+	}
+	if r.Accelerators > 0 {
+		n = min(n, free.Accelerators/r.Accelerators)
+	}
+	return max(n, 0)
+}
+
+// coresPerAccelerator weighs an accelerator against cores, as the users' prices do.
+const coresPerAccelerator = 8
+
+// Cores returns the weight of the room in cores, accelerators included.
+func (r Room) Cores() float64 {
+	return float64(r.MilliCores)/1000 + float64(r.Accelerators)*coresPerAccelerator
+}
+
+// Share returns the largest share of the whole that r takes of any resource.
+func (r Room) Share(whole Room) float64 {
+	share := 0.0
+	for _, pair := range [...][2]int{
+		{r.MilliCores, whole.MilliCores}, {r.MemoryMB, whole.MemoryMB}, {r.Accelerators, whole.Accelerators},
+	} {
+		if pair[1] > 0 {
+			share = max(share, float64(pair[0])/float64(pair[1]))
+		}
+	}
+	return share
+}
--- /dev/null
+++ b/internal/place/sets/worker.go
@@ -0,0 +1,197 @@
+package sets
+
+import (
+	"slices"
+	"time"
+)
+
+// WorkerInfo is what the instance list says about a worker.
+type WorkerInfo struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Rack       string
+	Labels     []string
+	Capacity   Room
+	// Draining means that the worker leaves; nothing new may start on it.
+	Draining bool
+	// Born is when this life of the worker began, in milliseconds of Unix time; zero if it is not known.
+	Born int64
+}
+
+// runKey names one start of one task.
+type runKey struct {
+	task string
+	run  int
+}
+
+// Worker is one worker and what the owner believes about it.
+type Worker struct {
+	WorkerInfo
+	// Present is false once the worker is no longer listed.
+	Present bool
+	// Used is the room of all members that may be alive on the worker.
+	Used Room
+	// HeardAt is when the worker last answered.
+	HeardAt time.Time
+	// LeaseEnds is when everything on the worker has certainly been killed, unless its lease is renewed.
+	LeaseEnds time.Time
+	// AvoidUntil is when the worker gets new work again after trouble.
+	AvoidUntil time.Time
+	// Processed is the number of the last end that was taken in.
+	Processed int64
+
+	members map[runKey]*Member
+	// strangers are runs that the worker listed and the ledger does not know as alive.
+	strangers map[runKey]bool
+	// voids are runs that were given up while their start had no answer; each needs a stop that the worker has acknowledged.
+	voids map[runKey]bool
+	// claimed is the room set aside for sets that wait for others to stop.
+	claimed Room
+	// faults are distinct sets that failed here since the last success.
+	faults []*Set
+	// hungAt is when work here last stood still.
+	hungAt time.Time
+}
+
+func newWorker(info WorkerInfo) *Worker {
+	return &Worker{
+		WorkerInfo: info, Present: true,
+		members: make(map[runKey]*Member), strangers: make(map[runKey]bool), voids: make(map[runKey]bool),
+	}
+}
+
+// free is what nobody uses or has claimed.
+func (w *Worker) free() Room { return w.Capacity.Sub(w.Used).Sub(w.claimed) }
+
+// Busy reports whether anything may be alive on the worker.
+func (w *Worker) Busy() bool { return len(w.members) > 0 || len(w.strangers) > 0 }
+
+// has reports whether the worker carries the label; an empty one is always there.
+func (w *Worker) has(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
+
+// usable reports whether new tasks may be placed on the worker now.
+func (e *Engine) usable(w *Worker, now time.Time) bool {
+	switch {
+	case !w.Present || w.Draining || e.evacuated[w.DataCentre]:
+		return false
+	case now.Sub(w.HeardAt) > e.cfg.HeardWithin || w.HeardAt.IsZero():
+		return false
+	case len(w.strangers) > 0 || len(w.voids) > 0:
+		return false
+	default:
+		return !now.Before(w.AvoidUntil)
+	}
+}
+
+// SetWorkers replaces the list of workers; one that is missing is kept while anything may be alive on it.
+func (e *Engine) SetWorkers(list []WorkerInfo, now time.Time) {
+	listed := make(map[string]bool, len(list))
+	for _, info := range list {
+		listed[info.ID] = true
+		w := e.workers[info.ID]
+		if w == nil {
+			e.addWorker(newWorker(info))
+			continue
+		}
+		if info.Born != 0 && w.Born != 0 && info.Born != w.Born {
+			e.reborn(w, info.Born, now)
+		}
+		if info.Born == 0 {
+			info.Born = w.Born
+		}
+		w.WorkerInfo, w.Present = info, true
+	}
+	for id, w := range e.workers {
+		if listed[id] {
+			continue
+		}
+		w.Present = false
+		if !w.Busy() {
+			delete(e.workers, id)
+			e.order = slices.DeleteFunc(e.order, func(o *Worker) bool { return o == w })
+		}
+	}
+}
+
+func (e *Engine) addWorker(w *Worker) {
+	e.workers[w.ID] = w
+	at, _ := slices.BinarySearchFunc(e.order, w.ID, func(o *Worker, id string) int {
+		switch {
+		case o.ID < id:
+			return -1
+		case o.ID > id:
+			return 1
+		default:
+			return 0
+		}
+	})
+	e.order = slices.Insert(e.order, at, w)
+}
+
+// reborn ends all that ran in the worker's earlier life.
+func (e *Engine) reborn(w *Worker, born int64, now time.Time) {
+	w.Born, w.Processed = born, 0
+	clear(w.strangers)
+	clear(w.voids)
+	for _, m := range w.sorted() {
+		if m.State != Planned && m.born != born {
+			e.endMember(m, Lost, "", now)
+		}
+	}
+}
+
+// sorted returns the members in a fixed order, so that decisions repeat.
+func (w *Worker) sorted() []*Member {
+	list := make([]*Member, 0, len(w.members))
+	for _, m := range w.members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *Member) int {
+		if a.task != b.task {
+			if a.task < b.task {
+				return -1
+			}
+			return 1
+		}
+		return a.Run.Number - b.Run.Number
+	})
+	return list
+}
+
+// Worker returns the worker of that ID, or nil.
+func (e *Engine) Worker(id string) *Worker { return e.workers[id] }
+
+// Workers returns all workers in the order of their IDs; the slice is the engine's own.
+func (e *Engine) Workers() []*Worker { return e.order }
+
+// Renewed notes that a lease renewal was sent to the worker, so what runs there may live until ends.
+func (e *Engine) Renewed(id string, ends time.Time) {
+	if w := e.workers[id]; w != nil && ends.After(w.LeaseEnds) {
+		w.LeaseEnds = ends
+	}
+}
+
+// NeedsStop reports whether the run may be alive on the worker, or may still come alive.
+func (w *Worker) NeedsStop(task string, run int) bool {
+	key := runKey{task, run}
+	return w.members[key] != nil || w.strangers[key] || w.voids[key]
+}
+
+// Closed reports whether nothing may start on the worker any more, by its own word or the operators'.
+func (e *Engine) Closed(w *Worker) bool {
+	return !w.Present || w.Draining || e.evacuated[w.DataCentre]
+}
+
+// Withhold ends a member whose start has become inadmissible; if it may have been sent before, it is stopped instead.
+func (e *Engine) Withhold(m *Member, now time.Time) {
+	if m.sent {
+		e.stopRun(m.Run, "the worker is closed to new tasks", now)
+		return
+	}
+	e.endMember(m, Void, "", now)
+}
+
+// Sent notes that the start is about to leave.
+func (m *Member) Sent() { m.sent = true }
--- /dev/null
+++ b/internal/state/policy/doc.go
@@ -0,0 +1,2 @@
+// Package policy holds the operators' configuration of queues and workspaces and the proof of its freshness.
+package policy
