Adopted runs lapse with their worker

Change: every run that may be alive on a worker ends with the worker's lease; strangers listed there are forgotten too. Test: TestAdoptedRunIsGivenUpWhenItsWorkerLapses failed before.

--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -23,14 +23,15 @@
 // tick settles leases that ran out, starts without an answer, gangs that lost a member and tasks that stand still.
 func (e *Engine) tick(now time.Time) {
 	for _, w := range e.order {
-		if len(w.members) == 0 {
-			continue
-		}
 		lapsed := now.After(w.LeaseEnds)
+		if lapsed && now.Sub(w.HeardAt) > e.cfg.HeardWithin {
+			// Whatever was listed then is dead by now.
+			clear(w.strangers)
+		}
 		for _, m := range w.sorted() {
 			switch {
 			case m.State == Planned || m.State == Ended:
-			case lapsed && (m.sent || m.State == Inherited):
+			case lapsed && (m.sent || m.State != Ordered):
 				e.act(Note{What: WorkerLapsed, Worker: w.ID, Job: m.Run.Set.Job.ID(), Task: m.task, Run: m.Run.Number})
 				e.endMember(m, Lost, "", now)
 			default:
