Racks kept for quick jobs, and batch work stops first

Change: three tenths of the racks take only priority 0 and work bound to its data there; victims come by priority first. Test: TestQuickJobsStartAtOnceUnderABatchFlood, TestBatchWorkStopsBeforeOtherQuickWork.

--- a/internal/place/sets/action.go
+++ b/internal/place/sets/action.go
@@ -30,6 +30,7 @@
 	RunPlaced What = iota
 	RunStopped
 	RunBroken
+	RunDone
 	JobOver
 	WorkerAvoided
 	WorkerLapsed
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -83,6 +83,7 @@
 // ready returns the sets that could start, the most pressing first.
 func (e *Engine) ready(now time.Time) []*Set {
 	e.entitle()
+	e.chooseQuickRacks(now)
 	e.whole = Room{}
 	for _, w := range e.order {
 		if e.usable(w, now) {
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -29,6 +29,8 @@
 	// FaultsBeforePause is how many distinct sets must fail on a worker before it gets no work for FaultPause.
 	FaultsBeforePause int
 	FaultPause        time.Duration
+	// QuickShare is the share of the racks that only jobs of priority 0 and work bound to its data may use.
+	QuickShare float64
 }
 
 // DefaultConfig returns bounds that suit leases of a few seconds.
@@ -49,6 +51,7 @@
 		},
 		FaultsBeforePause: 2,
 		FaultPause:        6 * time.Second,
+		QuickShare:        0.3,
 	}
 }
 
@@ -66,6 +69,8 @@
 	actions   []Action
 	// whole is the room of all usable workers at the last decision.
 	whole Room
+	// quickRacks are kept for jobs of priority 0.
+	quickRacks map[string]bool
 }
 
 // New returns an engine that knows nothing yet.
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -1,6 +1,7 @@
 package sets
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -252,7 +253,7 @@
 	}
 	switch how {
 	case Done:
-		e.setDone(s, now)
+		e.setDone(m, now)
 		m.Worker.faults = nil
 	case Failed:
 		e.setFailed(s, m, now)
@@ -269,13 +270,16 @@
 	}
 }
 
-func (e *Engine) setDone(s *Set, now time.Time) {
+func (e *Engine) setDone(m *Member, now time.Time) {
+	s := m.Run.Set
 	rec := s.record()
 	if rec.Done {
 		return
 	}
 	rec.Done = true
 	j := s.Job
+	e.act(Note{What: RunDone, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number,
+		Text: fmt.Sprintf("took %s, estimated %s", now.Sub(m.Run.Began).Round(time.Millisecond), s.step().Estimate.Round(time.Millisecond))})
 	j.left[s.Step]--
 	for _, left := range j.left {
 		if left > 0 {
--- a/internal/place/sets/find.go
+++ b/internal/place/sets/find.go
@@ -35,7 +35,7 @@
 	near := e.nearOnly(s, now)
 	list := make([]slot, 0, len(e.order))
 	for _, w := range e.order {
-		if w.Service != service || !w.has(step.Requires) || !e.usable(w, now) || near && w.Rack != step.Affinity {
+		if w.Service != service || !w.has(step.Requires) || !e.usable(w, now) || near && w.Rack != step.Affinity || e.barred(s, w.Rack) {
 			continue
 		}
 		free := v(w)
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -15,10 +15,11 @@
 // claimSlack is added to the time a stop may take before a claim is given up.
 const claimSlack = 1500 * time.Millisecond
 
-// victim is a run that could be stopped, and what that would throw away.
+// victim is a run that could be stopped, how urgent it is, and what stopping it would throw away.
 type victim struct {
-	run  *Run
-	cost float64
+	run      *Run
+	priority int
+	cost     float64
 }
 
 // preempt stops cheaper work for the set and claims the room; it reports whether it did.
@@ -69,7 +70,7 @@
 	}
 }
 
-// victims lists the runs that may be stopped for the set, the cheapest for what it frees first.
+// victims lists the runs that may be stopped for the set: those of lower priority first, then the cheapest for what it frees.
 func (e *Engine) victims(s *Set, now time.Time) []victim {
 	var list []victim
 	for _, j := range e.open {
@@ -78,11 +79,13 @@
 		}
 		for _, other := range j.sets {
 			if run := other.Run; run != nil && run.stopping == "" && run.broken.IsZero() && e.startedWhole(run) {
-				list = append(list, victim{run: run, cost: waste(run, now) / other.need().Cores()})
+				list = append(list, victim{run: run, priority: e.queue(j).Priority, cost: waste(run, now) / other.need().Cores()})
 			}
 		}
 	}
-	slices.SortStableFunc(list, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
+	slices.SortStableFunc(list, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(min(b.priority, 1), min(a.priority, 1)), cmp.Compare(a.cost, b.cost))
+	})
 	return list
 }
 
--- /dev/null
+++ b/internal/place/sets/quick_test.go
@@ -0,0 +1,38 @@
+package sets_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/sets"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"gotest.tools/v3/assert"
+)
+
+// The pattern: batch work comes faster than it is done, and quick jobs arrive in between.
+func TestQuickJobsStartAtOnceUnderABatchFlood(t *testing.T) {
+	s := newSite(t, 4, 4)
+	s.submit("flood", batchQueue, "beta", work.Step{Count: 200, MilliCores: 1000, Accelerators: 1, Estimate: 9 * time.Second})
+	s.step()
+	quick := gang(3, 8)
+	quick.SameRack = true
+	s.submit("quick", quickQueue, "alpha", quick)
+	s.step()
+	assert.Equal(t, len(s.workersOf("quick")), 3)
+	assert.Equal(t, len(s.stops), 0)
+}
+
+// The pattern: a workspace beyond its guarantee fills the quick queue, then a guaranteed one asks for its own.
+func TestBatchWorkStopsBeforeOtherQuickWork(t *testing.T) {
+	s := newSite(t, 1, 3)
+	s.submit("batch", batchQueue, "beta", gang(1, 8))
+	s.step()
+	s.pass(3 * time.Second)
+	s.submit("over", quickQueue, "beta", gang(2, 8))
+	s.step()
+	s.submit("mine", quickQueue, "alpha", gang(1, 8))
+	s.step()
+	s.step()
+	assert.Equal(t, len(s.workersOf("mine")), 1)
+	assert.DeepEqual(t, s.stops, []sets.StopOrder{{Worker: s.stops[0].Worker, Task: "batch.0.0.0", Run: 1}})
+}
--- a/internal/place/sets/what_enumer.go
+++ b/internal/place/sets/what_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _WhatName = "runPlacedrunStoppedrunBrokenjobOverworkerAvoidedworkerLapsed"
+const _WhatName = "runPlacedrunStoppedrunBrokenrunDonejobOverworkerAvoidedworkerLapsed"
 
-var _WhatIndex = [...]uint8{0, 9, 19, 28, 35, 48, 60}
+var _WhatIndex = [...]uint8{0, 9, 19, 28, 35, 42, 55, 67}
 
-const _WhatLowerName = "runplacedrunstoppedrunbrokenjoboverworkeravoidedworkerlapsed"
+const _WhatLowerName = "runplacedrunstoppedrunbrokenrundonejoboverworkeravoidedworkerlapsed"
 
 func (i What) String() string {
 	if i < 0 || i >= What(len(_WhatIndex)-1) {
@@ -27,12 +27,13 @@
 	_ = x[RunPlaced-(0)]
 	_ = x[RunStopped-(1)]
 	_ = x[RunBroken-(2)]
-	_ = x[JobOver-(3)]
-	_ = x[WorkerAvoided-(4)]
-	_ = x[WorkerLapsed-(5)]
+	_ = x[RunDone-(3)]
+	_ = x[JobOver-(4)]
+	_ = x[WorkerAvoided-(5)]
+	_ = x[WorkerLapsed-(6)]
 }
 
-var _WhatValues = []What{RunPlaced, RunStopped, RunBroken, JobOver, WorkerAvoided, WorkerLapsed}
+var _WhatValues = []What{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, WorkerAvoided, WorkerLapsed}
 
 var _WhatNameToValueMap = map[string]What{
 	_WhatName[0:9]:        RunPlaced,
@@ -41,12 +42,14 @@
 	_WhatLowerName[9:19]:  RunStopped,
 	_WhatName[19:28]:      RunBroken,
 	_WhatLowerName[19:28]: RunBroken,
-	_WhatName[28:35]:      JobOver,
-	_WhatLowerName[28:35]: JobOver,
-	_WhatName[35:48]:      WorkerAvoided,
-	_WhatLowerName[35:48]: WorkerAvoided,
-	_WhatName[48:60]:      WorkerLapsed,
-	_WhatLowerName[48:60]: WorkerLapsed,
+	_WhatName[28:35]:      RunDone,
+	_WhatLowerName[28:35]: RunDone,
+	_WhatName[35:42]:      JobOver,
+	_WhatLowerName[35:42]: JobOver,
+	_WhatName[42:55]:      WorkerAvoided,
+	_WhatLowerName[42:55]: WorkerAvoided,
+	_WhatName[55:67]:      WorkerLapsed,
+	_WhatLowerName[55:67]: WorkerLapsed,
 }
 
 var _WhatNames = []string{
@@ -54,8 +57,9 @@
 	_WhatName[9:19],
 	_WhatName[19:28],
 	_WhatName[28:35],
-	_WhatName[35:48],
-	_WhatName[48:60],
+	_WhatName[35:42],
+	_WhatName[42:55],
+	_WhatName[55:67],
 }
 
 // WhatString retrieves an enum value from the enum constants string name.
