Doubt a data centre after an order without an answer

Cause: of 29 quick jobs still late by what came before their last run, 8 had a start sent to a worker that was cut off, and waited 6 to 7 s until that worker's lease had surely ended; later jobs were placed on its neighbours. Change: after an order without an answer the worker's data centre gets no new task until its workers answer a look that is sent at once; the first tasks on an idle worker get a lease of 2.5 s; a worker that fails a task is left out for a second, for three if it failed within 0.3 s.

--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -14,6 +14,9 @@
 const (
 	// orderTimeout bounds one order; workers answer in a millisecond or two.
 	orderTimeout = 400 * time.Millisecond
+	// firstLease is the lease of the first tasks on a worker: if it can't be reached they end soon, so that they can start
+	// elsewhere, and if it can the next look makes it longer.
+	firstLease = 2500 * time.Millisecond
 	// orderPause is the wait before an order without an answer is sent again.
 	orderPause = 30 * time.Millisecond
 )
@@ -36,6 +39,7 @@
 			t.wake()
 			return
 		}
+		t.doubt(ctx, order.Worker)
 		pause.For(ctx, orderPause)
 	}
 }
@@ -57,11 +61,15 @@
 		t.wake()
 		return agent.Target{}, agent.Start{}, false
 	}
-	deadline, known := s.deadline(now, t.Bounds.MaxHold)
+	lease := t.Bounds.MaxHold
+	if w.Fresh() {
+		lease = min(lease, firstLease)
+	}
+	deadline, known := s.deadline(now, lease)
 	if !known {
 		return agent.Target{}, agent.Start{}, true
 	}
-	t.engine.Renewed(w.ID, now.Add(stretch(t.Bounds.MaxHold)))
+	t.engine.Renewed(w.ID, now.Add(stretch(lease)))
 	order.Member.Sent()
 	return agent.Target{Worker: w.ID, Address: w.Address}, agent.Start{
 		Task: order.Task, Run: order.Run, Payload: order.Payload, Deadline: deadline, Token: t.token, Saved: order.Saved,
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -162,6 +162,19 @@
 	return true
 }
 
+// doubt looks at all workers of the data centre of a worker that left an order without an answer.
+func (t *term) doubt(ctx context.Context, id string) {
+	t.state.Lock()
+	defer t.state.Unlock()
+	for _, other := range t.engine.Doubt(id, t.Now()) {
+		if s, w := t.sessions[other], t.engine.Worker(other); s != nil {
+			to := agent.Target{Worker: w.ID, Address: w.Address}
+			look := agent.Look{Token: t.token, Acknowledged: s.acknowledged()}
+			t.parts.Go(func() { s.call(ctx, to, look) })
+		}
+	}
+}
+
 func (s *session) unknownClock() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -47,7 +47,7 @@
 	case m.stopSent || m.State == Ended:
 	case !run.broken.IsZero():
 		e.stopRun(run, "another member ended", now)
-	case m.State == Ordered && now.Sub(m.orderedAt) > e.cfg.StartTimeout:
+	case m.State == Ordered && now.Sub(m.orderedAt) > e.startTimeout(m):
 		m.Worker.avoid(now.Add(e.cfg.Avoid[Refused]))
 		e.stopRun(run, "a start had no answer", now)
 	case m.State == Started && e.hangs(m, now):
@@ -58,6 +58,13 @@
 	}
 }
 
+func (e *Engine) startTimeout(m *Member) time.Duration {
+	if m.Worker.doubted() {
+		return e.cfg.DoubtedTimeout
+	}
+	return e.cfg.StartTimeout
+}
+
 // hangs reports whether the member has stood still although its worker answers and its gang is complete.
 func (e *Engine) hangs(m *Member, now time.Time) bool {
 	limit := max(e.cfg.HangTimeout, time.Duration(float64(m.Run.Set.step().Estimate)*hangShare))
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -18,6 +18,10 @@
 	StopTimeout time.Duration
 	// StartTimeout is how long a start may stay without an answer before the run is given up.
 	StartTimeout time.Duration
+	// DoubtedTimeout is the same for a worker that has not answered anything since.
+	DoubtedTimeout time.Duration
+	// DoubtAgain is how soon a worker may be doubted again.
+	DoubtAgain time.Duration
 	// HangTimeout is how long a task may make no progress before its run is moved.
 	HangTimeout time.Duration
 	// RemoteFactor is how much longer a task takes away from its data.
@@ -29,6 +33,11 @@
 	// FaultsBeforePause is how many distinct sets must fail on a worker before it gets no work for FaultPause.
 	FaultsBeforePause int
 	FaultPause        time.Duration
+	// FirstFaultPause is the pause after a single failure, and FastFaultPause after one within FastFault of its start, which
+	// is a worker's fault more often than a job's.
+	FirstFaultPause time.Duration
+	FastFaultPause  time.Duration
+	FastFault       time.Duration
 	// QuickShare is the share of the racks that only jobs of priority 0 and work bound to its data may use.
 	QuickShare float64
 }
@@ -42,6 +51,9 @@
 		StopTimeout:    900 * time.Millisecond,
 		// Half of the shortest time after which members of a gang give up waiting for the others.
 		StartTimeout: 1500 * time.Millisecond,
+		// Many times the way there and back; the others of a gang wait meanwhile.
+		DoubtedTimeout: 600 * time.Millisecond,
+		DoubtAgain:     500 * time.Millisecond,
 		// The longest task moves by a percent each 330 ms, so this is seven missed steps.
 		HangTimeout:  2500 * time.Millisecond,
 		RemoteFactor: 3,
@@ -51,6 +63,9 @@
 		},
 		FaultsBeforePause: 2,
 		FaultPause:        6 * time.Second,
+		FirstFaultPause:   time.Second,
+		FastFaultPause:    3 * time.Second,
+		FastFault:         300 * time.Millisecond,
 		QuickShare:        0.3,
 	}
 }
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -299,23 +299,29 @@
 	rec.Failures++
 	rec.FailedRun = m.Run.Number
 	s.soured = append(s.soured, m.Worker)
-	e.blame(m.Worker, s, now)
+	e.blame(m, now)
 	j := s.Job
 	if rec.Failures >= e.queue(j).MaxAttempts && !j.Record.Phase.Final() {
 		e.finish(j, work.Failed, "a set failed as often as its queue allows", now)
 	}
 }
 
-// blame counts failures of distinct sets on a worker and keeps work off it after several.
-func (e *Engine) blame(w *Worker, s *Set, now time.Time) {
-	if !slices.Contains(w.faults, s) {
-		w.faults = append(w.faults, s)
-	}
-	if len(w.faults) >= e.cfg.FaultsBeforePause {
-		w.avoid(now.Add(e.cfg.FaultPause))
+// blame keeps work off a worker after a failure, and for longer after failures of distinct sets.
+func (e *Engine) blame(m *Member, now time.Time) {
+	w := m.Worker
+	if !slices.Contains(w.faults, m.Run.Set) {
+		w.faults = append(w.faults, m.Run.Set)
+	}
+	pause := e.cfg.FirstFaultPause
+	switch {
+	case len(w.faults) >= e.cfg.FaultsBeforePause:
+		pause = e.cfg.FaultPause
 		w.faults = w.faults[:0]
-		e.act(Note{What: WorkerAvoided, Worker: w.ID, Text: "tasks of several sets failed here"})
+	case !m.startedAt.IsZero() && now.Sub(m.startedAt) < e.cfg.FastFault:
+		pause = e.cfg.FastFaultPause
 	}
+	w.avoid(now.Add(pause))
+	e.act(Note{What: WorkerAvoided, Worker: w.ID, Job: m.Run.Set.Job.ID(), Text: "a task failed here; no new work for " + pause.String()})
 }
 
 // closeRun makes the set ready again unless it is done.
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -35,6 +35,8 @@
 	Used Room
 	// HeardAt is when the worker last answered.
 	HeardAt time.Time
+	// doubtedAt is when an order to the worker, or to its data centre, had no answer.
+	doubtedAt time.Time
 	// LeaseEnds is when everything on the worker has certainly been killed, unless its lease is renewed.
 	LeaseEnds time.Time
 	// AvoidUntil is when the worker gets new work again after trouble.
@@ -76,7 +78,7 @@
 	switch {
 	case !w.Present || w.Draining || e.evacuated[w.DataCentre]:
 		return false
-	case now.Sub(w.HeardAt) > e.cfg.HeardWithin || w.HeardAt.IsZero():
+	case now.Sub(w.HeardAt) > e.cfg.HeardWithin || w.HeardAt.IsZero() || w.doubted():
 		return false
 	case len(w.strangers) > 0 || len(w.voids) > 0:
 		return false
@@ -85,6 +87,27 @@
 	}
 }
 
+// doubted reports whether the worker has not answered since an order had no answer.
+func (w *Worker) doubted() bool { return w.doubtedAt.After(w.HeardAt) }
+
+// Doubt keeps new tasks off the worker's whole data centre until its workers answer again, and lists these workers.
+//
+// An order without an answer is most often the first sign that a data centre is cut off.
+func (e *Engine) Doubt(id string, now time.Time) []string {
+	w := e.workers[id]
+	if w == nil || now.Sub(w.doubtedAt) < e.cfg.DoubtAgain {
+		return nil
+	}
+	var ids []string
+	for _, other := range e.order {
+		if other.DataCentre == w.DataCentre && other.Present {
+			other.doubtedAt = now
+			ids = append(ids, other.ID)
+		}
+	}
+	return ids
+}
+
 // SetWorkers replaces the list of workers; one that is missing is kept while anything may be alive on it.
 func (e *Engine) SetWorkers(list []WorkerInfo, now time.Time) {
 	listed := make(map[string]bool, len(list))
@@ -195,3 +218,13 @@
 
 // Sent notes that the start is about to leave.
 func (m *Member) Sent() { m.sent = true }
+
+// Fresh reports whether nothing is known to run on the worker.
+func (w *Worker) Fresh() bool {
+	for _, m := range w.members {
+		if m.State != Ordered && m.State != Planned {
+			return false
+		}
+	}
+	return true
+}
