Ready only with a proof of 1.2 s

Cause: an instance cut off from the store stayed in rotation for 5 s, as readiness used the age that keys may have (3 s) and the balancer takes two more; its open channels stayed too. Change: readiness needs a proof of the configuration younger than 1.2 s; answers of an instance that is not ready close their channel, so that callers come to another one. Conclusion: what is left of a cut are its first three seconds.

--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -25,8 +25,11 @@
 const (
 	// refreshEvery is how often the configuration is read: several times within the oldest allowed age of its proof.
 	refreshEvery = 400 * time.Millisecond
-	// refreshTimeout bounds one read.
-	refreshTimeout = time.Second
+	// refreshTimeout bounds one read; a store that is slow by a hundred times still answers in it.
+	refreshTimeout = 600 * time.Millisecond
+	// readyAge is the oldest proof of the configuration under which callers are led here: two reads that failed. It is well
+	// below what keys need, as the balancer takes two more seconds to notice.
+	readyAge = 1200 * time.Millisecond
 	// leaveBefore is kept of the grace period for closing channels and ending the process.
 	leaveBefore = 1500 * time.Millisecond
 )
@@ -88,10 +91,13 @@
 // Stopping reports whether a planned stop has begun.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
 
+// Leaving reports whether callers should open their next channel to another instance.
+func (n *Node) Leaving() bool { return !n.Ready() }
+
 // Ready reports whether callers should be led here.
 func (n *Node) Ready() bool {
 	snapshot, proved := n.policy.Current()
-	return !n.Stopping() && snapshot.Policy != nil && clock.Now().Sub(proved) < n.KeyAge
+	return !n.Stopping() && snapshot.Policy != nil && clock.Now().Sub(proved) < min(n.KeyAge, readyAge)
 }
 
 // Run serves until the process is told to stop.
