Requests go through a peer while the store can't be reached from here

Cause: an instance that the store turns away or that is cut off from it cost its callers up to three seconds: refused, or held until their time was over, as a lost answer can't be called a refusal. Change: instances list themselves in the store; after a first try of 450 ms a request goes to up to two peers over drpc, which carry it out against the store and relay no further. A relayed submit without an answer is never called refused. Test: TestCutOffInstanceAsksAPeer, TestRelayedSubmitWithoutAnswerIsNeverCalledRefused, TestSubmitUnderStoreFaults.

--- a/internal/kern/event/event.go
+++ b/internal/kern/event/event.go
@@ -61,6 +61,7 @@
 	StartSent        = define(315, "startSent", log.InfoLevel, "A worker answered the start of a task; `outcome` is its answer.")
 	StopSent         = define(316, "stopSent", log.InfoLevel, "A worker answered the stop of a task; `outcome` is its answer.")
 	CommitFailed     = define(317, "commitFailed", log.WarnLevel, "The records of jobs could not be written; they are written again.")
+	Relayed          = define(318, "relayed", log.InfoLevel, "A request went to a peer, as the key-value service can't be reached from here; `result` is the peer's reply.")
 	TermBegan        = define(410, "termBegan", log.InfoLevel, "This instance is the owner now; `token` fences off earlier owners.")
 	TermEnded        = define(411, "termEnded", log.WarnLevel, "This instance is no longer the owner; `why` gives the cause.")
 	TermLoaded       = define(412, "termLoaded", log.InfoLevel, "The new owner has read the records of all jobs.")
--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -16,6 +17,8 @@
 	"github.com/lentildeck/lentildeck/internal/kern/plug"
 	"github.com/lentildeck/lentildeck/internal/node/meter"
 	"github.com/lentildeck/lentildeck/internal/node/term"
+	"github.com/lentildeck/lentildeck/internal/peer/link"
+	"github.com/lentildeck/lentildeck/internal/peer/relay"
 	"github.com/lentildeck/lentildeck/internal/route/admit"
 	"github.com/lentildeck/lentildeck/internal/state/policy"
 	"github.com/lentildeck/lentildeck/internal/state/store"
@@ -46,6 +49,8 @@
 	KeyAge time.Duration
 	// Grace is the time between a request to stop and a kill.
 	Grace time.Duration
+	// PeerAddress is where other instances reach this one; without it, requests are not relayed.
+	PeerAddress string
 	// Serve opens the listeners and returns after stop is closed or when one fails.
 	Serve func(node *Node, stop <-chan struct{}) error
 	// Check reads the settings again.
@@ -65,6 +70,7 @@
 	Meter    *meter.Set
 	Log      *event.Log
 	policy   *policy.Holder
+	peers    *relay.Peers
 	elector  *term.Elector
 	stopping atomic.Bool
 	lost     bool
@@ -77,6 +83,10 @@
 	n.Jobs = &admit.Service{
 		Store: parts.Store, Policy: n.policy, MaxAge: parts.KeyAge, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
 	}
+	n.peers = &relay.Peers{Store: parts.Store, Self: relay.Peer{Name: parts.Instance, Address: parts.PeerAddress}, Log: log}
+	if parts.PeerAddress != "" {
+		n.Jobs.Relay = &relay.Relay{Peers: n.peers, Client: link.NewClient(nil), Log: log}
+	}
 	n.elector = &term.Elector{
 		Instance: parts.Instance, Store: parts.Store, Agent: parts.Agent, Lister: parts.Lister, Policy: n.policy,
 		Bounds: parts.Bounds, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
@@ -114,6 +124,10 @@
 	var parts conc.WaitGroup
 	parts.Go(func() { n.refresh(ctx) })
 	parts.Go(func() { n.elector.Run(owning, elected) })
+	if n.PeerAddress != "" {
+		parts.Go(func() { n.peers.Run(ctx) })
+		parts.Go(func() { n.servePeers(ctx) })
+	}
 	parts.Go(func() { served <- n.Serve(n, stop) })
 	n.Log.Emit(event.Started, event.Fields{"instance": n.Instance, "version": build.Version()})
 	for {
@@ -137,6 +151,20 @@
 	}
 }
 
+// servePeers carries out requests of instances that are cut off from the key-value service.
+func (n *Node) servePeers(ctx context.Context) {
+	server, err := relay.NewServer(n.Jobs)
+	if err == nil {
+		var listener net.Listener
+		if listener, err = net.Listen("tcp4", n.PeerAddress); err == nil {
+			err = server.Serve(ctx, listener)
+		}
+	}
+	if err != nil && ctx.Err() == nil {
+		n.Log.Emit(event.PartFailed, event.Fields{"part": "peers", "error": err.Error()})
+	}
+}
+
 // reload reads the settings again; what they hold takes effect at the next start.
 func (n *Node) reload() {
 	fields := event.Fields{}
--- a/internal/peer/link/client.go
+++ b/internal/peer/link/client.go
@@ -52,11 +52,11 @@
 	return drpcconn.New(raw), nil
 }
 
-// invoke calls one method; ctx must have a deadline, since a connection may be silent.
-func invoke[In, Out any](ctx context.Context, c *Client, address, method string, in *In) (*Out, error) {
+// Invoke calls one method; ctx must have a deadline, since a connection may be silent.
+func Invoke[In, Out any](ctx context.Context, c *Client, address, method string, in *In) (*Out, error) {
 	out := new(Out)
 	conn := c.pool.Get(ctx, address, c.dial)
-	if err := conn.Invoke(ctx, method, codec{}, in, out); err != nil {
+	if err := conn.Invoke(ctx, method, Codec{}, in, out); err != nil {
 		return nil, &CallError{Address: address, Method: method, Cause: err}
 	}
 	return out, nil
@@ -64,22 +64,22 @@
 
 // Status asks a peer for its state.
 func (c *Client) Status(ctx context.Context, address string, request *StatusRequest) (*StatusReply, error) {
-	return invoke[StatusRequest, StatusReply](ctx, c, address, methodStatus, request)
+	return Invoke[StatusRequest, StatusReply](ctx, c, address, methodStatus, request)
 }
 
 // Offer hands a peer a configuration document.
 func (c *Client) Offer(ctx context.Context, address string, request *OfferRequest) (*OfferReply, error) {
-	return invoke[OfferRequest, OfferReply](ctx, c, address, methodOffer, request)
+	return Invoke[OfferRequest, OfferReply](ctx, c, address, methodOffer, request)
 }
 
 // Fetch asks a peer for its configuration.
 func (c *Client) Fetch(ctx context.Context, address string, request *FetchRequest) (*FetchReply, error) {
-	return invoke[FetchRequest, FetchReply](ctx, c, address, methodFetch, request)
+	return Invoke[FetchRequest, FetchReply](ctx, c, address, methodFetch, request)
 }
 
 // View asks a peer for what it knows as an owner.
 func (c *Client) View(ctx context.Context, address string, request *ViewRequest) (*ViewReply, error) {
-	return invoke[ViewRequest, ViewReply](ctx, c, address, methodView, request)
+	return Invoke[ViewRequest, ViewReply](ctx, c, address, methodView, request)
 }
 
 // CallError says that a peer gave no answer.
--- a/internal/peer/link/protocol.go
+++ b/internal/peer/link/protocol.go
@@ -75,14 +75,14 @@
 	View(ctx context.Context, request *ViewRequest) (*ViewReply, error)
 }
 
-// codec encodes messages as CBOR.
-type codec struct{}
+// Codec encodes messages as CBOR.
+type Codec struct{}
 
 // Marshal encodes a message.
-func (codec) Marshal(message drpc.Message) ([]byte, error) { return cbor.Marshal(message) }
+func (Codec) Marshal(message drpc.Message) ([]byte, error) { return cbor.Marshal(message) }
 
 // Unmarshal decodes a message.
-func (codec) Unmarshal(data []byte, message drpc.Message) error {
+func (Codec) Unmarshal(data []byte, message drpc.Message) error {
 	return cbor.Unmarshal(data, message)
 }
 
@@ -104,22 +104,22 @@
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
 	switch n {
 	case 0:
-		return methodStatus, codec{}, receive(Handler.Status), Handler.Status, true
+		return methodStatus, Codec{}, Receive(Handler.Status), Handler.Status, true
 	case 1:
-		return methodOffer, codec{}, receive(Handler.Offer), Handler.Offer, true
+		return methodOffer, Codec{}, Receive(Handler.Offer), Handler.Offer, true
 	case 2:
-		return methodFetch, codec{}, receive(Handler.Fetch), Handler.Fetch, true
+		return methodFetch, Codec{}, Receive(Handler.Fetch), Handler.Fetch, true
 	case 3:
-		return methodView, codec{}, receive(Handler.View), Handler.View, true
+		return methodView, Codec{}, Receive(Handler.View), Handler.View, true
 	default:
 		return "", nil, nil, nil, false
 	}
 }
 
-// receive adapts a typed method to drpc.
-func receive[In, Out any](method func(Handler, context.Context, *In) (*Out, error)) drpc.Receiver {
+// Receive adapts a typed method of a handler to drpc.
+func Receive[H, In, Out any](method func(H, context.Context, *In) (*Out, error)) drpc.Receiver {
 	return func(server any, ctx context.Context, in1, _ any) (drpc.Message, error) {
-		out, err := method(server.(Handler), ctx, in1.(*In))
+		out, err := method(server.(H), ctx, in1.(*In))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/peer/link/server.go
+++ b/internal/peer/link/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -16,9 +17,12 @@
 }
 
 // NewServer returns a server for the handler.
-func NewServer(handler Handler) (*Server, error) {
+func NewServer(handler Handler) (*Server, error) { return NewService(handler, description{}) }
+
+// NewService returns a server for the methods that the description lists.
+func NewService(handler any, methods drpc.Description) (*Server, error) {
 	mux := drpcmux.New()
-	if err := mux.Register(handler, description{}); err != nil {
+	if err := mux.Register(handler, methods); err != nil {
 		return nil, fmt.Errorf("peer server: %w", err)
 	}
 	return &Server{server: drpcserver.New(mux), done: make(chan struct{})}, nil
--- /dev/null
+++ b/internal/peer/relay/peers.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+)
+
+const (
+	// prefix holds the instances that are up, by name.
+	prefix = "node/"
+	// leaseTTL is how long an instance is listed after its end; a peer that does not answer costs one try.
+	leaseTTL = 8 * time.Second
+	// beatEvery is how often an instance renews its entry and reads the others'.
+	beatEvery = 2 * time.Second
+	// beatTimeout bounds each call for it.
+	beatTimeout = time.Second
+)
+
+// Peer is another instance.
+type Peer struct {
+	Name    string `json:"-"`
+	Address string `json:"address"`
+}
+
+// Peers keeps this instance listed and knows the others.
+type Peers struct {
+	Store store.Transactor
+	Self  Peer
+	Log   *event.Log
+
+	mu     sync.Mutex
+	others []Peer
+	lease  int64
+}
+
+// Others returns the other instances that were listed last.
+func (p *Peers) Others() []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Peer(nil), p.others...)
+}
+
+// Run keeps the entry until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, done := context.WithTimeout(ctx, beatTimeout)
+		if err := errors.Join(p.enter(call), p.read(call)); err != nil && ctx.Err() == nil {
+			p.Log.Emit(event.ListLost, event.Fields{"list": "instances", "error": err.Error()})
+		}
+		done()
+		pause.For(ctx, beatEvery)
+	}
+}
+
+// enter renews the entry, or makes it anew if its lease has lapsed.
+func (p *Peers) enter(ctx context.Context) error {
+	if p.lease != 0 {
+		err := p.Store.Renew(ctx, p.lease)
+		var lapsed *store.LapsedError
+		if !errors.As(err, &lapsed) {
+			return err
+		}
+		p.lease = 0
+	}
+	data, err := json.Marshal(p.Self)
+	if err != nil {
+		return err
+	}
+	lease, err := p.Store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	if _, err := p.Store.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: prefix + p.Self.Name, Data: data, Lease: lease}}}); err != nil {
+		return err
+	}
+	p.lease = lease
+	return nil
+}
+
+func (p *Peers) read(ctx context.Context) error {
+	items, _, err := p.Store.Range(ctx, prefix)
+	if err != nil {
+		return err
+	}
+	others := make([]Peer, 0, len(items))
+	for _, item := range items {
+		peer := Peer{Name: strings.TrimPrefix(item.Key, prefix)}
+		if err := json.Unmarshal(item.Data, &peer); err != nil {
+			p.Log.Emit(event.RecordBad, event.Fields{"key": item.Key, "error": err.Error()})
+			continue
+		}
+		if peer.Name != p.Self.Name {
+			others = append(others, peer)
+		}
+	}
+	p.mu.Lock()
+	p.others = others
+	p.mu.Unlock()
+	return nil
+}
--- /dev/null
+++ b/internal/peer/relay/relay.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/peer/link"
+	"github.com/lentildeck/lentildeck/internal/route/admit"
+	"storj.io/drpc"
+)
+
+const (
+	// callTimeout bounds one relayed request: the peer's own first try and the way.
+	callTimeout = 700 * time.Millisecond
+	// tries is how many peers are asked, as some may be cut off too.
+	tries = 2
+	// methodAdmit is the method's name on the wire.
+	methodAdmit = "/lentildeck.Relay/Admit"
+)
+
+// Handler carries out requests for other instances.
+type Handler interface {
+	// Admit carries out a request against the key-value service, without relaying it any further.
+	Admit(ctx context.Context, call *admit.Call) (*admit.Reply, error)
+}
+
+// description registers the method with drpc.
+type description struct{}
+
+// NumMethods returns the number of methods.
+func (description) NumMethods() int { return 1 }
+
+// Method describes the nth method.
+func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	if n != 0 {
+		return "", nil, nil, nil, false
+	}
+	return methodAdmit, link.Codec{}, link.Receive(Handler.Admit), Handler.Admit, true
+}
+
+// NewServer returns a server that carries out requests of peers.
+func NewServer(handler Handler) (*link.Server, error) { return link.NewService(handler, description{}) }
+
+// Relay asks peers.
+type Relay struct {
+	Peers  *Peers
+	Client *link.Client
+	Log    *event.Log
+}
+
+// Forward returns the first peer's reply that settles the request; tried is true if any peer may have carried it out.
+func (r *Relay) Forward(ctx context.Context, call *admit.Call) (reply *admit.Reply, tried bool) {
+	peers := r.Peers.Others()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(tries, len(peers))] {
+		one, done := context.WithTimeout(ctx, callTimeout)
+		answer, err := link.Invoke[admit.Call, admit.Reply](one, r.Client, peer.Address, methodAdmit, call)
+		done()
+		fields := event.Fields{"peer": peer.Name, "job": call.Caller.Path}
+		if err != nil {
+			fields["error"] = err.Error()
+		} else {
+			fields["result"] = answer.Result.String()
+		}
+		r.Log.Emit(event.Relayed, fields)
+		if err == nil && answer.Result != admit.Refused && answer.Result != admit.Unknown {
+			return answer, true
+		}
+		tried = tried || err != nil || answer.Result == admit.Unknown
+	}
+	return nil, tried
+}
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -55,6 +55,9 @@
 	settlePause = 20 * time.Millisecond
 	// callTimeout bounds one call to the key-value service; it is 250 times the usual answer.
 	callTimeout = time.Second
+	// firstTry is how long the key-value service is tried before a peer is asked: a store that is slow by a hundred times
+	// answers in it.
+	firstTry = 450 * time.Millisecond
 )
 
 // Service answers callers.
@@ -63,8 +66,10 @@
 	Policy *policy.Holder
 	// MaxAge is the oldest proof of the policy under which a key is accepted.
 	MaxAge time.Duration
-	Log    *event.Log
-	Meter  *meter.Set
+	// Relay reaches other instances, or is nil.
+	Relay Relay
+	Log   *event.Log
+	Meter *meter.Set
 	// Now is the steady clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
@@ -109,8 +114,29 @@
 	return reply
 }
 
+// submit tries here, then through a peer, and then here until the time is over if the job may have been created.
 func (s *Service) submit(ctx context.Context, caller Caller, spec *work.Spec) Reply {
-	mayBeDone := false
+	first, done := context.WithTimeout(ctx, firstTry)
+	reply := s.submitHere(first, caller, spec, false)
+	done()
+	if !reply.local() {
+		return reply
+	}
+	if reply.Result == Refused && reply.RetryAfter == 0 {
+		return reply
+	}
+	relayed, tried := s.forward(ctx, &Call{Kind: Submit, Caller: caller, Spec: spec})
+	if relayed != nil {
+		return *relayed
+	}
+	if reply.Result == Refused && !tried {
+		return reply
+	}
+	return s.submitHere(ctx, caller, spec, true)
+}
+
+// submitHere creates the job in the key-value service; mayBeDone is true if an earlier try may have done so.
+func (s *Service) submitHere(ctx context.Context, caller Caller, spec *work.Spec, mayBeDone bool) Reply {
 	for {
 		t, refusal := s.resolve(caller, s.Now())
 		if refusal != nil && !mayBeDone {
@@ -175,17 +201,16 @@
 // Cancel records that the job must not go on.
 func (s *Service) Cancel(ctx context.Context, caller Caller) Reply {
 	started := s.Now()
-	t, refusal := s.resolve(caller, started)
-	if refusal != nil {
-		s.report(event.Cancelled, "cancel", caller.Path, started, *refusal)
-		return *refusal
-	}
-	reply := s.cancel(ctx, t)
-	s.report(event.Cancelled, "cancel", t.rest, started, reply)
+	reply := s.hereOrThere(ctx, &Call{Kind: Cancel, Caller: caller})
+	s.report(event.Cancelled, "cancel", caller.Path, started, reply)
 	return reply
 }
 
-func (s *Service) cancel(ctx context.Context, t target) Reply {
+func (s *Service) cancelHere(ctx context.Context, caller Caller) Reply {
+	t, refusal := s.resolve(caller, s.Now())
+	if refusal != nil {
+		return *refusal
+	}
 	if !work.ValidID(t.rest) {
 		return Reply{Result: Gone}
 	}
@@ -217,20 +242,23 @@
 // State answers how far the job is.
 func (s *Service) State(ctx context.Context, caller Caller) Reply {
 	started := s.Now()
-	t, refusal := s.resolve(caller, started)
+	reply := s.hereOrThere(ctx, &Call{Kind: State, Caller: caller})
+	s.report(event.Asked, "state", caller.Path, started, reply)
+	return reply
+}
+
+func (s *Service) stateHere(ctx context.Context, caller Caller) Reply {
+	t, refusal := s.resolve(caller, s.Now())
 	if refusal != nil {
-		s.report(event.Asked, "state", caller.Path, started, *refusal)
 		return *refusal
 	}
-	reply := s.untilRead(ctx, func(call context.Context) (Reply, error) {
+	return s.untilRead(ctx, func(call context.Context) (Reply, error) {
 		if t.rest == "" {
 			items, _, err := s.Store.Range(call, work.WaitPrefix+t.queue.Name+"/")
 			return Reply{Result: OK, Pending: len(items)}, err
 		}
 		return s.state(call, t.rest)
 	})
-	s.report(event.Asked, "state", t.rest, started, reply)
-	return reply
 }
 
 // untilRead tries a read again until it succeeds or ctx ends.
--- /dev/null
+++ b/internal/route/admit/admit_test.go
@@ -0,0 +1,220 @@
+package admit_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/node/meter"
+	"github.com/lentildeck/lentildeck/internal/place/sets"
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/route/admit"
+	"github.com/lentildeck/lentildeck/internal/state/policy"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	configKey = "config"
+	job       = "5c0e7a21d94b36f8"
+)
+
+// wishes is a source with one queue whose configuration lies under configKey.
+type wishes struct {
+	store *fake.Transactor
+	keys  []string
+	down  bool
+}
+
+func (w *wishes) Read(ctx context.Context) (policy.Snapshot, error) {
+	if w.down {
+		return policy.Snapshot{}, &store.UnavailableError{Cause: "down"}
+	}
+	item, err := w.store.Item(ctx, configKey)
+	if err != nil {
+		return policy.Snapshot{}, err
+	}
+	p := &policy.Policy{
+		Version:    item.Revision,
+		Queues:     []policy.Queue{{Queue: sets.Queue{Name: "plan"}, Host: "host", Prefix: "/plan/"}},
+		Workspaces: []policy.Workspace{{Name: "alpha", Keys: append([]string(nil), w.keys...)}},
+	}
+	p.Prepare()
+	return policy.Snapshot{Policy: p, Guard: store.Expectation{Key: configKey, Revision: item.Revision}}, nil
+}
+
+// peer is a relay with a fixed reply.
+type peer struct {
+	reply *admit.Reply
+	tried bool
+	calls int
+}
+
+func (p *peer) Forward(context.Context, *admit.Call) (*admit.Reply, bool) {
+	p.calls++
+	return p.reply, p.tried
+}
+
+type bench struct {
+	service *admit.Service
+	store   *fake.Transactor
+	wishes  *wishes
+	now     time.Time
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{store: fake.NewTransactor(), now: time.Unix(1000, 0)}
+	b.wishes = &wishes{store: b.store, keys: []string{"key"}}
+	b.store.Put(configKey, nil)
+	clock := func() time.Time { return b.now }
+	b.service = &admit.Service{
+		Store: b.store, Policy: policy.NewHolder(b.wishes, clock, func(policy.Snapshot) {}), MaxAge: 3 * time.Second,
+		Log: event.Discard(), Meter: meter.New(t.Name()), Now: clock, WallNow: clock,
+	}
+	assert.NilError(t, b.service.Policy.Refresh(t.Context()))
+	return b
+}
+
+func caller() admit.Caller { return admit.Caller{Host: "host", Path: "/plan/" + job, Key: "key"} }
+
+func spec() *work.Spec { return &work.Spec{Steps: []work.Step{{Count: 1}}} }
+
+func brief(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func (b *bench) created(t *testing.T) bool {
+	t.Helper()
+	b.store.Next = nil
+	item, err := b.store.Item(t.Context(), work.SpecKey(job))
+	assert.NilError(t, err)
+	return item.Revision != 0
+}
+
+func TestSubmitUnderStoreFaults(t *testing.T) {
+	always := func(fault fake.Fate) func(string) fake.Fate { return func(string) fake.Fate { return fault } }
+	once := func(fault fake.Fate) func(string) fake.Fate {
+		left := 1
+		return func(operation string) fake.Fate {
+			if operation == "commit" && left > 0 {
+				left--
+				return fault
+			}
+			return fake.Delivered
+		}
+	}
+	for name, c := range map[string]struct {
+		next    func(string) fake.Fate
+		want    admit.Result
+		created bool
+	}{
+		"no fault":         {nil, admit.OK, true},
+		"down":             {always(fake.Down), admit.Refused, false},
+		"answer lost once": {once(fake.AnswerLost), admit.OK, true},
+		"call lost once":   {once(fake.CallLost), admit.OK, true},
+		"answers lost":     {always(fake.AnswerLost), admit.Unknown, true},
+		"calls lost":       {always(fake.CallLost), admit.Unknown, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.store.Next = c.next
+			reply := b.service.Submit(brief(t), caller(), spec())
+			assert.Equal(t, reply.Result, c.want, reply.Why)
+			assert.Equal(t, b.created(t), c.created)
+		})
+	}
+}
+
+func TestRefusedSubmitNeverRunsLater(t *testing.T) {
+	b := newBench(t)
+	b.store.Next = func(string) fake.Fate { return fake.Down }
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.Refused)
+	assert.Equal(t, b.store.Deliver(), 0)
+	assert.Assert(t, !b.created(t))
+}
+
+func TestSecondSubmitIsTheSameJob(t *testing.T) {
+	b := newBench(t)
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.OK)
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.OK)
+	items, _, err := b.store.Range(t.Context(), work.SpecPrefix)
+	assert.NilError(t, err)
+	assert.Equal(t, len(items), 1)
+}
+
+func TestWithdrawnKeyIsRefusedThoughTheInstanceHasNotHeard(t *testing.T) {
+	b := newBench(t)
+	b.wishes.keys = nil
+	b.store.Put(configKey, nil)
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.BadKey)
+	assert.Assert(t, !b.created(t))
+}
+
+func TestKeysNeedAFreshConfiguration(t *testing.T) {
+	b := newBench(t)
+	b.now = b.now.Add(4 * time.Second)
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.Refused)
+	assert.Equal(t, b.service.State(brief(t), caller()).Result, admit.Refused)
+	assert.Equal(t, b.service.Cancel(brief(t), caller()).Result, admit.Refused)
+}
+
+// The pattern: the store serves some instances and not this one.
+func TestCutOffInstanceAsksAPeer(t *testing.T) {
+	b := newBench(t)
+	b.store.Next = func(string) fake.Fate { return fake.Down }
+	helper := &peer{reply: &admit.Reply{Result: admit.OK}, tried: true}
+	b.service.Relay = helper
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.OK)
+	assert.Equal(t, b.service.State(brief(t), caller()).Result, admit.OK)
+	assert.Equal(t, helper.calls, 2)
+}
+
+func TestRelayedSubmitWithoutAnswerIsNeverCalledRefused(t *testing.T) {
+	b := newBench(t)
+	b.store.Next = func(string) fake.Fate { return fake.Down }
+	b.service.Relay = &peer{tried: true}
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.Unknown)
+}
+
+func TestStateOfAJob(t *testing.T) {
+	b := newBench(t)
+	assert.Equal(t, b.service.State(brief(t), caller()).Result, admit.Gone)
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.OK)
+	assert.Equal(t, b.service.State(brief(t), caller()).Phase, work.Queued)
+	queue := caller()
+	queue.Path = "/plan/"
+	assert.Equal(t, b.service.State(brief(t), queue).Pending, 1)
+	record := work.Record{Phase: work.Completed}
+	data, err := record.Encode()
+	assert.NilError(t, err)
+	b.store.Put(work.RecordKey(job), data)
+	assert.Equal(t, b.service.State(brief(t), caller()).Phase, work.Completed)
+}
+
+func TestBadCalls(t *testing.T) {
+	b := newBench(t)
+	for name, c := range map[string]struct {
+		change func(*admit.Caller, *work.Spec)
+		want   admit.Result
+	}{
+		"unknown path":  {func(c *admit.Caller, _ *work.Spec) { c.Path = "/other/" + job }, admit.NoQueue},
+		"unknown host":  {func(c *admit.Caller, _ *work.Spec) { c.Host = "other" }, admit.NoQueue},
+		"unknown key":   {func(c *admit.Caller, _ *work.Spec) { c.Key = "other" }, admit.BadKey},
+		"short ID":      {func(c *admit.Caller, _ *work.Spec) { c.Path = "/plan/5c0e" }, admit.BadRequest},
+		"no steps":      {func(_ *admit.Caller, s *work.Spec) { s.Steps = nil }, admit.BadRequest},
+		"later step":    {func(_ *admit.Caller, s *work.Spec) { s.Steps[0].After = []int{0} }, admit.BadRequest},
+		"large payload": {func(_ *admit.Caller, s *work.Spec) { s.Payload = string(make([]byte, 4001)) }, admit.BadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			who, what := caller(), spec()
+			c.change(&who, what)
+			assert.Equal(t, b.service.Submit(brief(t), who, what).Result, c.want)
+		})
+	}
+}
