A read before a create, and two peers asked at once

Cause: while the store is silent a create's answer is lost, so the caller can't be refused and is held until its time is over (504), after which it may not try again. Change: the store must answer a read before a create is sent to it; else the request goes to two peers at once and is refused truthfully if they can't help.

--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -11,7 +11,6 @@
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/place/sets"
 	"github.com/lentildeck/lentildeck/internal/state/store"
-	"github.com/lentildeck/lentildeck/internal/state/work"
 	"github.com/sourcegraph/conc"
 )
 
@@ -231,14 +230,3 @@
 		}
 	}
 }
-
-// Detail says what the owner knows of a job, for operators.
-func (t *term) detail(id string) (work.Phase, string, bool) {
-	t.state.Lock()
-	defer t.state.Unlock()
-	j := t.engine.Job(id)
-	if j == nil {
-		return work.Queued, "", false
-	}
-	return j.Record.Phase, j.Waiting, true
-}
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// callTimeout bounds one relayed request: the peer's own first try and the way.
-	callTimeout = 700 * time.Millisecond
+	// callTimeout bounds one relayed request: the peer's own first tries and the way.
+	callTimeout = 1000 * time.Millisecond
 	// tries is how many peers are asked, as some may be cut off too.
 	tries = 2
 	// methodAdmit is the method's name on the wire.
@@ -50,25 +50,37 @@
 	Log    *event.Log
 }
 
-// Forward returns the first peer's reply that settles the request; tried is true if any peer may have carried it out.
+// Forward asks several peers at once and returns the first reply that settles the request; tried is true if any of them
+// may have carried it out.
 func (r *Relay) Forward(ctx context.Context, call *admit.Call) (reply *admit.Reply, tried bool) {
 	peers := r.Peers.Others()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, peer := range peers[:min(tries, len(peers))] {
-		one, done := context.WithTimeout(ctx, callTimeout)
-		answer, err := link.Invoke[admit.Call, admit.Reply](one, r.Client, peer.Address, methodAdmit, call)
-		done()
-		fields := event.Fields{"peer": peer.Name, "job": call.Caller.Path}
-		if err != nil {
-			fields["error"] = err.Error()
-		} else {
-			fields["result"] = answer.Result.String()
-		}
-		r.Log.Emit(event.Relayed, fields)
-		if err == nil && answer.Result != admit.Refused && answer.Result != admit.Unknown {
+	peers = peers[:min(tries, len(peers))]
+	replies := make(chan *admit.Reply, len(peers))
+	for _, peer := range peers {
+		go func() { replies <- r.ask(ctx, peer, call) }()
+	}
+	for range peers {
+		answer := <-replies
+		if answer != nil && answer.Result != admit.Refused && answer.Result != admit.Unknown {
 			return answer, true
 		}
-		tried = tried || err != nil || answer.Result == admit.Unknown
+		tried = tried || answer == nil || answer.Result == admit.Unknown
 	}
 	return nil, tried
 }
+
+// ask returns one peer's reply, or nil if there is none.
+func (r *Relay) ask(ctx context.Context, peer Peer, call *admit.Call) *admit.Reply {
+	one, done := context.WithTimeout(ctx, callTimeout)
+	defer done()
+	fields := event.Fields{"peer": peer.Name, "job": call.Caller.Path}
+	defer func() { r.Log.Emit(event.Relayed, fields) }()
+	answer, err := link.Invoke[admit.Call, admit.Reply](one, r.Client, peer.Address, methodAdmit, call)
+	if err != nil {
+		fields["error"] = err.Error()
+		return nil
+	}
+	fields["result"] = answer.Result.String()
+	return answer
+}
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -116,7 +116,7 @@
 
 // submit tries here, then through a peer, and then here until the time is over if the job may have been created.
 func (s *Service) submit(ctx context.Context, caller Caller, spec *work.Spec) Reply {
-	first, done := context.WithTimeout(ctx, firstTry)
+	first, done := context.WithTimeout(ctx, 2*firstTry)
 	reply := s.submitHere(first, caller, spec, false)
 	done()
 	if !reply.local() {
@@ -151,6 +151,11 @@
 			if err := spec.Check(); err != nil {
 				return Reply{Result: BadRequest, Why: err.Error()}
 			}
+			if !mayBeDone {
+				if err := s.alive(ctx); err != nil {
+					return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}
+				}
+			}
 			err = s.create(ctx, t, spec)
 		}
 		var refused *store.RefusedError
@@ -184,6 +189,15 @@
 // Error says so.
 func (refusalError) Error() string { return "the call could not be tried again" }
 
+// alive makes sure that the key-value service answers before a write is sent to it: a job that was never sent can be
+// refused at once, while one whose answer is lost holds its caller until the time is over.
+func (s *Service) alive(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, firstTry)
+	defer cancel()
+	_, err := s.Store.Item(call, work.OwnerKey)
+	return err
+}
+
 func (s *Service) create(ctx context.Context, t target, spec *work.Spec) error {
 	data, err := spec.Encode()
 	if err != nil {
--- a/internal/route/admit/call.go
+++ b/internal/route/admit/call.go
@@ -43,7 +43,7 @@
 
 // Admit carries out a peer's request here, within the time of a first try.
 func (s *Service) Admit(ctx context.Context, call *Call) (*Reply, error) {
-	first, done := context.WithTimeout(ctx, firstTry)
+	first, done := context.WithTimeout(ctx, 2*firstTry)
 	defer done()
 	reply := s.here(first, call)
 	return &reply, nil
