Workers' speeds are learned; gangs don't mix them; slow workers are avoided

Cause: a gang goes as fast as its slowest member. Members of a gang report progress of their own, which shows each worker's speed against its peers within a second. Change: speeds are learned from tasks of the same step; quick gangs take fast workers first, others don't mix; a worker at half the speed of its peers or less gets no new work for 1.5 s, and a gang moves off it if a fresh start is done sooner. A peer that can't be dialled counts as not tried, so that a submit can be refused at once. Test: TestQuickGangMovesFromASlowWorker, TestQuickGangsUseWorkersThatHaveShownToBeFast, TestSlowTasksOfOneWorkerAreNotItsFault.

--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
@@ -77,6 +79,11 @@
 	fields := event.Fields{"peer": peer.Name, "job": call.Caller.Path}
 	defer func() { r.Log.Emit(event.Relayed, fields) }()
 	answer, err := link.Invoke[admit.Call, admit.Reply](one, r.Client, peer.Address, methodAdmit, call)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		fields["error"] = err.Error()
+		return &admit.Reply{Result: admit.Refused, Why: "the peer can't be reached"}
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 		return nil
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -12,6 +12,7 @@
 // Decide settles what time has brought and, if mayStart is true, plans runs for what is ready.
 func (e *Engine) Decide(mayStart bool, now time.Time) {
 	e.tick(now)
+	e.measure(now)
 	if !mayStart {
 		return
 	}
--- a/internal/place/sets/engine_test.go
+++ b/internal/place/sets/engine_test.go
@@ -28,8 +28,10 @@
 	members map[string]*sets.Member
 	// silent workers answer nothing.
 	silent map[string]bool
-	stops  []sets.StopOrder
-	notes  []sets.Note
+	// progress is how far each task is, in percent.
+	progress map[string]float64
+	stops    []sets.StopOrder
+	notes    []sets.Note
 }
 
 func newSite(t *testing.T, racks, perRack int) *site {
@@ -37,7 +39,7 @@
 	s := &site{
 		t: t, now: time.Unix(1000, 0), engine: sets.New(sets.DefaultConfig()),
 		running: make(map[string]map[string]sets.RunningEntry), ends: make(map[string]int64),
-		members: make(map[string]*sets.Member), silent: make(map[string]bool),
+		members: make(map[string]*sets.Member), silent: make(map[string]bool), progress: make(map[string]float64),
 	}
 	for r := range racks {
 		for n := range perRack {
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -78,6 +78,7 @@
 		if m.State != Started {
 			e.started(m, now)
 		}
+		m.sampleRate(entry.Percent, now)
 		if entry.Percent != m.Percent || !m.Run.whole() {
 			m.Percent, m.movedAt = entry.Percent, now
 		}
--- a/internal/place/sets/find.go
+++ b/internal/place/sets/find.go
@@ -23,10 +23,19 @@
 func (e *Engine) find(s *Set, v view, now time.Time) []*Worker {
 	slots := e.slots(s, v, now)
 	step := s.step()
-	if step.SameRack && s.Count > 1 && e.rackCouldHold(s, now) {
-		return e.findInRack(s, slots)
+	inRack := step.SameRack && s.Count > 1 && e.rackCouldHold(s, now)
+	for _, choice := range bySpeed(s, slots, e.queue(s.Job).Priority == 0) {
+		workers := []*Worker(nil)
+		if inRack {
+			workers = e.findInRack(s, choice)
+		} else {
+			workers = fill(choice, s.Count)
+		}
+		if workers != nil {
+			return workers
+		}
 	}
-	return fill(slots, s.Count)
+	return nil
 }
 
 // slots lists the workers on which at least one task of the set may start.
--- a/internal/place/sets/job.go
+++ b/internal/place/sets/job.go
@@ -65,6 +65,8 @@
 	// readyAt is when the set last became ready to run.
 	readyAt time.Time
 	claim   *claim
+	// moves counts how often a run was given up since a worker had become slow.
+	moves int
 	// soured are workers that a run of the set failed on.
 	soured []*Worker
 }
@@ -153,6 +155,12 @@
 	stopSent bool
 	// movedAt is when Percent last changed.
 	movedAt time.Time
+	// rate is the progress last measured in percent a second, rateFresh until it was used; the next measurement began at
+	// rateAt with ratePercent.
+	rate        float64
+	rateFresh   bool
+	rateAt      time.Time
+	ratePercent int
 }
 
 // Task returns the member's name on the worker.
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -53,13 +53,17 @@
 	claimed Room
 	// faults are distinct sets that failed here since the last success.
 	faults []*Set
+	// speed is how fast the worker is against the others, one on average.
+	speed float64
+	// slowAt is when the worker was last much slower than its peers.
+	slowAt time.Time
 	// hungAt is when work here last stood still.
 	hungAt time.Time
 }
 
 func newWorker(info WorkerInfo) *Worker {
 	return &Worker{
-		WorkerInfo: info, Present: true,
+		WorkerInfo: info, Present: true, speed: 1,
 		members: make(map[runKey]*Member), strangers: make(map[runKey]bool), voids: make(map[runKey]bool),
 	}
 }
@@ -155,7 +159,7 @@
 
 // reborn ends all that ran in the worker's earlier life.
 func (e *Engine) reborn(w *Worker, born int64, now time.Time) {
-	w.Born, w.Processed = born, 0
+	w.Born, w.Processed, w.speed = born, 0, 1
 	clear(w.strangers)
 	clear(w.voids)
 	for _, m := range w.sorted() {
