Claims last, room is made where it is cheapest, and orders that never left are given up

Change: a claim ends only when a worker is closed or its time is over, and the set then waits a second; room is weighed rack by rack, and at most the set's own work is thrown away unless a guarantee asks for it; a start whose call was never sent ends at once; workers' leases are renewed for 2 s past the owner's, which shortens a successor's wait to 8 s. Test: TestClaimOutlastsAWorkerThatIsAvoidedForAMoment, TestNothingMuchLargerIsStoppedForAQuickJobBeyondItsGuarantee.

--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -99,6 +99,8 @@
 type LostError struct {
 	Worker string
 	Cause  error
+	// Unsent means that the call certainly never left.
+	Unsent bool
 }
 
 // Error names worker and cause.
--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -23,6 +23,7 @@
 
 // start sends the start of one task until it has an answer or is no longer wanted.
 func (t *term) start(ctx context.Context, order sets.StartOrder) {
+	mayBeSent := false
 	for ctx.Err() == nil {
 		to, start, ok := t.prepare(order)
 		if !ok {
@@ -35,11 +36,15 @@
 		call, done := context.WithTimeout(ctx, orderTimeout)
 		err := t.Agent.Start(call, to, start)
 		done()
-		if t.startAnswered(order, err) {
+		var lost *agent.LostError
+		if errors.As(err, &lost) {
+			t.doubt(ctx, order.Worker)
+			mayBeSent = mayBeSent || !lost.Unsent
+		}
+		if t.startAnswered(order, err, mayBeSent) {
 			t.wake()
 			return
 		}
-		t.doubt(ctx, order.Worker)
 		pause.For(ctx, orderPause)
 	}
 }
@@ -86,8 +91,9 @@
 	agent.Invalid:      sets.Refused,
 }
 
-// startAnswered takes in the answer; it reports false if there was none, so that the order must be sent again.
-func (t *term) startAnswered(order sets.StartOrder, err error) bool {
+// startAnswered takes in the answer; it reports false if there was none, so that the order must be sent again. An order
+// that certainly never left is given up, so that the run can start elsewhere at once.
+func (t *term) startAnswered(order sets.StartOrder, err error, mayBeSent bool) bool {
 	result := sets.Accepted
 	outcome := "started"
 	var refused *agent.RefusedError
@@ -105,7 +111,10 @@
 	t.Log.Emit(event.StartSent, event.Fields{"worker": order.Worker, "task": order.Task, "run": order.Run, "token": t.token, "outcome": outcome})
 	t.Meter.Count("worker.starts")
 	if err != nil && refused == nil {
-		return false
+		if mayBeSent {
+			return false
+		}
+		result = sets.Unreached
 	}
 	t.state.Lock()
 	t.engine.StartAnswered(order.Member, result, t.Now())
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -21,8 +21,10 @@
 	gather = 2 * time.Millisecond
 	// listEvery is how often the list of workers is read: three times within its oldest allowed age.
 	listEvery = 400 * time.Millisecond
-	// holdPast is how long a term keeps renewing workers' leases after its own lease may have lapsed.
-	holdPast = 8 * time.Second
+	// holdPast is how long a term keeps renewing workers' leases after its own lease may have lapsed. What runs then lives
+	// for MaxHold more, so an outage of eight seconds costs nothing; a successor must wait for as long before it starts
+	// anew what ran on workers that it can't reach.
+	holdPast = 2 * time.Second
 	// cutOffAfter is how long most workers must be silent before the owner leaves its place to another instance.
 	cutOffAfter = 1500 * time.Millisecond
 	// clockSlack is how much slower than ours a worker's clock may run.
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -59,7 +59,7 @@
 		RemoteFactor: 3,
 		Retention:    2 * time.Minute,
 		Avoid: map[StartResult]time.Duration{
-			NoRoom: 300 * time.Millisecond, Unhealthy: time.Second, Outdated: 0, Refused: time.Second,
+			NoRoom: 300 * time.Millisecond, Unhealthy: time.Second, Outdated: 0, Refused: time.Second, Unreached: 300 * time.Millisecond,
 		},
 		FaultsBeforePause: 2,
 		FaultPause:        6 * time.Second,
--- a/internal/place/sets/engine_test.go
+++ b/internal/place/sets/engine_test.go
@@ -165,6 +165,17 @@
 	return found
 }
 
+// anyTaskOn returns the first task that runs on the worker.
+func (s *site) anyTaskOn(worker string) string {
+	first := ""
+	for name := range s.running[worker] {
+		if first == "" || name < first {
+			first = name
+		}
+	}
+	return first
+}
+
 func gang(count, accelerators int) work.Step {
 	return work.Step{Count: count, MilliCores: 1000, MemoryMB: 1000, Accelerators: accelerators, Estimate: 8 * time.Second, Gang: true}
 }
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -170,6 +170,8 @@
 	Outdated
 	// Refused means any other certain refusal.
 	Refused
+	// Unreached means that the order never left, as the worker can't be reached.
+	Unreached
 )
 
 // StartAnswered takes in the result of a start.
--- a/internal/place/sets/job.go
+++ b/internal/place/sets/job.go
@@ -65,6 +65,8 @@
 	// readyAt is when the set last became ready to run.
 	readyAt time.Time
 	claim   *claim
+	// claimAgain is when the set may stop others again.
+	claimAgain time.Time
 	// moves counts how often a run was given up since a worker had become slow.
 	moves int
 	// soured are workers that a run of the set failed on.
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -15,50 +15,117 @@
 // claimSlack is added to the time a stop may take before a claim is given up.
 const claimSlack = 1500 * time.Millisecond
 
+// claimPause keeps a set from stopping others again right after a claim came to nothing.
+const claimPause = time.Second
+
+// wasteMost is how much work, against its own, a set may throw away to start at once if no guarantee asks for it.
+const wasteMost = 1.0
+
 // victim is a run that could be stopped, how urgent it is, and what stopping it would throw away.
 type victim struct {
 	run      *Run
 	priority int
-	cost     float64
+	// waste is in core-seconds, cost the same for each core that it frees.
+	waste float64
+	cost  float64
 }
 
 // preempt stops cheaper work for the set and claims the room; it reports whether it did.
 func (e *Engine) preempt(s *Set, now time.Time) bool {
-	if e.queue(s.Job).Priority != 0 || s.Job.lateness == hopeless && !s.Job.entitled {
+	if e.queue(s.Job).Priority != 0 || s.Job.lateness == hopeless && !s.Job.entitled || now.Before(s.claimAgain) {
 		return false
 	}
 	victims := e.victims(s, now)
-	if len(victims) == 0 {
+	var best *eviction
+	for _, group := range e.groups(s, now) {
+		if plan := e.evict(s, victims, group, now); plan != nil && (best == nil || plan.cost < best.cost) {
+			best = plan
+		}
+	}
+	if best == nil || !s.Job.entitled && best.cost > wasteMost*s.step().Estimate.Seconds()*s.need().Cores() {
 		return false
 	}
+	for _, v := range best.victims {
+		e.stopRun(v.run, "room for "+s.Job.ID(), now)
+	}
+	e.claimRoom(s, best.workers, now)
+	return true
+}
+
+// eviction is a way to make room: the runs to stop, and where the set goes.
+type eviction struct {
+	victims []victim
+	workers []*Worker
+	cost    float64
+}
+
+// groups lists the sets of workers among which room may be made: each rack by itself if the set must stay in one.
+func (e *Engine) groups(s *Set, now time.Time) []map[*Worker]bool {
+	whole := make(map[*Worker]bool)
+	racks := make(map[string]map[*Worker]bool)
+	var names []string
+	for _, sl := range e.slots(s, e.emptyView, now) {
+		w := sl.worker
+		whole[w] = true
+		if racks[w.Rack] == nil {
+			racks[w.Rack] = make(map[*Worker]bool)
+			names = append(names, w.Rack)
+		}
+		racks[w.Rack][w] = true
+	}
+	if !s.step().SameRack || s.Count == 1 || !e.rackCouldHold(s, now) {
+		return []map[*Worker]bool{whole}
+	}
+	groups := make([]map[*Worker]bool, len(names))
+	for i, name := range names {
+		groups[i] = racks[name]
+	}
+	return groups
+}
+
+// evict chooses the runs to stop so that the set fits into the group, or returns nil.
+func (e *Engine) evict(s *Set, victims []victim, group map[*Worker]bool, now time.Time) *eviction {
 	freed := make(map[*Worker]Room)
-	with := func(w *Worker) Room { return w.free().Add(freed[w]) }
-	chosen := victims[:0:0]
+	within := func(w *Worker) Room {
+		if !group[w] {
+			return Room{MilliCores: -1}
+		}
+		return w.free().Add(freed[w])
+	}
+	var chosen []victim
 	var workers []*Worker
 	for _, v := range victims {
+		if !v.touches(group) {
+			continue
+		}
 		release(freed, v.run, 1)
 		chosen = append(chosen, v)
-		if workers = e.find(s, with, now); workers != nil {
+		if workers = e.find(s, within, now); workers != nil {
 			break
 		}
 	}
 	if workers == nil {
-		return false
+		return nil
 	}
 	for i := len(chosen) - 1; i >= 0; i-- {
 		release(freed, chosen[i].run, -1)
-		if fewer := e.find(s, with, now); fewer != nil {
+		if fewer := e.find(s, within, now); fewer != nil {
 			workers = fewer
 			chosen = slices.Delete(chosen, i, i+1)
 			continue
 		}
 		release(freed, chosen[i].run, 1)
 	}
+	plan := &eviction{victims: chosen, workers: workers}
 	for _, v := range chosen {
-		e.stopRun(v.run, "room for "+s.Job.ID(), now)
+		plan.cost += v.waste
 	}
-	e.claimRoom(s, workers, now)
-	return true
+	return plan
+}
+
+// touches reports whether the run holds room in the group.
+func (v victim) touches(group map[*Worker]bool) bool {
+	return slices.ContainsFunc(v.run.Members, func(m *Member) bool { return m.State != Ended && group[m.Worker] })
 }
 
 // release adds the room of the run's live members, or takes it back.
@@ -79,7 +146,8 @@
 		}
 		for _, other := range j.sets {
 			if run := other.Run; run != nil && run.stopping == "" && run.broken.IsZero() && e.startedWhole(run) {
-				list = append(list, victim{run: run, priority: e.queue(j).Priority, cost: waste(run, now) / other.need().Cores()})
+				lost := waste(run, now)
+				list = append(list, victim{run: run, priority: e.queue(j).Priority, waste: lost, cost: lost / other.need().Cores()})
 			}
 		}
 	}
@@ -134,26 +202,29 @@
 }
 
 // startClaims plans the sets whose claimed room is free, and gives up claims that came to nothing.
+//
+// A worker that is avoided for a moment keeps its claim: others have been stopped for it already.
 func (e *Engine) startClaims(ready []*Set, now time.Time) {
 	for _, s := range ready {
 		if s.claim == nil {
 			continue
 		}
-		usable := true
-		for _, w := range s.claim.workers {
-			usable = usable && e.usable(w, now)
-		}
 		workers := s.claim.workers
 		switch {
-		case !usable || now.After(s.claim.until):
+		case now.After(s.claim.until) || slices.ContainsFunc(workers, e.Closed):
 			e.dropClaim(s)
-		case e.roomFor(s, workers):
+			s.claimAgain = now.Add(claimPause)
+		case e.allUsable(workers, now) && e.roomFor(s, workers):
 			e.dropClaim(s)
 			e.plan(s, workers, "room made", now)
 		}
 	}
 }
 
+func (e *Engine) allUsable(workers []*Worker, now time.Time) bool {
+	return !slices.ContainsFunc(workers, func(w *Worker) bool { return !e.usable(w, now) })
+}
+
 // roomFor reports whether the workers have room for the set now, whatever others have claimed.
 func (e *Engine) roomFor(s *Set, workers []*Worker) bool {
 	for i, w := range workers {
--- a/internal/place/sets/quick_test.go
+++ b/internal/place/sets/quick_test.go
@@ -48,3 +48,41 @@
 	s.step()
 	assert.Equal(t, len(s.workersOf("quick")), 2)
 }
+
+// The pattern: a gang that needs a whole rack, while a worker of that rack is avoided for a moment.
+func TestClaimOutlastsAWorkerThatIsAvoidedForAMoment(t *testing.T) {
+	s := newSite(t, 3, 3)
+	one := work.Step{Count: 72, MilliCores: 1000, Accelerators: 1, Estimate: 30 * time.Second}
+	s.submit("flood", batchQueue, "beta", one)
+	s.step()
+	s.pass(2 * time.Second)
+	wide := gang(3, 5)
+	wide.SameRack = true
+	s.submit("wide", quickQueue, "alpha", wide)
+	s.engine.Decide(true, s.now)
+	stopped := 0
+	for _, action := range s.engine.Actions() {
+		if stop, ok := action.(sets.StopOrder); ok {
+			stopped++
+			s.carryOutStop(stop)
+			if stopped == 1 {
+				s.end(s.anyTaskOn(stop.Worker), sets.Failed)
+			}
+		}
+	}
+	s.pass(3 * time.Second)
+	assert.Equal(t, len(s.workersOf("wide")), 3)
+	assert.Equal(t, len(s.stops), 0, "nothing more was stopped")
+}
+
+func TestNothingMuchLargerIsStoppedForAQuickJobBeyondItsGuarantee(t *testing.T) {
+	s := newSite(t, 1, 2)
+	s.submit("large", planQueue, "beta", gang(2, 8))
+	s.step()
+	s.pass(8 * time.Second)
+	tiny := gang(1, 1)
+	tiny.Estimate = 200 * time.Millisecond
+	s.submit("tiny", quickQueue, "beta", tiny)
+	s.step()
+	assert.Equal(t, len(s.stops), 0)
+}
