Tasks leave workers that leave; wide gangs may use kept racks

Cause: tasks with checkpoints ran on draining workers until these were gone, and then waited 7 s for a lease of 6 s to end; and a gang wider than what is left beside the kept racks could never start while a data centre was evacuated. Change: a task with checkpoints stops on a draining worker and goes on elsewhere if it has more than 1.5 s left; leases of draining workers are renewed for 2.5 s at a time; kept racks open to sets that fit nowhere else. Test: TestTaskWithCheckpointsGoesOnElsewhereWhenItsWorkerLeaves, TestWideGangUsesKeptRacksIfItFitsNowhereElse.

--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -18,6 +18,8 @@
 	idleWait = 1500 * time.Millisecond
 	// answerTimeout is how long an answer may take beyond the wait that was asked for.
 	answerTimeout = 500 * time.Millisecond
+	// leavingLease is the lease of what runs on a worker that leaves: once it is gone, its tasks start elsewhere the sooner.
+	leavingLease = 2500 * time.Millisecond
 	// silentAfter is how long a worker is silent before its lease is no longer renewed, so that it ends for certain.
 	silentAfter = 1200 * time.Millisecond
 	// lookPause is the wait after a failed look.
@@ -142,9 +144,13 @@
 	extend := busy && now.Before(t.validUntil.Add(holdPast)) && now.Sub(s.lastHeard()) < silentAfter
 	look := agent.Look{Token: t.token, Acknowledged: s.acknowledged(), Wait: idleWait}
 	if extend {
-		if deadline, ok := s.deadline(now, t.Bounds.MaxHold); ok {
+		lease := t.Bounds.MaxHold
+		if w.Draining {
+			lease = min(lease, leavingLease)
+		}
+		if deadline, ok := s.deadline(now, lease); ok {
 			look.Deadline = deadline
-			t.engine.Renewed(s.id, now.Add(stretch(t.Bounds.MaxHold)))
+			t.engine.Renewed(s.id, now.Add(stretch(lease)))
 		}
 	}
 	t.state.Unlock()
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -51,6 +51,8 @@
 	case m.State == Ordered && now.Sub(m.orderedAt) > e.startTimeout(m):
 		m.Worker.avoid(now.Add(e.cfg.Avoid[Refused]))
 		e.stopRun(run, "a start had no answer", now)
+	case m.State == Started && m.Worker.Draining && run.Set.step().Checkpoints && m.rest() > leaveMargin:
+		e.stopRun(run, "its worker leaves, and it can go on elsewhere", now)
 	case m.State == Started && e.hangs(m, now):
 		m.Worker.hungAt = now
 		m.Worker.avoid(now.Add(e.cfg.FaultPause))
@@ -59,6 +61,18 @@
 	}
 }
 
+// leaveMargin is the rest of its work that a task may still finish on a worker that leaves.
+const leaveMargin = 1500 * time.Millisecond
+
+// rest is the time that the member's work will still take as far as its progress shows, or its step's estimate.
+func (m *Member) rest() time.Duration {
+	left := float64(100-m.Percent) / 100
+	if m.rate > 0 {
+		return time.Duration(100 * left / m.rate * float64(time.Second))
+	}
+	return time.Duration(left * float64(m.Run.Set.step().Estimate))
+}
+
 func (e *Engine) startTimeout(m *Member) time.Duration {
 	if m.Worker.doubted() {
 		return e.cfg.DoubtedTimeout
--- a/internal/place/sets/find.go
+++ b/internal/place/sets/find.go
@@ -17,6 +17,8 @@
 	worker *Worker
 	fits   int
 	free   Room
+	// kept is true if the worker's rack is kept for others and the set may only use it for want of any other place.
+	kept bool
 }
 
 // find places all tasks of the set, one worker for each, or returns nil.
@@ -43,20 +45,28 @@
 	step, room, service := s.step(), s.room(), e.queue(s.Job).Service
 	near := e.nearOnly(s, now)
 	list := make([]slot, 0, len(e.order))
+	outside, barred := 0, false
 	for _, w := range e.order {
-		if w.Service != service || !w.has(step.Requires) || !e.usable(w, now) || near && w.Rack != step.Affinity || e.barred(s, w.Rack) {
+		if w.Service != service || !w.has(step.Requires) || !e.usable(w, now) || near && w.Rack != step.Affinity {
 			continue
 		}
-		free := v(w)
-		fits := room.Count(free, s.Count)
+		most := s.Count
 		if step.MaxPerWorker > 0 {
-			fits = min(fits, step.MaxPerWorker-w.membersOf(s))
+			most = min(most, step.MaxPerWorker-w.membersOf(s))
 		}
-		if fits > 0 && !slices.Contains(s.soured, w) {
-			list = append(list, slot{worker: w, fits: fits, free: free})
+		kept := e.barred(s, w.Rack)
+		barred = barred || kept
+		if !kept {
+			outside += room.Count(w.Capacity, most)
 		}
+		if fits := room.Count(v(w), most); fits > 0 && !slices.Contains(s.soured, w) {
+			list = append(list, slot{worker: w, fits: fits, free: v(w), kept: kept})
+		}
+	}
+	if !barred || outside < s.Count {
+		return list
 	}
-	return list
+	return slices.DeleteFunc(list, func(sl slot) bool { return sl.kept })
 }
 
 // membersOf counts the members of the set's step on the worker.
--- a/internal/place/sets/quick_test.go
+++ b/internal/place/sets/quick_test.go
@@ -86,3 +86,31 @@
 	s.step()
 	assert.Equal(t, len(s.stops), 0)
 }
+
+// The pattern: a data centre is evacuated, and a gang needs more than what is left beside the racks kept for quick jobs.
+func TestWideGangUsesKeptRacksIfItFitsNowhereElse(t *testing.T) {
+	s := newSite(t, 4, 2)
+	s.submit("wide", batchQueue, "beta", gang(7, 8))
+	s.step()
+	assert.Equal(t, len(s.workersOf("wide")), 7)
+}
+
+// The pattern: workers are replaced one after the other while long tasks with checkpoints run on them.
+func TestTaskWithCheckpointsGoesOnElsewhereWhenItsWorkerLeaves(t *testing.T) {
+	s := newSite(t, 1, 2)
+	long := work.Step{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: 9 * time.Second, Checkpoints: true}
+	s.submit("long", planQueue, "beta", long)
+	s.step()
+	s.pass(time.Second)
+	var from string
+	for id := range s.workersOf("long") {
+		from = id
+	}
+	for i := range s.infos {
+		s.infos[i].Draining = s.infos[i].ID == from
+	}
+	s.engine.SetWorkers(s.infos, s.now)
+	s.pass(time.Second)
+	assert.Equal(t, len(s.workersOf("long")), 1)
+	assert.Equal(t, s.workersOf("long")[from], 0)
+}
