--- a/internal/place/sets/action.go
+++ b/internal/place/sets/action.go
@@ -32,6 +32,7 @@
 	RunBroken
 	RunDone
 	JobOver
+	JobWaits
 	WorkerAvoided
 	WorkerLapsed
 )
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -103,12 +103,13 @@
 func (e *Engine) ready(now time.Time) []*Set {
 	e.entitle()
 	e.chooseQuickRacks(now)
-	e.whole = Room{}
+	var whole, used Room
 	for _, w := range e.order {
 		if e.usable(w, now) {
-			e.whole = e.whole.Add(w.Capacity)
+			whole, used = whole.Add(w.Capacity), used.Add(w.Used)
 		}
 	}
+	e.use = float64(used.Accelerators) / float64(max(whole.Accelerators, 1))
 	jobs := make([]*Job, 0, len(e.open))
 	for _, j := range e.open {
 		if j.Record.Phase.Final() || j.Cancelled {
@@ -218,20 +219,37 @@
 		step int
 	}
 	missed := make(map[stepKey]bool)
+	e.reserved = 0
+	for _, s := range ready {
+		if s.claim != nil && s.claim.kept {
+			e.reserved++
+		}
+	}
 	for _, s := range ready {
 		key := stepKey{s.Job, s.Step}
 		if s.Run != nil || s.claim != nil || missed[key] {
 			continue
 		}
-		if workers := e.find(s, e.freeView, now); workers != nil {
+		if workers := e.find(s, e.freeView(s), now); workers != nil {
 			e.plan(s, workers, "free room", now)
 			continue
 		}
-		if e.preempt(s, now) {
+		if e.preempt(s, now) || e.reserve(s, now) {
 			continue
 		}
 		missed[key] = true
-		s.Job.Waiting = fmt.Sprintf("step %d: no room for %d x %+v on usable workers", s.Step, s.Count, s.room())
+		e.waits(s, now)
+	}
+}
+
+// waits records why the set found no room, and logs it once for each wait.
+func (e *Engine) waits(s *Set, now time.Time) {
+	first := s.Job.Waiting == ""
+	step := s.step()
+	s.Job.Waiting = fmt.Sprintf("step %d: no room for %d tasks of %d accelerators, %d thousandths of a core and %d MB; one rack: %t, near %q: %t, label %q",
+		s.Step, s.Count, step.Accelerators, step.MilliCores, step.MemoryMB, step.SameRack, step.Affinity, e.nearOnly(s, now), step.Requires)
+	if first {
+		e.act(Note{What: JobWaits, Job: s.Job.ID(), Text: s.Job.Waiting})
 	}
 }
 
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -82,8 +82,10 @@
 	promised  map[string]int
 	evacuated map[string]bool
 	actions   []Action
-	// whole is the room of all usable workers at the last decision.
-	whole Room
+	// use is the share of the usable workers' accelerators that is in use.
+	use float64
+	// reserved counts the sets that have claimed room.
+	reserved int
 	// quickRacks are kept for jobs of priority 0.
 	quickRacks map[string]bool
 }
--- a/internal/place/sets/engine_test.go
+++ b/internal/place/sets/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -113,7 +114,9 @@
 			s.members[a.Task] = a.Member
 			s.engine.StartAnswered(a.Member, sets.Accepted, s.now)
 		case sets.StopOrder:
-			s.stops = append(s.stops, a)
+			if !slices.Contains(s.stops, a) {
+				s.stops = append(s.stops, a)
+			}
 			if !s.silent[a.Worker] {
 				s.carryOutStop(a)
 			}
@@ -176,6 +179,20 @@
 	return first
 }
 
+// oldestTask returns the task of the job with the lowest index that runs.
+func (s *site) oldestTask(job string) string {
+	oldest, least := "", 0
+	for _, tasks := range s.running {
+		for name := range tasks {
+			var index int
+			if _, err := fmt.Sscanf(name, job+".0.0.%d", &index); err == nil && (oldest == "" || index < least) {
+				oldest, least = name, index
+			}
+		}
+	}
+	return oldest
+}
+
 func gang(count, accelerators int) work.Step {
 	return work.Step{Count: count, MilliCores: 1000, MemoryMB: 1000, Accelerators: accelerators, Estimate: 8 * time.Second, Gang: true}
 }
@@ -301,3 +318,18 @@
 	s.pass(time.Second)
 	assert.Equal(t, len(s.workersOf("job-a")), 0)
 }
+
+// The pattern: the store lost its list of workers, and a new owner learns a worker's address only after it was told to stop.
+func TestStopIsAskedAgainWhileTheTaskIsListed(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.submit("job-a", planQueue, "alpha", gang(1, 1))
+	s.step()
+	s.silent["w0-0"] = true
+	s.engine.Cancel("job-a", s.now)
+	s.step()
+	assert.Equal(t, len(s.stops), 1)
+	assert.Equal(t, len(s.workersOf("job-a")), 1)
+	s.silent["w0-0"] = false
+	s.pass(time.Second)
+	assert.Equal(t, len(s.workersOf("job-a")), 0)
+}
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -78,6 +78,9 @@
 		if m.State != Started {
 			e.started(m, now)
 		}
+		if m.stopSent && m.stoppedAt.IsZero() {
+			e.act(StopOrder{Worker: w.ID, Task: entry.Task, Run: entry.Run})
+		}
 		m.sampleRate(entry.Percent, now)
 		if entry.Percent != m.Percent || !m.Run.whole() {
 			m.Percent, m.movedAt = entry.Percent, now
--- a/internal/place/sets/find.go
+++ b/internal/place/sets/find.go
@@ -9,9 +9,14 @@
 // view is how much of a worker a search may use.
 type view func(w *Worker) Room
 
-func (e *Engine) freeView(w *Worker) Room  { return w.free() }
 func (e *Engine) emptyView(w *Worker) Room { return w.Capacity }
 
+// freeView offers what is free for the set.
+func (e *Engine) freeView(s *Set) view {
+	q := e.queue(s.Job)
+	return func(w *Worker) Room { return w.freeFor(q) }
+}
+
 // slot is a worker with the number of tasks that fit.
 type slot struct {
 	worker *Worker
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -10,6 +10,8 @@
 type claim struct {
 	workers []*Worker
 	until   time.Time
+	// kept is true if nobody was stopped and the room becomes free by itself.
+	kept bool
 }
 
 // claimSlack is added to the time a stop may take before a claim is given up.
@@ -18,6 +20,14 @@
 // claimPause keeps a set from stopping others again right after a claim came to nothing.
 const claimPause = time.Second
 
+const (
+	// scatteredUse is the share of the accelerators in use below which a gang that finds no room waits for want of order,
+	// not of room: the users expect all work to run below half.
+	scatteredUse = 0.5
+	// scatteredAfter is how long such a gang waits first.
+	scatteredAfter = time.Second
+)
+
 // wasteMost is how much work, against its own, a set may throw away to start at once if no guarantee asks for it.
 const wasteMost = 1.0
 
@@ -32,7 +42,7 @@
 
 // preempt stops cheaper work for the set and claims the room; it reports whether it did.
 func (e *Engine) preempt(s *Set, now time.Time) bool {
-	if e.queue(s.Job).Priority != 0 || s.Job.lateness == hopeless && !s.Job.entitled || now.Before(s.claimAgain) {
+	if now.Before(s.claimAgain) || !e.mayStopOthers(s, now) {
 		return false
 	}
 	victims := e.victims(s, now)
@@ -48,10 +58,20 @@
 	for _, v := range best.victims {
 		e.stopRun(v.run, "room for "+s.Job.ID(), now)
 	}
-	e.claimRoom(s, best.workers, now)
+	e.claimRoom(s, &claim{workers: best.workers, until: now.Add(e.cfg.StopTimeout + claimSlack)})
+	s.Job.Waiting = "others are being stopped to make room"
 	return true
 }
 
+// mayStopOthers reports whether the set may have room made: quick jobs that still gain by it, and any gang that waits
+// although much is free, since what is stopped for it finds room elsewhere.
+func (e *Engine) mayStopOthers(s *Set, now time.Time) bool {
+	if e.queue(s.Job).Priority == 0 && (s.Job.lateness != hopeless || s.Job.entitled) {
+		return true
+	}
+	return s.Count > 1 && e.use < scatteredUse && now.Sub(s.readyAt) > scatteredAfter
+}
+
 // eviction is a way to make room: the runs to stop, and where the set goes.
 type eviction struct {
 	victims []victim
@@ -86,11 +106,12 @@
 // evict chooses the runs to stop so that the set fits into the group, or returns nil.
 func (e *Engine) evict(s *Set, victims []victim, group map[*Worker]bool, now time.Time) *eviction {
 	freed := make(map[*Worker]Room)
+	q := e.queue(s.Job)
 	within := func(w *Worker) Room {
 		if !group[w] {
 			return Room{MilliCores: -1}
 		}
-		return w.free().Add(freed[w])
+		return w.freeFor(q).Add(freed[w])
 	}
 	var chosen []victim
 	var workers []*Worker
@@ -145,6 +166,9 @@
 			continue
 		}
 		for _, other := range j.sets {
+			if e.queue(s.Job).Priority != 0 && other.Count > 1 {
+				continue
+			}
 			if run := other.Run; run != nil && run.stopping == "" && run.broken.IsZero() && e.startedWhole(run) {
 				lost := waste(run, now)
 				list = append(list, victim{run: run, priority: e.queue(j).Priority, waste: lost, cost: lost / other.need().Cores()})
@@ -165,6 +189,9 @@
 	if j == to || j.entitled || j.Record.Phase.Final() {
 		return false
 	}
+	if e.queue(to).Priority != 0 {
+		return e.queue(j).Priority != 0
+	}
 	if e.queue(j).Priority > e.queue(to).Priority {
 		return true
 	}
@@ -183,12 +210,11 @@
 	return now.Sub(run.Began).Seconds() * cores
 }
 
-func (e *Engine) claimRoom(s *Set, workers []*Worker, now time.Time) {
-	s.claim = &claim{workers: workers, until: now.Add(e.cfg.StopTimeout + claimSlack)}
-	for _, w := range workers {
-		w.claimed = w.claimed.Add(s.room())
+func (e *Engine) claimRoom(s *Set, c *claim) {
+	s.claim = c
+	for _, w := range c.workers {
+		w.shift(c.kept, s.room())
 	}
-	s.Job.Waiting = "others are being stopped to make room"
 }
 
 func (e *Engine) dropClaim(s *Set) {
@@ -196,11 +222,20 @@
 		return
 	}
 	for _, w := range s.claim.workers {
-		w.claimed = w.claimed.Sub(s.room())
+		w.shift(s.claim.kept, s.room().Times(-1))
 	}
 	s.claim = nil
 }
 
+// shift adds to the room that is kept or claimed on the worker.
+func (w *Worker) shift(kept bool, room Room) {
+	if kept {
+		w.kept = w.kept.Add(room)
+		return
+	}
+	w.claimed = w.claimed.Add(room)
+}
+
 // startClaims plans the sets whose claimed room is free, and gives up claims that came to nothing.
 //
 // A worker that is avoided for a moment keeps its claim: others have been stopped for it already.
@@ -225,7 +260,7 @@
 	return !slices.ContainsFunc(workers, func(w *Worker) bool { return !e.usable(w, now) })
 }
 
-// roomFor reports whether the workers have room for the set now, whatever others have claimed.
+// roomFor reports whether the workers may take the set now, whatever others have claimed.
 func (e *Engine) roomFor(s *Set, workers []*Worker) bool {
 	for i, w := range workers {
 		if slices.Contains(workers[:i], w) {
@@ -240,6 +275,9 @@
 		if s.room().Count(w.Capacity.Sub(w.Used), n) < n {
 			return false
 		}
+		if per := s.step().MaxPerWorker; per > 0 && w.membersOf(s)+n > per {
+			return false
+		}
 	}
 	return true
 }
--- /dev/null
+++ b/internal/place/sets/reserve.go
@@ -0,0 +1,88 @@
+package sets
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// reserveAfter is how long a set waits before room is kept for it as it becomes free: small work would take every gap
+	// that a large gang needs.
+	reserveAfter = 4 * time.Second
+	// reservesMost bounds how many gangs have room kept for them at a time, as kept room lies idle.
+	reservesMost = 1
+	// reserveFor is how long room is kept before the choice is made anew.
+	reserveFor = 12 * time.Second
+)
+
+// opening is room for one more task on a worker, and when it will be there.
+type opening struct {
+	worker *Worker
+	in     time.Duration
+}
+
+// reserve keeps the room for a gang that will be free first, without stopping anyone; it reports whether it did.
+func (e *Engine) reserve(s *Set, now time.Time) bool {
+	if s.Count == 1 || e.reserved >= reservesMost || now.Sub(s.readyAt) < reserveAfter || now.Before(s.claimAgain) {
+		return false
+	}
+	var best []opening
+	for _, group := range e.groups(s, now) {
+		openings := e.openings(s, group)
+		if len(openings) < s.Count {
+			continue
+		}
+		openings = openings[:s.Count]
+		if best == nil || openings[s.Count-1].in < best[s.Count-1].in {
+			best = openings
+		}
+	}
+	if best == nil {
+		return false
+	}
+	workers := make([]*Worker, len(best))
+	for i, o := range best {
+		workers[i] = o.worker
+	}
+	e.claimRoom(s, &claim{workers: workers, until: now.Add(reserveFor), kept: true})
+	e.reserved++
+	s.Job.Waiting = "room is kept as it becomes free; the last part in about " + best[len(best)-1].in.Round(time.Second).String()
+	e.act(Note{What: JobWaits, Job: s.Job.ID(), Text: s.Job.Waiting})
+	return true
+}
+
+// openings lists the room for tasks of the set in the group, the earliest first.
+func (e *Engine) openings(s *Set, group map[*Worker]bool) []opening {
+	var list []opening
+	for _, w := range e.order {
+		if group[w] {
+			list = append(list, e.openingsOn(w, s)...)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b opening) int { return cmp.Compare(a.in, b.in) })
+	return list
+}
+
+// openingsOn lists when the worker will have room for one task of the set, for two, and so on.
+func (e *Engine) openingsOn(w *Worker, s *Set) []opening {
+	members := w.sorted()
+	slices.SortStableFunc(members, func(a, b *Member) int { return cmp.Compare(a.rest(), b.rest()) })
+	free := w.freeFor(e.queue(s.Job))
+	most := s.Count
+	if per := s.step().MaxPerWorker; per > 0 {
+		most = min(most, per-w.membersOf(s))
+	}
+	var list []opening
+	in := time.Duration(0)
+	for i := 0; ; i++ {
+		for len(list) < s.room().Count(free, most) {
+			list = append(list, opening{worker: w, in: in})
+		}
+		if i == len(members) || len(list) >= most {
+			return list
+		}
+		in = max(in, members[i].rest())
+		free = free.Add(members[i].Run.Set.room())
+	}
+}
--- a/internal/place/sets/what_enumer.go
+++ b/internal/place/sets/what_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _WhatName = "runPlacedrunStoppedrunBrokenrunDonejobOverworkerAvoidedworkerLapsed"
+const _WhatName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsed"
 
-var _WhatIndex = [...]uint8{0, 9, 19, 28, 35, 42, 55, 67}
+var _WhatIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75}
 
-const _WhatLowerName = "runplacedrunstoppedrunbrokenrundonejoboverworkeravoidedworkerlapsed"
+const _WhatLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsed"
 
 func (i What) String() string {
 	if i < 0 || i >= What(len(_WhatIndex)-1) {
@@ -29,11 +29,12 @@
 	_ = x[RunBroken-(2)]
 	_ = x[RunDone-(3)]
 	_ = x[JobOver-(4)]
-	_ = x[WorkerAvoided-(5)]
-	_ = x[WorkerLapsed-(6)]
+	_ = x[JobWaits-(5)]
+	_ = x[WorkerAvoided-(6)]
+	_ = x[WorkerLapsed-(7)]
 }
 
-var _WhatValues = []What{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, WorkerAvoided, WorkerLapsed}
+var _WhatValues = []What{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed}
 
 var _WhatNameToValueMap = map[string]What{
 	_WhatName[0:9]:        RunPlaced,
@@ -46,10 +47,12 @@
 	_WhatLowerName[28:35]: RunDone,
 	_WhatName[35:42]:      JobOver,
 	_WhatLowerName[35:42]: JobOver,
-	_WhatName[42:55]:      WorkerAvoided,
-	_WhatLowerName[42:55]: WorkerAvoided,
-	_WhatName[55:67]:      WorkerLapsed,
-	_WhatLowerName[55:67]: WorkerLapsed,
+	_WhatName[42:50]:      JobWaits,
+	_WhatLowerName[42:50]: JobWaits,
+	_WhatName[50:63]:      WorkerAvoided,
+	_WhatLowerName[50:63]: WorkerAvoided,
+	_WhatName[63:75]:      WorkerLapsed,
+	_WhatLowerName[63:75]: WorkerLapsed,
 }
 
 var _WhatNames = []string{
@@ -58,8 +61,9 @@
 	_WhatName[19:28],
 	_WhatName[28:35],
 	_WhatName[35:42],
-	_WhatName[42:55],
-	_WhatName[55:67],
+	_WhatName[42:50],
+	_WhatName[50:63],
+	_WhatName[63:75],
 }
 
 // WhatString retrieves an enum value from the enum constants string name.
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -49,8 +49,10 @@
 	strangers map[runKey]bool
 	// voids are runs that were given up while their start had no answer; each needs a stop that the worker has acknowledged.
 	voids map[runKey]bool
-	// claimed is the room set aside for sets that wait for others to stop.
+	// claimed is the room set aside for sets that wait for others to stop, kept that for gangs that wait for others to end;
+	// quick jobs don't mind the latter.
 	claimed Room
+	kept    Room
 	// faults are distinct sets that failed here since the last success.
 	faults []*Set
 	// speed is how fast the worker is against the others, one on average.
@@ -68,8 +70,14 @@
 	}
 }
 
-// free is what nobody uses or has claimed.
-func (w *Worker) free() Room { return w.Capacity.Sub(w.Used).Sub(w.claimed) }
+// freeFor is what nobody uses or has claimed against the set's queue.
+func (w *Worker) freeFor(q Queue) Room {
+	free := w.Capacity.Sub(w.Used).Sub(w.claimed)
+	if q.Priority == 0 {
+		return free
+	}
+	return free.Sub(w.kept)
+}
 
 // Busy reports whether anything may be alive on the worker.
 func (w *Worker) Busy() bool { return len(w.members) > 0 || len(w.strangers) > 0 }
