--- /dev/null
+++ b/internal/node/term/term_test.go
@@ -0,0 +1,225 @@
+package term_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/edge/agent"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/node/meter"
+	"github.com/lentildeck/lentildeck/internal/node/term"
+	"github.com/lentildeck/lentildeck/internal/place/sets"
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/state/policy"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const (
+	job  = "5c0e7a21d94b36f8"
+	task = job + ".0.0.0"
+)
+
+// wishes is a fixed configuration.
+type wishes struct{}
+
+func (wishes) Read(context.Context) (policy.Snapshot, error) {
+	p := &policy.Policy{Version: 1, Queues: []policy.Queue{{Queue: sets.Queue{Name: "plan", Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3}}}}
+	p.Prepare()
+	return policy.Snapshot{Policy: p}, nil
+}
+
+// workers is a fixed list.
+type workers []string
+
+func (w workers) Workers(context.Context) ([]sets.WorkerInfo, error) {
+	var list []sets.WorkerInfo
+	for _, id := range w {
+		list = append(list, sets.WorkerInfo{ID: id, Service: "main", Address: id, DataCentre: "dc", Rack: "r", Capacity: sets.Room{MilliCores: 8000, MemoryMB: 8000, Accelerators: 8}, Born: 1})
+	}
+	return list, nil
+}
+
+type site struct {
+	t      *testing.T
+	store  *fake.Transactor
+	agents *fake.Agents
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	return &site{t: t, store: fake.NewTransactor(), agents: fake.NewAgents("w1", "w2")}
+}
+
+// elect lets an instance compete; the returned function stops it and waits.
+func (s *site) elect(name string) (stop func()) {
+	holder := policy.NewHolder(wishes{}, time.Now, func(policy.Snapshot) {})
+	assert.NilError(s.t, holder.Refresh(s.t.Context()))
+	e := &term.Elector{
+		Instance: name, Store: s.store, Agent: s.agents, Lister: workers{"w1", "w2"}, Policy: holder,
+		Bounds: term.Bounds{MaxHold: 6 * time.Second, StopTimeout: time.Second, PolicyAge: time.Minute, ListAge: time.Minute, Retention: time.Minute, RemoteFactor: 3},
+		Log:    event.Discard(), Meter: meter.New(s.t.Name() + name), Now: time.Now, WallNow: time.Now,
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	done := make(chan struct{})
+	go e.Run(ctx, done)
+	stop = func() {
+		cancel()
+		<-done
+	}
+	s.t.Cleanup(stop)
+	return stop
+}
+
+func (s *site) submit() {
+	spec := work.Spec{Job: job, Queue: "plan", Steps: []work.Step{{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: time.Second}}, Accepted: time.Now()}
+	data, err := spec.Encode()
+	assert.NilError(s.t, err)
+	s.store.Put(work.SpecKey(job), data)
+}
+
+func (s *site) record() *work.Record {
+	item, err := s.store.Item(s.t.Context(), work.RecordKey(job))
+	if err != nil || item.Revision == 0 {
+		return &work.Record{}
+	}
+	record, err := work.DecodeRecord(item.Data)
+	assert.NilError(s.t, err)
+	return record
+}
+
+func (s *site) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+func (s *site) running() bool { return s.agents.Running(task) != "" }
+
+func TestJobRunsOnceAndItsEndIsRecordedBeforeItIsAcknowledged(t *testing.T) {
+	s := newSite(t)
+	s.elect("a")
+	s.submit()
+	s.eventually("the task runs", s.running)
+	var failing atomic.Bool
+	failing.Store(true)
+	s.store.Next = func(operation string) fake.Fate {
+		if operation == "commit" && failing.Load() {
+			return fake.Down
+		}
+		return fake.Delivered
+	}
+	assert.Assert(t, s.agents.End(task, sets.Done))
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, s.agents.Unacknowledged(), 1)
+	failing.Store(false)
+	s.eventually("the end is acknowledged", func() bool { return s.agents.Unacknowledged() == 0 })
+	assert.Equal(t, s.record().Phase, work.Completed)
+	assert.Equal(t, s.agents.Starts[task], 1)
+}
+
+func TestIntentIsRecordedBeforeTheStartLeaves(t *testing.T) {
+	s := newSite(t)
+	recorded := make(chan bool, 16)
+	s.agents.OnStart = func(worker string, _ agent.Start) error {
+		record := s.record()
+		recorded <- len(record.Sets) == 1 && len(record.Sets[0].On) == 1 && record.Sets[0].On[0] == worker
+		return nil
+	}
+	s.elect("a")
+	s.submit()
+	assert.Assert(t, <-recorded)
+}
+
+func TestSuccessorAdoptsWhatRuns(t *testing.T) {
+	s := newSite(t)
+	stop := s.elect("a")
+	s.submit()
+	s.eventually("the task runs", s.running)
+	stop()
+	s.elect("b")
+	s.eventually("the successor owns", func() bool {
+		item, err := s.store.Item(t.Context(), work.OwnerKey)
+		return err == nil && item.Revision != 0
+	})
+	assert.Assert(t, s.agents.End(task, sets.Done))
+	s.eventually("the job is completed", func() bool { return s.record().Phase == work.Completed })
+	assert.Equal(t, s.agents.Starts[task], 1)
+}
+
+func TestOwnerWhoseKeyIsGoneChangesNothing(t *testing.T) {
+	s := newSite(t)
+	stop := s.elect("a")
+	s.eventually("an owner", func() bool {
+		item, err := s.store.Item(t.Context(), work.OwnerKey)
+		return err == nil && item.Revision != 0
+	})
+	item, err := s.store.Item(t.Context(), work.OwnerKey)
+	assert.NilError(t, err)
+	s.store.Lapse(item.Lease)
+	_, err = s.store.Commit(t.Context(), store.Transaction{Expected: []store.Expectation{{Key: work.OwnerKey}}, Writes: []store.Write{{Key: work.OwnerKey, Data: []byte(`{"instance":"other"}`)}}})
+	assert.NilError(t, err)
+	s.submit()
+	time.Sleep(300 * time.Millisecond)
+	stop()
+	assert.Equal(t, len(s.record().Sets), 0)
+	assert.Assert(t, !s.running())
+}
+
+func TestStartWhoseAnswerIsLostIsSentAgainToTheSameWorker(t *testing.T) {
+	s := newSite(t)
+	var calls atomic.Int32
+	s.agents.OnStart = func(string, agent.Start) error {
+		if calls.Add(1) == 1 {
+			return errors.New("lost")
+		}
+		return nil
+	}
+	s.elect("a")
+	s.submit()
+	s.eventually("the task runs", s.running)
+	assert.Equal(t, s.agents.Overlaps, 0)
+	assert.Equal(t, s.record().Sets[0].Run, 1)
+}
+
+func TestJobIsFoundThoughTheWatchKeepsSilent(t *testing.T) {
+	s := newSite(t)
+	s.store.Next = func(operation string) fake.Fate {
+		if operation == "changes" {
+			return fake.HistoryGone
+		}
+		return fake.Delivered
+	}
+	s.elect("a")
+	s.submit()
+	s.store.Put(work.WaitKey("plan", job), nil)
+	s.eventually("the task runs", s.running)
+}
+
+func TestCommitWhoseAnswerIsLostIsNotDoneTwice(t *testing.T) {
+	s := newSite(t)
+	var lost atomic.Int32
+	s.store.Next = func(operation string) fake.Fate {
+		// The first commit takes ownership, the next two are of the job.
+		if operation == "commit" && lost.Add(1) > 1 && lost.Load() < 4 {
+			return fake.AnswerLost
+		}
+		return fake.Delivered
+	}
+	s.elect("a")
+	s.submit()
+	s.eventually("the task runs", s.running)
+	assert.Equal(t, s.agents.Starts[task], 1)
+	assert.Assert(t, s.agents.End(task, sets.Done))
+	s.eventually("the job is completed", func() bool { return s.record().Phase == work.Completed })
+	assert.Equal(t, s.agents.Starts[task], 1)
+}
