A worker may carry an earlier owner's lease

Change: every worker counts as leased for the time an earlier owner could have given when an owner first lists it. Test: TestShortLeaseDoesNotHideAnEarlierOwnersLongerOne failed before. Conclusion: leases are a worker's, not a task's.

--- a/internal/place/sets/engine_test.go
+++ b/internal/place/sets/engine_test.go
@@ -333,3 +333,26 @@
 	s.pass(time.Second)
 	assert.Equal(t, len(s.workersOf("job-a")), 0)
 }
+
+// The pattern: an owner takes over, starts a task under a short lease on a worker that an earlier owner's lease still
+// covers, and the worker is cut off at once.
+func TestShortLeaseDoesNotHideAnEarlierOwnersLongerOne(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.submit("job-a", planQueue, "alpha", gang(1, 8))
+	s.engine.Decide(true, s.now)
+	for _, u := range s.engine.Updates(s.now) {
+		s.engine.Committed(u, s.now)
+	}
+	started := s.now
+	for _, action := range s.engine.Actions() {
+		if order, ok := action.(sets.StartOrder); ok {
+			order.Member.Sent()
+			s.silent[order.Worker] = true
+			s.engine.StartAnswered(order.Member, sets.Accepted, s.now)
+		}
+	}
+	s.pass(sets.DefaultConfig().InheritedLease - time.Second)
+	assert.Equal(t, len(s.workersOf("job-a")), 0, "it may still run where it was started at %s", started)
+	s.pass(3 * time.Second)
+	assert.Equal(t, len(s.workersOf("job-a")), 1)
+}
--- a/internal/place/sets/job.go
+++ b/internal/place/sets/job.go
@@ -232,14 +232,13 @@
 		for i, id := range rec.On {
 			w := e.workers[id]
 			if w == nil {
-				w = newWorker(WorkerInfo{ID: id})
+				w = newWorker(WorkerInfo{ID: id}, now.Add(e.cfg.InheritedLease))
 				w.Present = false
 				e.addWorker(w)
 			}
 			m := &Member{Run: run, Worker: w, State: Inherited, task: s.taskName(i), movedAt: now}
 			run.Members = append(run.Members, m)
 			w.attach(m)
-			e.Renewed(id, now.Add(e.cfg.InheritedLease))
 		}
 	}
 }
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -63,9 +63,10 @@
 	hungAt time.Time
 }
 
-func newWorker(info WorkerInfo) *Worker {
+// newWorker returns a worker on which an earlier owner may have left a lease until leaseEnds.
+func newWorker(info WorkerInfo, leaseEnds time.Time) *Worker {
 	return &Worker{
-		WorkerInfo: info, Present: true, speed: 1,
+		WorkerInfo: info, Present: true, speed: 1, LeaseEnds: leaseEnds,
 		members: make(map[runKey]*Member), strangers: make(map[runKey]bool), voids: make(map[runKey]bool),
 	}
 }
@@ -127,7 +128,7 @@
 		listed[info.ID] = true
 		w := e.workers[info.ID]
 		if w == nil {
-			e.addWorker(newWorker(info))
+			e.addWorker(newWorker(info, now.Add(e.cfg.InheritedLease)))
 			continue
 		}
 		if info.Born != 0 && w.Born != 0 && info.Born != w.Born {
