A decision does not try again what did not fit

Cause: a decision's cost grew with workers times waiting jobs: 0.8, 25.5 and 345 ms at 48, 350 and 1,400 workers (BenchmarkDecide). Change: within a decision, sets of a demand that found no room are skipped, and at most eight searches look for work to stop.

--- /dev/null
+++ b/internal/place/sets/bench_test.go
@@ -0,0 +1,57 @@
+package sets_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/sets"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+)
+
+// BenchmarkDecide measures one decision while many jobs wait and all workers are busy.
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []struct{ workers, jobs int }{{48, 60}, {350, 450}, {1400, 1800}} {
+		b.Run(fmt.Sprintf("workers=%d,jobs=%d", size.workers, size.jobs), func(b *testing.B) {
+			e, now := crowded(size.workers, size.jobs)
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(time.Millisecond)
+				e.Decide(true, now)
+			}
+		})
+	}
+}
+
+// crowded returns an engine whose workers are full and that has more jobs than fit.
+func crowded(workers, jobs int) (*sets.Engine, time.Time) {
+	now := time.Unix(1000, 0)
+	e := sets.New(sets.DefaultConfig())
+	e.SetPolicy([]sets.Queue{
+		{Name: quickQueue, Service: "main", Priority: 0, MaxAttempts: 4, Stretch: 1.5},
+		{Name: planQueue, Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3},
+		{Name: batchQueue, Service: "main", Priority: 2, MaxAttempts: 4, Stretch: 3},
+	}, map[string]int{"alpha": 16}, nil)
+	infos := make([]sets.WorkerInfo, workers)
+	for i := range infos {
+		infos[i] = sets.WorkerInfo{ID: fmt.Sprintf("w%04d", i), Service: "main", DataCentre: fmt.Sprintf("dc%d", i%6), Rack: fmt.Sprintf("r%03d", i/8),
+			Capacity: sets.Room{MilliCores: 32000, MemoryMB: 128000, Accelerators: 8}, Born: 1}
+	}
+	e.SetWorkers(infos, now)
+	for _, info := range infos {
+		e.Listed(info.ID, sets.Listing{Born: 1}, now, now)
+	}
+	queues := []string{planQueue, batchQueue, batchQueue}
+	for i := range jobs {
+		step := work.Step{Count: 4 + i%5, MilliCores: 4000, MemoryMB: 8000, Accelerators: 1 + i%8, Estimate: 8 * time.Second, Gang: i%3 == 0}
+		e.Load(&work.Spec{Job: fmt.Sprintf("%016x", i), Queue: queues[i%3], Workspace: "beta", Steps: []work.Step{step}}, nil, time.Duration(i)*time.Millisecond, now)
+	}
+	for range 3 {
+		e.Decide(true, now)
+		for _, u := range e.Updates(now) {
+			e.Committed(u, now)
+		}
+		e.Actions()
+	}
+	return e, now
+}
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -212,36 +212,80 @@
 	return longest
 }
 
-// placeAll plans runs in order; equal sets of a step are not tried again after one found no room.
+// demand is all of a set that decides whether it fits, but for how many tasks it has.
+type demand struct {
+	room     Room
+	sameRack bool
+	affinity string
+	requires string
+	most     int
+	queue    string
+}
+
+// evictionsPerPass bounds the searches for work to stop in one decision; the others follow with the next.
+const evictionsPerPass = 8
+
+// pass is what one decision has learned: as free room only shrinks in it, what did not fit need not be tried again.
+type pass struct {
+	// misses has the fewest tasks of each demand that found no room.
+	misses    map[demand]int
+	evictions int
+}
+
+func (s *Set) demand() demand {
+	step := s.step()
+	return demand{s.room(), step.SameRack, step.Affinity, step.Requires, step.MaxPerWorker, s.Job.Spec.Queue}
+}
+
+// mayFit reports whether a search makes sense after what the pass has learned.
+func (p *pass) mayFit(s *Set) bool {
+	least, missed := p.misses[s.demand()]
+	return !missed || s.Count < least
+}
+
+// placeAll plans runs in order.
 func (e *Engine) placeAll(ready []*Set, now time.Time) {
-	type stepKey struct {
-		job  *Job
-		step int
-	}
-	missed := make(map[stepKey]bool)
 	e.reserved = 0
 	for _, s := range ready {
 		if s.claim != nil && s.claim.kept {
 			e.reserved++
 		}
 	}
+	p := &pass{misses: make(map[demand]int)}
 	for _, s := range ready {
-		key := stepKey{s.Job, s.Step}
-		if s.Run != nil || s.claim != nil || missed[key] {
-			continue
+		if s.Run == nil && s.claim == nil {
+			e.place(s, p, now)
 		}
+	}
+}
+
+func (e *Engine) place(s *Set, p *pass, now time.Time) {
+	// Sets that have failed somewhere or belong to steps with a bound on each worker differ from others of their demand.
+	special := len(s.soured) > 0 || s.step().MaxPerWorker > 0
+	if special || p.mayFit(s) {
 		if workers := e.find(s, e.freeView(s), now); workers != nil {
 			e.plan(s, workers, "free room", now)
-			continue
+			return
 		}
-		if e.preempt(s, now) || e.reserve(s, now) {
-			continue
+		if !special {
+			p.misses[s.demand()] = s.Count
+		}
+	}
+	if p.evictions < evictionsPerPass && e.mayStopOthers(s, now) && !now.Before(s.claimAgain) {
+		p.evictions++
+		if e.preempt(s, now) {
+			return
 		}
-		missed[key] = true
+		s.claimAgain = now.Add(evictionPause)
+	}
+	if !e.reserve(s, now) {
 		e.waits(s, now)
 	}
 }
 
+// evictionPause keeps a set that no stop would help from being searched for in each decision.
+const evictionPause = 50 * time.Millisecond
+
 // waits records why the set found no room, and logs it once for each wait.
 func (e *Engine) waits(s *Set, now time.Time) {
 	first := s.Job.Waiting == ""
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -42,9 +42,6 @@
 
 // preempt stops cheaper work for the set and claims the room; it reports whether it did.
 func (e *Engine) preempt(s *Set, now time.Time) bool {
-	if now.Before(s.claimAgain) || !e.mayStopOthers(s, now) {
-		return false
-	}
 	victims := e.victims(s, now)
 	var best *eviction
 	for _, group := range e.groups(s, now) {
