Logs never block; explain joins logs; tasks larger than any worker are refused

Cause: log lines were written in the caller's way, carried no instance, and nothing joined those of several instances; a task that fits no worker waited for ever. Change: lines go through a bounded queue with counted drops and carry the instance; 'lentildeck explain ID [FILE...]' prints one timeline; instances refuse tasks that are larger than the largest worker of their service that was ever listed. Test: TestWriterNeverWaitsAndCountsWhatItDrops, TestExplainJoinsAndSortsWhatIsAboutTheJob, TestTaskLargerThanAnyWorkerIsUnservable.

--- a/cmd/lentildeckd/main.go
+++ b/cmd/lentildeckd/main.go
@@ -77,17 +77,18 @@
 	return 0
 }
 
-// serveSite runs the instance with the settings that its site provides.
+// serveSite runs the instance with the settings that its site provides; its log goes to standard output.
 func serveSite(name string) int {
-	log := event.NewLog(&log.Logger{Handler: logjson.New(os.Stdout), Level: log.InfoLevel})
 	open, err := deck.Sites.Lookup(name)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentildeckd:", err)
 		return exitUsage
 	}
-	parts, err := open(log)
+	lines := event.NewWriter(os.Stdout)
+	defer lines.Close()
+	parts, err := open(event.NewLog(&log.Logger{Handler: logjson.New(lines), Level: log.InfoLevel}))
 	if err == nil {
-		err = deck.New(parts, log).Run()
+		err = deck.New(parts).Run()
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentildeckd:", err)
--- a/internal/kern/event/event.go
+++ b/internal/kern/event/event.go
@@ -120,3 +120,6 @@
 		entry.Error(kind.Name)
 	}
 }
+
+// For returns a log whose lines carry the instance's name.
+func (l *Log) For(instance string) *Log { return &Log{out: l.out.WithField("instance", instance)} }
--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -51,6 +51,8 @@
 	Grace time.Duration
 	// PeerAddress is where other instances reach this one; without it, requests are not relayed.
 	PeerAddress string
+	// Log is where the instance's events go.
+	Log *event.Log
 	// Serve opens the listeners and returns after stop is closed or when one fails.
 	Serve func(node *Node, stop <-chan struct{}) error
 	// Check reads the settings again.
@@ -68,21 +70,24 @@
 	Parts
 	Jobs     *admit.Service
 	Meter    *meter.Set
-	Log      *event.Log
 	policy   *policy.Holder
 	peers    *relay.Peers
+	fleet    *fleet
 	elector  *term.Elector
 	stopping atomic.Bool
 	lost     bool
 }
 
 // New wires an instance.
-func New(parts Parts, log *event.Log) *Node {
-	n := &Node{Parts: parts, Log: log, Meter: meter.New(parts.Instance)}
+func New(parts Parts) *Node {
+	log := parts.Log
+	n := &Node{Parts: parts, Meter: meter.New(parts.Instance)}
 	n.policy = policy.NewHolder(parts.Source, clock.Now, n.inForce)
 	n.Jobs = &admit.Service{
 		Store: parts.Store, Policy: n.policy, MaxAge: parts.KeyAge, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
 	}
+	n.fleet = &fleet{lister: parts.Lister, log: log}
+	n.Jobs.Servable = n.fleet.servable
 	n.peers = &relay.Peers{Store: parts.Store, Self: relay.Peer{Name: parts.Instance, Address: parts.PeerAddress}, Log: log}
 	if parts.PeerAddress != "" {
 		n.Jobs.Relay = &relay.Relay{Peers: n.peers, Client: link.NewClient(nil), Log: log}
@@ -123,6 +128,7 @@
 	defer resign()
 	var parts conc.WaitGroup
 	parts.Go(func() { n.refresh(ctx) })
+	parts.Go(func() { n.fleet.run(ctx) })
 	parts.Go(func() { n.elector.Run(owning, elected) })
 	if n.PeerAddress != "" {
 		parts.Go(func() { n.peers.Run(ctx) })
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -66,6 +66,8 @@
 	Policy *policy.Holder
 	// MaxAge is the oldest proof of the policy under which a key is accepted.
 	MaxAge time.Duration
+	// Servable returns why no worker of the service could ever run the job, or nothing; nil if that is not known.
+	Servable func(service string, spec *work.Spec) string
 	// Relay reaches other instances, or is nil.
 	Relay Relay
 	Log   *event.Log
@@ -151,6 +153,11 @@
 			if err := spec.Check(); err != nil {
 				return Reply{Result: BadRequest, Why: err.Error()}
 			}
+			if s.Servable != nil && !mayBeDone {
+				if why := s.Servable(t.queue.Service, spec); why != "" {
+					return Reply{Result: BadRequest, Why: why}
+				}
+			}
 			if !mayBeDone {
 				if err := s.alive(ctx); err != nil {
 					return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}
