--- a/cmd/lentildeckd/main.go
+++ b/cmd/lentildeckd/main.go
@@ -88,7 +88,7 @@
 	defer lines.Close()
 	parts, err := open(event.NewLog(&log.Logger{Handler: logjson.New(lines), Level: log.InfoLevel}))
 	if err == nil {
-		err = deck.New(parts).Run()
+		err = deck.New(parts).Run(deck.Signals())
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentildeckd:", err)
--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -115,10 +115,15 @@
 	return !n.Stopping() && snapshot.Policy != nil && clock.Now().Sub(proved) < min(n.KeyAge, readyAge)
 }
 
-// Run serves until the process is told to stop.
-func (n *Node) Run() error {
+// Signals returns the signals that Run understands as they come.
+func Signals() <-chan os.Signal {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// Run serves until a signal tells it to stop; SIGHUP makes it read its settings again.
+func (n *Node) Run(signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stop := make(chan struct{})
