Sets with claimed room take what is free elsewhere

Change: each decision looks for free room elsewhere first; below half use small tasks are moved for a gang with kept room too. Test: TestGangWithKeptRoomTakesWhatIsFreeElsewhere. Conclusion: a claim is a last resort, not a binding.

--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -249,10 +249,30 @@
 		case e.allUsable(workers, now) && e.roomFor(s, workers):
 			e.dropClaim(s)
 			e.plan(s, workers, "room made", now)
+		default:
+			e.reconsider(s, now)
 		}
 	}
 }
 
+// reconsider places a set that has claimed room elsewhere if it can, since the room it claimed may be long in coming; a
+// gang for which room is kept may also have small tasks moved once much is free.
+func (e *Engine) reconsider(s *Set, now time.Time) {
+	c := s.claim
+	e.dropClaim(s)
+	if workers := e.find(s, e.freeView(s), now); workers != nil {
+		e.plan(s, workers, "free room elsewhere", now)
+		return
+	}
+	if c.kept && e.mayStopOthers(s, now) && !now.Before(s.claimAgain) {
+		if e.preempt(s, now) {
+			return
+		}
+		s.claimAgain = now.Add(evictionPause)
+	}
+	e.claimRoom(s, c)
+}
+
 func (e *Engine) allUsable(workers []*Worker, now time.Time) bool {
 	return !slices.ContainsFunc(workers, func(w *Worker) bool { return !e.usable(w, now) })
 }
--- a/internal/place/sets/quick_test.go
+++ b/internal/place/sets/quick_test.go
@@ -165,3 +165,21 @@
 	s.pass(time.Second)
 	assert.Equal(t, len(s.workersOf("small")), 2, "one on each worker that is left")
 }
+
+// The pattern: room is kept on workers of which one stays busy, while others have become free.
+func TestGangWithKeptRoomTakesWhatIsFreeElsewhere(t *testing.T) {
+	s := newSite(t, 1, 4)
+	s.submit("long", planQueue, "beta", gang(1, 8))
+	s.step()
+	s.submit("short", planQueue, "beta", gang(3, 8))
+	s.step()
+	s.submit("wide", planQueue, "beta", gang(2, 8))
+	s.pass(6 * time.Second)
+	assert.Equal(t, len(s.workersOf("wide")), 0)
+	s.end("short.0.0.0", sets.Done)
+	for _, name := range []string{"short.0.0.1", "short.0.0.2"} {
+		s.end(name, sets.Done)
+	}
+	s.pass(time.Second)
+	assert.Equal(t, len(s.workersOf("wide")), 2)
+}
