--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -96,6 +96,7 @@
 		Instance: parts.Instance, Store: parts.Store, Agent: parts.Agent, Lister: parts.Lister, Policy: n.policy,
 		Bounds: parts.Bounds, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
 	}
+	n.Meter.Publish("owner", func() any { return n.elector.Owns() })
 	return n
 }
 
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/lentildeck/lentildeck/internal/state/work"
 )
 
 // Decide settles what time has brought and, if mayStart is true, plans runs for what is ready.
@@ -54,7 +52,6 @@
 	case m.State == Started && m.Worker.Draining && run.Set.step().Checkpoints && m.rest() > leaveMargin:
 		e.stopRun(run, "its worker leaves, and it can go on elsewhere", now)
 	case m.State == Started && e.hangs(m, now):
-		m.Worker.hungAt = now
 		m.Worker.avoid(now.Add(e.cfg.FaultPause))
 		e.act(Note{What: WorkerAvoided, Worker: m.Worker.ID, Job: run.Set.Job.ID(), Task: m.task, Text: "a task made no progress"})
 		e.stopRun(run, "no progress", now)
@@ -316,16 +313,3 @@
 	e.act(Note{What: RunPlaced, Job: s.Job.ID(), Task: s.taskName(0), Run: run.Number, Worker: workers[0].ID,
 		Text: fmt.Sprintf("%s; %d tasks, tier %d, lateness %d, waited %s", why, len(workers), s.Job.tier, s.Job.lateness, now.Sub(s.readyAt).Round(time.Millisecond))})
 }
-
-// Fits reports whether every set of the spec could be placed on the workers if they were empty.
-func (e *Engine) Fits(spec *work.Spec, now time.Time) bool {
-	j := &Job{Spec: spec}
-	j.build()
-	j.Record.Sets = make([]work.SetRecord, len(j.sets))
-	for _, step := range j.steps {
-		if e.find(step[0], e.emptyView, now) == nil {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -119,13 +119,6 @@
 // Job returns the job of that ID, or nil.
 func (e *Engine) Job(id string) *Job { return e.jobs[id] }
 
-// Jobs calls visit for each job.
-func (e *Engine) Jobs(visit func(*Job)) {
-	for _, j := range e.jobs {
-		visit(j)
-	}
-}
-
 // keepOpen inserts the job by acceptance, then ID.
 func (e *Engine) keepOpen(j *Job) {
 	at, _ := slices.BinarySearchFunc(e.open, j, func(a, b *Job) int {
--- a/internal/place/sets/room.go
+++ b/internal/place/sets/room.go
@@ -47,16 +47,3 @@
 func (r Room) Cores() float64 {
 	return float64(r.MilliCores)/1000 + float64(r.Accelerators)*coresPerAccelerator
 }
-
-// Share returns the largest share of the whole that r takes of any resource.
-func (r Room) Share(whole Room) float64 {
-	share := 0.0
-	for _, pair := range [...][2]int{
-		{r.MilliCores, whole.MilliCores}, {r.MemoryMB, whole.MemoryMB}, {r.Accelerators, whole.Accelerators},
-	} {
-		if pair[1] > 0 {
-			share = max(share, float64(pair[0])/float64(pair[1]))
-		}
-	}
-	return share
-}
--- a/internal/place/sets/speed.go
+++ b/internal/place/sets/speed.go
@@ -84,7 +84,6 @@
 		speed := m.rate / base
 		if speed < slowBelow {
 			m.Worker.avoid(now.Add(slowPause))
-			m.Worker.slowAt = now
 		}
 		m.Worker.speed += weight * (min(max(speed, slowBelow), 1/slowBelow) - m.Worker.speed)
 	}
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -57,10 +57,6 @@
 	faults []*Set
 	// speed is how fast the worker is against the others, one on average.
 	speed float64
-	// slowAt is when the worker was last much slower than its peers.
-	slowAt time.Time
-	// hungAt is when work here last stood still.
-	hungAt time.Time
 }
 
 // newWorker returns a worker on which an earlier owner may have left a lease until leaseEnds.
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -108,6 +108,15 @@
 	return t, nil
 }
 
+// MaxBody returns the most bytes that a request's body may have; zero means no bound.
+func (s *Service) MaxBody() int {
+	snapshot, _ := s.Policy.Current()
+	if snapshot.Policy == nil {
+		return 0
+	}
+	return snapshot.Policy.MaxBody
+}
+
 // Submit takes in a job once, however often it is called with the same ID.
 func (s *Service) Submit(ctx context.Context, caller Caller, spec *work.Spec) Reply {
 	started := s.Now()
--- a/internal/state/policy/policy.go
+++ b/internal/state/policy/policy.go
@@ -28,20 +28,13 @@
 	Promised int
 }
 
-// Limits bound what callers may send.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Policy is one version of the configuration.
 type Policy struct {
 	Version    int64
 	Queues     []Queue
 	Workspaces []Workspace
-	Limits     Limits
+	// MaxBody is the most bytes of a request's body; zero means no bound.
+	MaxBody int
 
 	byKey map[string]*Workspace
 }
