--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -112,12 +112,12 @@
 	s.eventually("the task runs", s.running)
 	var failing atomic.Bool
 	failing.Store(true)
-	s.store.Next = func(operation string) fake.Fate {
+	s.store.SetFates(func(operation string) fake.Fate {
 		if operation == "commit" && failing.Load() {
 			return fake.Down
 		}
 		return fake.Delivered
-	}
+	})
 	assert.Assert(t, s.agents.End(task, sets.Done))
 	time.Sleep(300 * time.Millisecond)
 	assert.Equal(t, s.agents.Unacknowledged(), 1)
@@ -193,12 +193,12 @@
 
 func TestJobIsFoundThoughTheWatchKeepsSilent(t *testing.T) {
 	s := newSite(t)
-	s.store.Next = func(operation string) fake.Fate {
+	s.store.SetFates(func(operation string) fake.Fate {
 		if operation == "changes" {
 			return fake.HistoryGone
 		}
 		return fake.Delivered
-	}
+	})
 	s.elect("a")
 	s.submit()
 	s.store.Put(work.WaitKey("plan", job), nil)
@@ -208,13 +208,13 @@
 func TestCommitWhoseAnswerIsLostIsNotDoneTwice(t *testing.T) {
 	s := newSite(t)
 	var lost atomic.Int32
-	s.store.Next = func(operation string) fake.Fate {
+	s.store.SetFates(func(operation string) fake.Fate {
 		// The first commit takes ownership, the next two are of the job.
 		if operation == "commit" && lost.Add(1) > 1 && lost.Load() < 4 {
 			return fake.AnswerLost
 		}
 		return fake.Delivered
-	}
+	})
 	s.elect("a")
 	s.submit()
 	s.eventually("the task runs", s.running)
--- a/internal/proof/fake/transact.go
+++ b/internal/proof/fake/transact.go
@@ -36,9 +36,7 @@
 	revision int64
 	changed  chan struct{}
 	late     []store.Transaction
-
-	// Next decides the fate of each call; nil lets all through. The operation is the method's name in lower case.
-	Next func(operation string) Fate
+	next     func(operation string) Fate
 }
 
 var _ store.Transactor = (*Transactor)(nil)
@@ -48,11 +46,22 @@
 	return &Transactor{items: make(map[string]store.Item), leases: make(map[int64]bool), changed: make(chan struct{}), revision: 1}
 }
 
+// SetFates lets next decide the fate of each call from now on; nil lets all through. The operation is the method's name
+// in lower case.
+func (t *Transactor) SetFates(next func(operation string) Fate) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next = next
+}
+
 func (t *Transactor) fate(operation string) Fate {
-	if t.Next == nil {
+	t.mu.Lock()
+	next := t.next
+	t.mu.Unlock()
+	if next == nil {
 		return Delivered
 	}
-	return t.Next(operation)
+	return next(operation)
 }
 
 // failure is the error of a call whose effect is not the caller's to know.
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -91,7 +91,7 @@
 
 func (b *bench) created(t *testing.T) bool {
 	t.Helper()
-	b.store.Next = nil
+	b.store.SetFates(nil)
 	item, err := b.store.Item(t.Context(), work.SpecKey(job))
 	assert.NilError(t, err)
 	return item.Revision != 0
@@ -130,7 +130,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
-			b.store.Next = c.next
+			b.store.SetFates(c.next)
 			reply := b.service.Submit(brief(t), caller(), spec())
 			assert.Equal(t, reply.Result, c.want, reply.Why)
 			assert.Equal(t, b.created(t), c.created)
@@ -141,19 +141,19 @@
 // The pattern: the store falls silent; a job that was not sent yet is refused truthfully, well before its caller's time is over.
 func TestSilentStoreIsFoundOutBeforeTheJobIsSent(t *testing.T) {
 	b := newBench(t)
-	b.store.Next = func(operation string) fake.Fate {
+	b.store.SetFates(func(operation string) fake.Fate {
 		if operation == "item" {
 			return fake.CallLost
 		}
 		return fake.Delivered
-	}
+	})
 	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.Refused)
 	assert.Assert(t, !b.created(t))
 }
 
 func TestRefusedSubmitNeverRunsLater(t *testing.T) {
 	b := newBench(t)
-	b.store.Next = func(string) fake.Fate { return fake.Down }
+	b.store.SetFates(func(string) fake.Fate { return fake.Down })
 	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.Refused)
 	assert.Equal(t, b.store.Deliver(), 0)
 	assert.Assert(t, !b.created(t))
@@ -187,7 +187,7 @@
 // The pattern: the store serves some instances and not this one.
 func TestCutOffInstanceAsksAPeer(t *testing.T) {
 	b := newBench(t)
-	b.store.Next = func(string) fake.Fate { return fake.Down }
+	b.store.SetFates(func(string) fake.Fate { return fake.Down })
 	helper := &peer{reply: &admit.Reply{Result: admit.OK}, tried: true}
 	b.service.Relay = helper
 	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.OK)
@@ -197,7 +197,7 @@
 
 func TestRelayedSubmitWithoutAnswerIsNeverCalledRefused(t *testing.T) {
 	b := newBench(t)
-	b.store.Next = func(string) fake.Fate { return fake.Down }
+	b.store.SetFates(func(string) fake.Fate { return fake.Down })
 	b.service.Relay = &peer{tried: true}
 	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.Unknown)
 }
