Ends are acknowledged also when nothing is to be written

Cause: found in reading: what workers may forget was raised only after a commit, so the end of a task that no record knows was listed again with each look, twenty times a second, until some other job changed. Change: while nothing waits to be written, ends taken in count as durable and are acknowledged at once. Test: TestEndOfAnUnknownTaskIsAcknowledgedWithoutACommit failed before (20 s).

--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -35,11 +35,7 @@
 	t.state.Lock()
 	t.committing = false
 	if !failed {
-		for id, number := range acknowledge {
-			if s := t.sessions[id]; s != nil {
-				s.acknowledge(number)
-			}
-		}
+		t.acknowledge(acknowledge)
 	}
 	actions := t.engine.Actions()
 	t.state.Unlock()
@@ -47,6 +43,15 @@
 	t.wake()
 }
 
+// acknowledge raises what workers may forget. The caller holds the state.
+func (t *term) acknowledge(numbers map[string]int64) {
+	for id, number := range numbers {
+		if s := t.sessions[id]; s != nil {
+			s.acknowledge(number)
+		}
+	}
+}
+
 func (t *term) commitGroup(ctx context.Context, group []sets.Update) error {
 	tx, err := t.transaction(group)
 	if err != nil {
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -206,6 +206,10 @@
 		t.committing = len(updates) > 0
 	}
 	acknowledge := t.processed()
+	if !t.committing {
+		// Nothing is left to be written, so all ends taken in are durable.
+		t.acknowledge(acknowledge)
+	}
 	actions := t.engine.Actions()
 	silent, all := t.silent(now)
 	t.state.Unlock()
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -223,3 +223,12 @@
 	s.eventually("the job is completed", func() bool { return s.record().Phase == work.Completed })
 	assert.Equal(t, s.agents.Starts[task], 1)
 }
+
+// The pattern: a worker lists the end of a task that no record knows any more, and nothing else is to be written.
+func TestEndOfAnUnknownTaskIsAcknowledgedWithoutACommit(t *testing.T) {
+	s := newSite(t)
+	assert.NilError(t, s.agents.Start(t.Context(), agent.Target{Worker: "w1"}, agent.Start{Task: "gone.0.0.0", Run: 1}))
+	assert.Assert(t, s.agents.End("gone.0.0.0", sets.Done))
+	s.elect("a")
+	s.eventually("the end is acknowledged", func() bool { return s.agents.Unacknowledged() == 0 })
+}
