A stopping instance waits until the owner's lease is handed back

Change: Run waits for the end of the term, 0.7 s at most. Conclusion: traced to the missing wait, not to load.

--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -33,6 +33,8 @@
 	// readyAge is the oldest proof of the configuration under which callers are led here: two reads that failed. It is well
 	// below what keys need, as the balancer takes two more seconds to notice.
 	readyAge = 1200 * time.Millisecond
+	// resignTimeout bounds the wait for the owner's lease to be handed back, which began with the stop.
+	resignTimeout = 700 * time.Millisecond
 	// leaveBefore is kept of the grace period for closing channels and ending the process.
 	leaveBefore = 1500 * time.Millisecond
 )
@@ -157,6 +159,10 @@
 			pause.For(ctx, max(n.Grace-leaveBefore, 0))
 			close(stop)
 			err := <-served
+			select {
+			case <-elected:
+			case <-time.After(resignTimeout):
+			}
 			n.Log.Emit(event.Stopped, event.Fields{})
 			return err
 		}
