--- /dev/null
+++ b/cmd/lentildeck/doc.go
@@ -0,0 +1,2 @@
+// Command lentildeck is the operators' command-line client.
+package main
--- a/cmd/lentildeck/main.go
+++ b/cmd/lentildeck/main.go
@@ -1,4 +1,3 @@
-// Command lentildeck is the operators' command-line client.
 package main
 
 import (
--- /dev/null
+++ b/cmd/lentildeckd/doc.go
@@ -0,0 +1,2 @@
+// Command lentildeckd is one entry instance.
+package main
--- a/cmd/lentildeckd/main.go
+++ b/cmd/lentildeckd/main.go
@@ -1,4 +1,3 @@
-// Command lentildeckd is one entry instance.
 package main
 
 import (
