--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -86,7 +86,6 @@
 			m.Percent, m.movedAt = entry.Percent, now
 		}
 		if entry.Saved != "" && m.Run.Set.step().Checkpoints {
-			m.saved = entry.Saved
 			m.Run.Set.record().Saved = entry.Saved
 		}
 	}
--- a/internal/place/sets/job.go
+++ b/internal/place/sets/job.go
@@ -144,7 +144,6 @@
 	State  MemberState
 	// Percent is the progress last reported.
 	Percent int
-	saved   string
 	task    string
 	born    int64
 	// orderedAt, startedAt and stoppedAt are when the start was released and when start and stop were acknowledged.
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -166,7 +166,7 @@
 			if e.queue(s.Job).Priority != 0 && other.Count > 1 {
 				continue
 			}
-			if run := other.Run; run != nil && run.stopping == "" && run.broken.IsZero() && e.startedWhole(run) {
+			if run := other.Run; run != nil && run.stopping == "" && run.broken.IsZero() && run.whole() {
 				lost := waste(run, now)
 				list = append(list, victim{run: run, priority: e.queue(j).Priority, waste: lost, cost: lost / other.need().Cores()})
 			}
@@ -178,9 +178,6 @@
 	return list
 }
 
-// startedWhole leaves out runs whose starts are still on their way.
-func (e *Engine) startedWhole(run *Run) bool { return run.whole() }
-
 // yields reports whether a job's runs may be stopped for the other job.
 func (e *Engine) yields(j, to *Job) bool {
 	if j == to || j.entitled || j.Record.Phase.Final() {
