The owner logs and times decisions that make orders late

Change: event 416 decisionSlow, at most two lines a second, and a histogram of decisions on the metrics address.

--- a/internal/node/meter/meter.go
+++ b/internal/node/meter/meter.go
@@ -60,13 +60,16 @@
 	Quick *Timer
 	// Groups counts the changes of each group commit.
 	Groups *Timer
+	// Decisions times the owner's decisions.
+	Decisions *Timer
 }
 
 // New publishes a set under the instance's name.
 func New(instance string) *Set {
-	s := &Set{vars: new(expvar.Map), Quick: NewTimer(), Groups: NewTimer()}
+	s := &Set{vars: new(expvar.Map), Quick: NewTimer(), Groups: NewTimer(), Decisions: NewTimer()}
 	s.vars.Set("quickMicroseconds", s.Quick)
 	s.vars.Set("groupCommitChanges", s.Groups)
+	s.vars.Set("decisionMicroseconds", s.Decisions)
 	root.Set(instance, s.vars)
 	return s
 }
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -27,6 +27,10 @@
 	holdPast = 2 * time.Second
 	// cutOffAfter is how long most workers must be silent before the owner leaves its place to another instance.
 	cutOffAfter = 1500 * time.Millisecond
+	// slowAfter is the length of a decision that is logged: a quarter of the shortest objective of the users' quick jobs.
+	slowAfter = 60 * time.Millisecond
+	// slowLogEvery bounds the volume of that line.
+	slowLogEvery = 500 * time.Millisecond
 	// clockSlack is how much slower than ours a worker's clock may run.
 	clockSlack = 1.02
 	// leaseSlack is added to the time after which a worker's lease has surely ended.
@@ -70,6 +74,9 @@
 	orphans    map[string]bool
 	revisions  map[string]int64
 	committing bool
+	// decided is when the last decision began, slowLogged when a slow one was last logged.
+	decided    time.Time
+	slowLogged time.Time
 	cause      error
 
 	kick   chan struct{}
@@ -200,6 +207,7 @@
 		t.engine.SetPolicy(snapshot.Policy.SetQueues(), snapshot.Policy.Promised(), snapshot.Evacuated)
 	}
 	t.engine.Decide(t.mayStart(now), now)
+	t.timeDecision(now)
 	var updates []sets.Update
 	if !t.committing {
 		updates = t.engine.Updates(now)
@@ -222,6 +230,20 @@
 	}
 }
 
+// timeDecision records how long the decision that began at now took, and logs one that makes orders late. The caller holds
+// the state.
+func (t *term) timeDecision(now time.Time) {
+	took, waited := t.Now().Sub(now), now.Sub(t.decided)
+	late := !t.decided.IsZero() && waited > slowAfter+tickEvery
+	t.decided = now
+	t.Meter.Decisions.Add(took)
+	if took < slowAfter && !late || now.Sub(t.slowLogged) < slowLogEvery {
+		return
+	}
+	t.slowLogged = now
+	t.Log.Emit(event.DecisionSlow, event.Fields{"took": took.String(), "waited": waited.String(), "workers": len(t.engine.Workers()), "open": t.engine.Open(), "waiting": t.engine.Waiting(), "token": t.token})
+}
+
 // dispatch sends orders on their way and logs decisions.
 func (t *term) dispatch(ctx context.Context, actions []sets.Action) {
 	for _, action := range actions {
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -249,10 +249,14 @@
 		}
 	}
 	p := &pass{misses: make(map[demand]int)}
+	e.waiting = 0
 	for _, s := range ready {
 		if s.Run == nil && s.claim == nil {
 			e.place(s, p, now)
 		}
+		if s.Run == nil {
+			e.waiting++
+		}
 	}
 }
 
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -86,6 +86,8 @@
 	use float64
 	// reserved counts the sets that have claimed room.
 	reserved int
+	// waiting counts the sets without a place.
+	waiting int
 	// quickRacks are kept for jobs of priority 0.
 	quickRacks map[string]bool
 }
@@ -116,6 +118,12 @@
 	return Queue{Name: j.Spec.Queue, Priority: 9, MaxAttempts: defaultAttempts, Stretch: 1}
 }
 
+// Open counts the jobs that are not over.
+func (e *Engine) Open() int { return len(e.open) }
+
+// Waiting counts the sets that could run and found no place in the last decision.
+func (e *Engine) Waiting() int { return e.waiting }
+
 // Job returns the job of that ID, or nil.
 func (e *Engine) Job(id string) *Job { return e.jobs[id] }
 
--- a/internal/place/sets/engine_test.go
+++ b/internal/place/sets/engine_test.go
@@ -19,7 +19,7 @@
 
 // site drives an engine as an owner does, with a clock that only moves when told.
 type site struct {
-	t      *testing.T
+	t      testing.TB
 	engine *sets.Engine
 	now    time.Time
 	infos  []sets.WorkerInfo
@@ -35,7 +35,7 @@
 	notes    []sets.Note
 }
 
-func newSite(t *testing.T, racks, perRack int) *site {
+func newSite(t testing.TB, racks, perRack int) *site {
 	t.Helper()
 	s := &site{
 		t: t, now: time.Unix(1000, 0), engine: sets.New(sets.DefaultConfig()),
--- /dev/null
+++ b/internal/place/sets/rush_test.go
@@ -0,0 +1,46 @@
+package sets_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/state/work"
+)
+
+// BenchmarkDecideRush measures one decision while the fleet is full, much waits, and quick gangs that must stay in a rack come in.
+func BenchmarkDecideRush(b *testing.B) {
+	for _, racks := range []int{6, 44, 175} {
+		b.Run(fmt.Sprintf("workers=%d", 8*racks), func(b *testing.B) {
+			s := newSite(b, racks, 8)
+			for i := range racks * 4 {
+				step := work.Step{Count: 4 + i%9, MilliCores: 5600, MemoryMB: 8000, Accelerators: 1 + i%8, Estimate: 8 * time.Second, Gang: i%2 == 0, Checkpoints: i%3 == 0}
+				s.submit(fmt.Sprintf("%016x", i), []string{planQueue, batchQueue}[i%2], "beta", step)
+			}
+			s.step()
+			s.pass(time.Second)
+			b.ResetTimer()
+			for n := range b.N {
+				s.now = s.now.Add(10 * time.Millisecond)
+				if n%4 == 0 {
+					s.rush(n)
+				}
+				s.engine.Decide(true, s.now)
+				b.StopTimer()
+				s.step()
+				if n%40 == 0 {
+					s.listAll()
+				}
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// rush hands in four quick gangs of several widths and sizes.
+func (s *site) rush(n int) {
+	for i := range 4 {
+		step := work.Step{Count: 2 + 2*i, MilliCores: 7500, MemoryMB: 15000, Accelerators: []int{8, 4, 2, 1}[i], Estimate: 2500 * time.Millisecond, Gang: true, SameRack: i != 0}
+		s.submit(fmt.Sprintf("%08x%08x", n+1, i), quickQueue, "beta", step)
+	}
+}
