--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -9,14 +9,17 @@
 
 // Decide settles what time has brought and, if mayStart is true, plans runs for what is ready.
 func (e *Engine) Decide(mayStart bool, now time.Time) {
+	e.sweep()
 	e.tick(now)
 	e.measure(now)
 	if !mayStart {
 		return
 	}
+	e.survey(now)
 	ready := e.ready(now)
-	e.startClaims(ready, now)
-	e.placeAll(ready, now)
+	p := &pass{misses: make(map[demand]int), targets: make(map[beneficiary]*targets)}
+	e.startClaims(ready, p, now)
+	e.placeAll(ready, p, now)
 }
 
 // tick settles leases that ran out, starts without an answer, gangs that lost a member and tasks that stand still.
@@ -99,19 +102,12 @@
 // ready returns the sets that could start, the most pressing first.
 func (e *Engine) ready(now time.Time) []*Set {
 	e.entitle()
-	e.chooseQuickRacks(now)
-	var whole, used Room
-	for _, w := range e.order {
-		if e.usable(w, now) {
-			whole, used = whole.Add(w.Capacity), used.Add(w.Used)
-		}
-	}
-	e.use = float64(used.Accelerators) / float64(max(whole.Accelerators, 1))
 	jobs := make([]*Job, 0, len(e.open))
 	for _, j := range e.open {
 		if j.Record.Phase.Final() || j.Cancelled {
 			continue
 		}
+		j.rules = e.queue(j)
 		e.rank(j, now)
 		jobs = append(jobs, j)
 	}
@@ -149,7 +145,7 @@
 	used := make(map[string]int, len(e.promised))
 	for _, j := range e.open {
 		j.entitled = false
-		if j.Record.Phase.Final() || j.Cancelled || e.queue(j).Priority != 0 {
+		if j.Record.Phase.Final() || j.Cancelled || j.rules.Priority != 0 {
 			continue
 		}
 		ws := j.Spec.Workspace
@@ -175,12 +171,12 @@
 
 // rank works out the job's place in the order.
 func (e *Engine) rank(j *Job, now time.Time) {
-	q := e.queue(j)
+	q := &j.rules
 	j.tier = q.Priority + 1
 	if j.entitled {
 		j.tier = 0
 	}
-	objective := time.Duration(q.Stretch*float64(j.Spec.Chain())) + q.Target
+	objective := time.Duration(q.Stretch*float64(j.chain)) + q.Target
 	finish := now.Add(e.remaining(j))
 	j.lateness = hopeless
 	switch {
@@ -195,7 +191,12 @@
 // remaining is the estimated time of the longest chain of steps that are not done.
 func (e *Engine) remaining(j *Job) time.Duration {
 	longest := time.Duration(0)
-	ends := make([]time.Duration, len(j.steps))
+	// Most jobs have few steps, so this stays off the heap.
+	var few [4]time.Duration
+	ends := few[:]
+	if len(j.steps) > len(few) {
+		ends = make([]time.Duration, len(j.steps))
+	}
 	for i := range j.steps {
 		step := &j.Spec.Steps[i]
 		for _, earlier := range step.After {
@@ -227,6 +228,8 @@
 	// misses has the fewest tasks of each demand that found no room.
 	misses    map[demand]int
 	evictions int
+	// targets are the runs that may be stopped, by for whom.
+	targets map[beneficiary]*targets
 }
 
 func (s *Set) demand() demand {
@@ -241,18 +244,21 @@
 }
 
 // placeAll plans runs in order.
-func (e *Engine) placeAll(ready []*Set, now time.Time) {
+func (e *Engine) placeAll(ready []*Set, p *pass, now time.Time) {
 	e.reserved = 0
 	for _, s := range ready {
 		if s.claim != nil && s.claim.kept {
 			e.reserved++
 		}
 	}
-	p := &pass{misses: make(map[demand]int)}
 	e.waiting = 0
+	var missed *Set
 	for _, s := range ready {
-		if s.Run == nil && s.claim == nil {
-			e.place(s, p, now)
+		if s.Run == nil && s.claim == nil && !s.like(missed) {
+			missed = nil
+			if !e.place(s, p, now) {
+				missed = s
+			}
 		}
 		if s.Run == nil {
 			e.waiting++
@@ -260,13 +266,24 @@
 	}
 }
 
-func (e *Engine) place(s *Set, p *pass, now time.Time) {
-	// Sets that have failed somewhere or belong to steps with a bound on each worker differ from others of their demand.
-	special := len(s.soured) > 0 || s.step().MaxPerWorker > 0
+// special reports whether the set differs from others of its demand: it has failed somewhere, or its step has a bound on
+// each worker.
+func (s *Set) special() bool { return len(s.soured) > 0 || s.step().MaxPerWorker > 0 }
+
+// like reports whether the set, a single task for which nobody is stopped, has as little chance as one that has found no
+// room in this decision.
+func (s *Set) like(missed *Set) bool {
+	return missed != nil && s.Job == missed.Job && s.Step == missed.Step && s.Count == 1 && s.Job.rules.Priority != 0 &&
+		!s.special() && !missed.special()
+}
+
+// place reports whether the set is on its way: planned, or with room that is being made.
+func (e *Engine) place(s *Set, p *pass, now time.Time) bool {
+	special := s.special()
 	if special || p.mayFit(s) {
-		if workers := e.find(s, e.freeView(s), now); workers != nil {
+		if workers := e.find(s, now); workers != nil {
 			e.plan(s, workers, "free room", now)
-			return
+			return true
 		}
 		if !special {
 			p.misses[s.demand()] = s.Count
@@ -274,14 +291,16 @@
 	}
 	if p.evictions < evictionsPerPass && e.mayStopOthers(s, now) && !now.Before(s.claimAgain) {
 		p.evictions++
-		if e.preempt(s, now) {
-			return
+		if e.preempt(s, p, now) {
+			return true
 		}
 		s.claimAgain = now.Add(evictionPause)
 	}
-	if !e.reserve(s, now) {
-		e.waits(s, now)
+	if e.reserve(s, now) {
+		return true
 	}
+	e.waits(s, now)
+	return false
 }
 
 // evictionPause keeps a set that no stop would help from being searched for in each decision.
@@ -289,13 +308,13 @@
 
 // waits records why the set found no room, and logs it once for each wait.
 func (e *Engine) waits(s *Set, now time.Time) {
-	first := s.Job.Waiting == ""
+	if s.Job.Waiting != "" {
+		return
+	}
 	step := s.step()
 	s.Job.Waiting = fmt.Sprintf("step %d: no room for %d tasks of %d accelerators, %d thousandths of a core and %d MB; one rack: %t, near %q: %t, label %q",
 		s.Step, s.Count, step.Accelerators, step.MilliCores, step.MemoryMB, step.SameRack, step.Affinity, e.nearOnly(s, now), step.Requires)
-	if first {
-		e.act(Note{What: JobWaits, Job: s.Job.ID(), Text: s.Job.Waiting})
-	}
+	e.act(Note{What: JobWaits, Job: s.Job.ID(), Text: s.Job.Waiting})
 }
 
 // plan makes a run of the set on the workers; it starts once the intent is durable.
@@ -312,7 +331,7 @@
 		run.Members = append(run.Members, m)
 		w.attach(m)
 	}
-	s.Job.dirty = true
+	e.touch(s.Job)
 	s.Job.Waiting = ""
 	e.act(Note{What: RunPlaced, Job: s.Job.ID(), Task: s.taskName(0), Run: run.Number, Worker: workers[0].ID,
 		Text: fmt.Sprintf("%s; %d tasks, tier %d, lateness %d, waited %s", why, len(workers), s.Job.tier, s.Job.lateness, now.Sub(s.readyAt).Round(time.Millisecond))})
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -75,9 +75,16 @@
 	cfg     Config
 	workers map[string]*Worker
 	// order has the workers by ID, so that decisions repeat.
-	order     []*Worker
-	jobs      map[string]*Job
+	order []*Worker
+	// racks are in the order of their first workers, racksByName by name; regroup is true once they must be worked out anew.
+	racks       []*rack
+	racksByName []*rack
+	regroup     bool
+	jobs        map[string]*Job
+	// open has the jobs that are not over and ended the others, changed those whose records must be made durable.
 	open      []*Job
+	ended     []*Job
+	changed   []*Job
 	queues    map[string]Queue
 	promised  map[string]int
 	evacuated map[string]bool
@@ -88,8 +95,8 @@
 	reserved int
 	// waiting counts the sets without a place.
 	waiting int
-	// quickRacks are kept for jobs of priority 0.
-	quickRacks map[string]bool
+	// slotBuffer is used by one search after the other.
+	slotBuffer []slot
 }
 
 // New returns an engine that knows nothing yet.
@@ -154,17 +161,38 @@
 // Updates returns what changed since the last call; Committed must follow for each once it is durable.
 func (e *Engine) Updates(now time.Time) []Update {
 	var list []Update
-	for _, j := range e.open {
-		if j.dirty {
-			j.dirty = false
-			list = append(list, e.update(j))
-		} else if e.forgettable(j, now) {
+	for _, j := range e.changed {
+		j.dirty = false
+		list = append(list, e.update(j))
+	}
+	e.changed = e.changed[:0]
+	for _, j := range e.ended {
+		if !j.dirty && e.forgettable(j, now) {
 			list = append(list, Update{Job: j.ID(), Queue: j.Spec.Queue, Forget: true})
 		}
 	}
 	return list
 }
 
+// touch notes that the job's record must be made durable.
+func (e *Engine) touch(j *Job) {
+	if !j.dirty {
+		j.dirty = true
+		e.changed = append(e.changed, j)
+	}
+}
+
+// sweep moves jobs that are over out of the way of decisions.
+func (e *Engine) sweep() {
+	e.open = slices.DeleteFunc(e.open, func(j *Job) bool {
+		over := j.Record.Phase.Final()
+		if over {
+			e.ended = append(e.ended, j)
+		}
+		return over
+	})
+}
+
 func (e *Engine) forgettable(j *Job, now time.Time) bool {
 	return j.Record.Phase.Final() && now.Sub(j.endedAt) > e.cfg.Retention && j.alive() == 0
 }
@@ -200,7 +228,7 @@
 	}
 	if u.Forget {
 		delete(e.jobs, u.Job)
-		e.open = slices.DeleteFunc(e.open, func(o *Job) bool { return o == j })
+		e.ended = slices.DeleteFunc(e.ended, func(o *Job) bool { return o == j })
 		return
 	}
 	if u.Begun {
@@ -217,7 +245,7 @@
 
 // Uncommitted notes that an update did not become durable; it is handed out again.
 func (e *Engine) Uncommitted(u Update) {
-	if j := e.jobs[u.Job]; j != nil {
-		j.dirty = j.dirty || !u.Forget
+	if j := e.jobs[u.Job]; j != nil && !u.Forget {
+		e.touch(j)
 	}
 }
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -82,6 +82,7 @@
 			e.act(StopOrder{Worker: w.ID, Task: entry.Task, Run: entry.Run})
 		}
 		m.sampleRate(entry.Percent, now)
+		m.Run.Set.Job.measured = m.Run.Set.Job.measured || m.rateFresh
 		if entry.Percent != m.Percent || !m.Run.whole() {
 			m.Percent, m.movedAt = entry.Percent, now
 		}
@@ -153,7 +154,7 @@
 		if !j.Record.Phase.Final() {
 			j.Record.Phase = work.Running
 		}
-		j.dirty = true
+		e.touch(j)
 	}
 }
 
@@ -230,7 +231,8 @@
 
 // finish makes the job final and stops what runs of it.
 func (e *Engine) finish(j *Job, phase work.Phase, why string, now time.Time) {
-	j.Record.Phase, j.endedAt, j.dirty = phase, now, true
+	j.Record.Phase, j.endedAt = phase, now
+	e.touch(j)
 	for _, s := range j.sets {
 		e.dropClaim(s)
 		if s.Run != nil {
@@ -252,7 +254,7 @@
 	m.State = Ended
 	m.Worker.detach(m)
 	run.alive--
-	s.Job.dirty = true
+	e.touch(s.Job)
 	if saved != "" && how != Done && s.step().Checkpoints {
 		s.record().Saved = saved
 	}
--- a/internal/place/sets/find.go
+++ b/internal/place/sets/find.go
@@ -6,35 +6,43 @@
 	"time"
 )
 
-// view is how much of a worker a search may use.
-type view func(w *Worker) Room
-
-func (e *Engine) emptyView(w *Worker) Room { return w.Capacity }
-
-// freeView offers what is free for the set.
-func (e *Engine) freeView(s *Set) view {
-	q := e.queue(s.Job)
-	return func(w *Worker) Room { return w.freeFor(q) }
-}
-
 // slot is a worker with the number of tasks that fit.
 type slot struct {
 	worker *Worker
 	fits   int
 	free   Room
+	// most is how many tasks of the set the worker may get however much is free.
+	most int
 	// kept is true if the worker's rack is kept for others and the set may only use it for want of any other place.
 	kept bool
 }
 
-// find places all tasks of the set, one worker for each, or returns nil.
-func (e *Engine) find(s *Set, v view, now time.Time) []*Worker {
-	slots := e.slots(s, v, now)
-	step := s.step()
-	inRack := step.SameRack && s.Count > 1 && e.rackCouldHold(s, now)
-	for _, choice := range bySpeed(s, slots, e.queue(s.Job).Priority == 0) {
+// offer is where the tasks of a set may go.
+type offer struct {
+	// slots are grouped by rack.
+	slots []slot
+	// total is how many tasks fit into all slots together.
+	total int
+	// inRack is true if the set must stay within a rack, as one of them could hold it if it were empty.
+	inRack bool
+}
+
+// find places all tasks of the set on what is free, one worker for each, or returns nil.
+func (e *Engine) find(s *Set, now time.Time) []*Worker {
+	o := e.offer(s, now)
+	o.slots = slices.DeleteFunc(o.slots, func(sl slot) bool { return sl.fits == 0 })
+	if o.total < s.Count {
+		return nil
+	}
+	return o.choose(s)
+}
+
+// choose takes workers for all tasks of the set, or returns nil.
+func (o *offer) choose(s *Set) []*Worker {
+	for _, choice := range bySpeed(s, o.slots, s.Job.rules.Priority == 0) {
 		workers := []*Worker(nil)
-		if inRack {
-			workers = e.findInRack(s, choice)
+		if o.inRack {
+			workers = findInRack(s, choice)
 		} else {
 			workers = fill(choice, s.Count)
 		}
@@ -45,33 +53,63 @@
 	return nil
 }
 
-// slots lists the workers on which at least one task of the set may start.
-func (e *Engine) slots(s *Set, v view, now time.Time) []slot {
-	step, room, service := s.step(), s.room(), e.queue(s.Job).Service
+// offer lists the workers on which a task of the set may start, also those that are full; it holds until the next call.
+func (e *Engine) offer(s *Set, now time.Time) offer {
+	step, room, q := s.step(), s.room(), &s.Job.rules
 	near := e.nearOnly(s, now)
-	list := make([]slot, 0, len(e.order))
+	list := e.slotBuffer[:0]
 	outside, barred := 0, false
-	for _, w := range e.order {
-		if w.Service != service || !w.has(step.Requires) || !e.usable(w, now) || near && w.Rack != step.Affinity {
+	for _, r := range e.racks {
+		if near && r.name != step.Affinity {
 			continue
 		}
-		most := s.Count
-		if step.MaxPerWorker > 0 {
-			most = min(most, step.MaxPerWorker-w.membersOf(s))
-		}
-		kept := e.barred(s, w.Rack)
+		kept := e.barred(s, r)
 		barred = barred || kept
-		if !kept {
-			outside += room.Count(w.Capacity, most)
-		}
-		if fits := room.Count(v(w), most); fits > 0 && !slices.Contains(s.soured, w) {
-			list = append(list, slot{worker: w, fits: fits, free: v(w), kept: kept})
+		holds := 0
+		for _, w := range r.workers {
+			if !w.open || w.Service != q.Service || !w.has(step.Requires) {
+				continue
+			}
+			most := s.Count
+			if step.MaxPerWorker > 0 {
+				most = min(most, step.MaxPerWorker-w.membersOf(s))
+			}
+			empty := room.Count(w.Capacity, most)
+			if !kept {
+				outside += empty
+			}
+			if empty > 0 && !slices.Contains(s.soured, w) {
+				holds += empty
+				free := w.freeFor(q)
+				list = append(list, slot{worker: w, fits: room.Count(free, most), free: free, most: most, kept: kept})
+			}
 		}
+		r.holds = holds
+	}
+	e.slotBuffer = list
+	if barred && outside >= s.Count {
+		list = slices.DeleteFunc(list, func(sl slot) bool { return sl.kept })
 	}
-	if !barred || outside < s.Count {
-		return list
+	o := offer{slots: list}
+	for _, sl := range list {
+		o.total += sl.fits
+		o.inRack = o.inRack || step.SameRack && s.Count > 1 && sl.worker.rack.holds >= s.Count
 	}
-	return slices.DeleteFunc(list, func(sl slot) bool { return sl.kept })
+	return o
+}
+
+// byRack splits slots, which are grouped by rack.
+func byRack(slots []slot) [][]slot {
+	var groups [][]slot
+	for from := 0; from < len(slots); {
+		to := from + 1
+		for to < len(slots) && slots[to].worker.rack == slots[from].worker.rack {
+			to++
+		}
+		groups = append(groups, slots[from:to])
+		from = to
+	}
+	return groups
 }
 
 // membersOf counts the members of the set's step on the worker.
@@ -94,55 +132,34 @@
 		return false
 	}
 	patience := time.Duration((e.cfg.RemoteFactor - 1) * float64(step.Estimate))
-	if now.Sub(s.readyAt) > patience {
+	r := e.onRack(step.Affinity)
+	if r == nil || now.Sub(s.readyAt) > patience {
 		return false
 	}
 	could := 0
-	for _, w := range e.order {
-		if w.Rack == step.Affinity && e.usable(w, now) && !slices.Contains(s.soured, w) {
+	for _, w := range r.workers {
+		if w.open && !slices.Contains(s.soured, w) {
 			could += s.room().Count(w.Capacity, s.Count)
 		}
 	}
 	return could >= s.Count
 }
 
-// rackCouldHold reports whether any rack could hold the whole set if it were empty.
-func (e *Engine) rackCouldHold(s *Set, now time.Time) bool {
-	perRack := make(map[string]int)
-	for _, sl := range e.slots(s, e.emptyView, now) {
-		perRack[sl.worker.Rack] += sl.fits
-		if perRack[sl.worker.Rack] >= s.Count {
-			return true
-		}
-	}
-	return false
-}
-
 // findInRack uses the rack with the least room that holds the whole set.
-func (e *Engine) findInRack(s *Set, slots []slot) []*Worker {
-	racks := make(map[string][]slot)
-	names := make([]string, 0, len(slots))
-	for _, sl := range slots {
-		if racks[sl.worker.Rack] == nil {
-			names = append(names, sl.worker.Rack)
-		}
-		racks[sl.worker.Rack] = append(racks[sl.worker.Rack], sl)
-	}
-	var best []*Worker
+func findInRack(s *Set, slots []slot) []*Worker {
+	var best []slot
 	least := 0
-	for _, name := range names {
-		room := 0
-		for _, sl := range racks[name] {
+	for _, group := range byRack(slots) {
+		room, fits := 0, 0
+		for _, sl := range group {
 			room += sl.free.Accelerators
+			fits += sl.fits
 		}
-		if best != nil && room >= least {
-			continue
-		}
-		if workers := fill(racks[name], s.Count); workers != nil {
-			best, least = workers, room
+		if fits >= s.Count && (best == nil || room < least) {
+			best, least = group, room
 		}
 	}
-	return best
+	return fill(best, s.Count)
 }
 
 // fill takes the fullest workers first, so that whole ones stay free for large tasks.
--- a/internal/place/sets/job.go
+++ b/internal/place/sets/job.go
@@ -41,7 +41,13 @@
 	waitKept bool
 	// endedAt is when the job became final.
 	endedAt time.Time
-	dirty   bool
+	// dirty is true from a change of the record until it is handed out to be made durable.
+	dirty bool
+	// rules is what the configuration said about the job's queue at the last decision, chain the job's longest chain of work.
+	rules Queue
+	chain time.Duration
+	// measured is true if a task's progress was measured since the last decision.
+	measured bool
 	// entitled is true while the job is within its workspace's guarantee.
 	entitled bool
 	tier     int
@@ -175,13 +181,14 @@
 	if j := e.jobs[spec.Job]; j != nil {
 		return j
 	}
-	j := &Job{Spec: spec, Accepted: now.Add(-age), waitKept: true}
+	j := &Job{Spec: spec, Accepted: now.Add(-age), waitKept: true, chain: spec.Chain()}
+	j.rules = e.queue(j)
 	j.build()
 	e.jobs[spec.Job] = j
 	e.keepOpen(j)
 	if record == nil || len(record.Sets) != len(j.sets) {
 		j.Record.Sets = make([]work.SetRecord, len(j.sets))
-		j.dirty = true
+		e.touch(j)
 	} else {
 		j.Record = *record
 		j.begun = record.Phase != work.Queued
@@ -244,10 +251,12 @@
 
 func (w *Worker) attach(m *Member) {
 	w.members[runKey{m.task, m.Run.Number}] = m
+	w.inOrder = nil
 	w.Used = w.Used.Add(m.Run.Set.room())
 }
 
 func (w *Worker) detach(m *Member) {
 	delete(w.members, runKey{m.task, m.Run.Number})
+	w.inOrder = nil
 	w.Used = w.Used.Sub(m.Run.Set.room())
 }
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -40,13 +40,27 @@
 	cost  float64
 }
 
+// beneficiary is all of a set that decides which runs may be stopped for it, but for those of its own job.
+type beneficiary struct{ quick, entitled bool }
+
+// targets are the runs that may be stopped: batch work first, then the cheapest for what it frees.
+type targets struct {
+	all    []victim
+	onRack map[*rack][]victim
+}
+
 // preempt stops cheaper work for the set and claims the room; it reports whether it did.
-func (e *Engine) preempt(s *Set, now time.Time) bool {
-	victims := e.victims(s, now)
+func (e *Engine) preempt(s *Set, p *pass, now time.Time) bool {
+	o := e.offer(s, now)
+	t := e.targets(s, p, now)
 	var best *eviction
-	for _, group := range e.groups(s, now) {
-		if plan := e.evict(s, victims, group, now); plan != nil && (best == nil || plan.cost < best.cost) {
-			best = plan
+	if !o.inRack {
+		best = evict(s, t.all, o.slots)
+	} else {
+		for _, group := range byRack(o.slots) {
+			if plan := evict(s, t.onRack[group[0].worker.rack], group); plan != nil && (best == nil || plan.cost < best.cost) {
+				best = plan
+			}
 		}
 	}
 	if best == nil || !s.Job.entitled && best.cost > wasteMost*s.step().Estimate.Seconds()*s.need().Cores() {
@@ -55,7 +69,7 @@
 	for _, v := range best.victims {
 		e.stopRun(v.run, "room for "+s.Job.ID(), now)
 	}
-	e.claimRoom(s, &claim{workers: best.workers, until: now.Add(e.cfg.StopTimeout + claimSlack)})
+	e.claimRoom(s, &claim{workers: best.choose(s), until: now.Add(e.cfg.StopTimeout + claimSlack)})
 	s.Job.Waiting = "others are being stopped to make room"
 	return true
 }
@@ -63,112 +77,123 @@
 // mayStopOthers reports whether the set may have room made: quick jobs that still gain by it, and any gang that waits
 // although much is free, since what is stopped for it finds room elsewhere.
 func (e *Engine) mayStopOthers(s *Set, now time.Time) bool {
-	if e.queue(s.Job).Priority == 0 && (s.Job.lateness != hopeless || s.Job.entitled) {
+	if s.Job.rules.Priority == 0 && (s.Job.lateness != hopeless || s.Job.entitled) {
 		return true
 	}
 	return s.Count > 1 && e.use < scatteredUse && now.Sub(s.readyAt) > scatteredAfter
 }
 
-// eviction is a way to make room: the runs to stop, and where the set goes.
+// eviction is a way to make room: the runs to stop, and what there will be room on.
 type eviction struct {
+	offer
 	victims []victim
-	workers []*Worker
 	cost    float64
 }
 
-// groups lists the sets of workers among which room may be made: each rack by itself if the set must stay in one.
-func (e *Engine) groups(s *Set, now time.Time) []map[*Worker]bool {
-	whole := make(map[*Worker]bool)
-	racks := make(map[string]map[*Worker]bool)
-	var names []string
-	for _, sl := range e.slots(s, e.emptyView, now) {
-		w := sl.worker
-		whole[w] = true
-		if racks[w.Rack] == nil {
-			racks[w.Rack] = make(map[*Worker]bool)
-			names = append(names, w.Rack)
-		}
-		racks[w.Rack][w] = true
-	}
-	if !s.step().SameRack || s.Count == 1 || !e.rackCouldHold(s, now) {
-		return []map[*Worker]bool{whole}
-	}
-	groups := make([]map[*Worker]bool, len(names))
-	for i, name := range names {
-		groups[i] = racks[name]
+// evict chooses the runs to stop so that the set fits into the group, which is one rack or need not be one, or returns nil.
+func evict(s *Set, victims []victim, group []slot) *eviction {
+	could := 0
+	for i := range group {
+		sl := &group[i]
+		sl.worker.at = i + 1
+		could += s.room().Count(sl.worker.Capacity, sl.most)
 	}
-	return groups
-}
-
-// evict chooses the runs to stop so that the set fits into the group, or returns nil.
-func (e *Engine) evict(s *Set, victims []victim, group map[*Worker]bool, now time.Time) *eviction {
-	freed := make(map[*Worker]Room)
-	q := e.queue(s.Job)
-	within := func(w *Worker) Room {
-		if !group[w] {
-			return Room{MilliCores: -1}
+	defer func() {
+		for _, sl := range group {
+			sl.worker.at = 0
 		}
-		return w.freeFor(q).Add(freed[w])
+	}()
+	if could < s.Count {
+		return nil
+	}
+	plan := &eviction{offer: offer{slots: group}}
+	for _, sl := range group {
+		plan.total += sl.fits
 	}
-	var chosen []victim
-	var workers []*Worker
 	for _, v := range victims {
-		if !v.touches(group) {
-			continue
-		}
-		release(freed, v.run, 1)
-		chosen = append(chosen, v)
-		if workers = e.find(s, within, now); workers != nil {
+		if plan.total >= s.Count {
 			break
 		}
+		if v.run.Set.Job != s.Job && v.run.stopping == "" && plan.release(s, v.run, 1) {
+			plan.victims = append(plan.victims, v)
+		}
 	}
-	if workers == nil {
+	if plan.total < s.Count {
 		return nil
 	}
-	for i := len(chosen) - 1; i >= 0; i-- {
-		release(freed, chosen[i].run, -1)
-		if fewer := e.find(s, within, now); fewer != nil {
-			workers = fewer
-			chosen = slices.Delete(chosen, i, i+1)
-			continue
-		}
-		release(freed, chosen[i].run, 1)
-	}
-	plan := &eviction{victims: chosen, workers: workers}
-	for _, v := range chosen {
+	plan.spare(s)
+	for _, v := range plan.victims {
 		plan.cost += v.waste
 	}
+	plan.slots = slices.Clone(group)
+	plan.slots = slices.DeleteFunc(plan.slots, func(sl slot) bool { return sl.fits == 0 })
 	return plan
 }
 
-// touches reports whether the run holds room in the group.
-func (v victim) touches(group map[*Worker]bool) bool {
-	return slices.ContainsFunc(v.run.Members, func(m *Member) bool { return m.State != Ended && group[m.Worker] })
+// spare drops the victims that need not be stopped after all, the dearest first.
+func (plan *eviction) spare(s *Set) {
+	for i := len(plan.victims) - 1; i >= 0; i-- {
+		run := plan.victims[i].run
+		plan.release(s, run, -1)
+		if plan.total >= s.Count {
+			plan.victims = slices.Delete(plan.victims, i, i+1)
+			continue
+		}
+		plan.release(s, run, 1)
+	}
 }
 
-// release adds the room of the run's live members, or takes it back.
-func release(freed map[*Worker]Room, run *Run, sign int) {
+// release adds the room of the run's live members to the slots, or takes it back; it reports whether there was any.
+func (plan *eviction) release(s *Set, run *Run, sign int) bool {
+	room := run.Set.room().Times(sign)
+	any := false
 	for _, m := range run.Members {
-		if m.State != Ended {
-			freed[m.Worker] = freed[m.Worker].Add(run.Set.room().Times(sign))
+		if m.State == Ended || m.Worker.at == 0 {
+			continue
 		}
+		any = true
+		sl := &plan.slots[m.Worker.at-1]
+		plan.total -= sl.fits
+		sl.free = sl.free.Add(room)
+		sl.fits = s.room().Count(sl.free, sl.most)
+		plan.total += sl.fits
 	}
+	return any
 }
 
-// victims lists the runs that may be stopped for the set: those of lower priority first, then the cheapest for what it frees.
+// targets lists the runs that may be stopped for the set; the list is worked out once in a pass.
+func (e *Engine) targets(s *Set, p *pass, now time.Time) *targets {
+	key := beneficiary{quick: s.Job.rules.Priority == 0, entitled: s.Job.entitled}
+	if t := p.targets[key]; t != nil {
+		return t
+	}
+	t := &targets{all: e.victims(s, now), onRack: make(map[*rack][]victim)}
+	for _, v := range t.all {
+		for _, m := range v.run.Members {
+			r := m.Worker.rack
+			if list := t.onRack[r]; m.State != Ended && (len(list) == 0 || list[len(list)-1].run != v.run) {
+				t.onRack[r] = append(list, v)
+			}
+		}
+	}
+	p.targets[key] = t
+	return t
+}
+
+// victims lists the runs that may be stopped for the set and others like it.
 func (e *Engine) victims(s *Set, now time.Time) []victim {
 	var list []victim
 	for _, j := range e.open {
-		if !e.yields(j, s.Job) {
+		if !yields(j, s.Job) {
 			continue
 		}
 		for _, other := range j.sets {
-			if e.queue(s.Job).Priority != 0 && other.Count > 1 {
+			if s.Job.rules.Priority != 0 && other.Count > 1 {
 				continue
 			}
 			if run := other.Run; run != nil && run.stopping == "" && run.broken.IsZero() && run.whole() {
 				lost := waste(run, now)
-				list = append(list, victim{run: run, priority: e.queue(j).Priority, waste: lost, cost: lost / other.need().Cores()})
+				list = append(list, victim{run: run, priority: j.rules.Priority, waste: lost, cost: lost / other.need().Cores()})
 			}
 		}
 	}
@@ -178,18 +203,15 @@
 	return list
 }
 
-// yields reports whether a job's runs may be stopped for the other job.
-func (e *Engine) yields(j, to *Job) bool {
-	if j == to || j.entitled || j.Record.Phase.Final() {
+// yields reports whether a job's runs may be stopped for another job.
+func yields(j, to *Job) bool {
+	if j.entitled || j.Record.Phase.Final() {
 		return false
 	}
-	if e.queue(to).Priority != 0 {
-		return e.queue(j).Priority != 0
-	}
-	if e.queue(j).Priority > e.queue(to).Priority {
-		return true
+	if to.rules.Priority != 0 {
+		return j.rules.Priority != 0
 	}
-	return to.entitled
+	return j.rules.Priority > 0 || to.entitled
 }
 
 // stopCost is the share of a second that stopping a run with checkpoints costs besides its progress.
@@ -233,7 +255,7 @@
 // startClaims plans the sets whose claimed room is free, and gives up claims that came to nothing.
 //
 // A worker that is avoided for a moment keeps its claim: others have been stopped for it already.
-func (e *Engine) startClaims(ready []*Set, now time.Time) {
+func (e *Engine) startClaims(ready []*Set, p *pass, now time.Time) {
 	for _, s := range ready {
 		if s.claim == nil {
 			continue
@@ -242,27 +264,28 @@
 		switch {
 		case now.After(s.claim.until) || slices.ContainsFunc(workers, e.Closed):
 			e.dropClaim(s)
+			s.Job.Waiting = ""
 			s.claimAgain = now.Add(claimPause)
 		case e.allUsable(workers, now) && e.roomFor(s, workers):
 			e.dropClaim(s)
 			e.plan(s, workers, "room made", now)
 		default:
-			e.reconsider(s, now)
+			e.reconsider(s, p, now)
 		}
 	}
 }
 
 // reconsider places a set that has claimed room elsewhere if it can, since the room it claimed may be long in coming; a
 // gang for which room is kept may also have small tasks moved once much is free.
-func (e *Engine) reconsider(s *Set, now time.Time) {
+func (e *Engine) reconsider(s *Set, p *pass, now time.Time) {
 	c := s.claim
 	e.dropClaim(s)
-	if workers := e.find(s, e.freeView(s), now); workers != nil {
+	if workers := e.find(s, now); workers != nil {
 		e.plan(s, workers, "free room elsewhere", now)
 		return
 	}
 	if c.kept && e.mayStopOthers(s, now) && !now.Before(s.claimAgain) {
-		if e.preempt(s, now) {
+		if e.preempt(s, p, now) {
 			return
 		}
 		s.claimAgain = now.Add(evictionPause)
--- /dev/null
+++ b/internal/place/sets/rack.go
@@ -0,0 +1,63 @@
+package sets
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// rack is the workers that share a rack.
+type rack struct {
+	name    string
+	workers []*Worker
+	// quick is true if the rack is kept for jobs of priority 0.
+	quick bool
+	// holds is how many tasks of the set that is searched for would fit if the rack were empty.
+	holds int
+}
+
+// group works the racks out anew after workers have come, gone or moved.
+func (e *Engine) group() {
+	if !e.regroup {
+		return
+	}
+	e.regroup = false
+	known := make(map[string]*rack)
+	e.racks = nil
+	for _, w := range e.order {
+		r := known[w.Rack]
+		if r == nil {
+			r = &rack{name: w.Rack}
+			known[w.Rack] = r
+			e.racks = append(e.racks, r)
+		}
+		r.workers = append(r.workers, w)
+		w.rack = r
+	}
+	e.racksByName = slices.SortedFunc(slices.Values(e.racks), func(a, b *rack) int { return cmp.Compare(a.name, b.name) })
+}
+
+// survey settles for one decision which workers may get tasks, how full these are, and which racks are kept.
+func (e *Engine) survey(now time.Time) {
+	e.group()
+	var whole, used int
+	for _, w := range e.order {
+		w.open = e.usable(w, now)
+		if w.open {
+			whole += w.Capacity.Accelerators
+			used += w.Used.Accelerators
+		}
+	}
+	e.use = float64(used) / float64(max(whole, 1))
+	e.chooseQuickRacks()
+}
+
+// onRack returns the rack of that name, or nil.
+func (e *Engine) onRack(name string) *rack {
+	at, found := slices.BinarySearchFunc(e.racksByName, name, func(r *rack, name string) int { return strings.Compare(r.name, name) })
+	if !found {
+		return nil
+	}
+	return e.racksByName[at]
+}
--- a/internal/place/sets/reserve.go
+++ b/internal/place/sets/reserve.go
@@ -28,8 +28,13 @@
 		return false
 	}
 	var best []opening
-	for _, group := range e.groups(s, now) {
-		openings := e.openings(s, group)
+	o := e.offer(s, now)
+	groups := [][]slot{o.slots}
+	if o.inRack {
+		groups = byRack(o.slots)
+	}
+	for _, group := range groups {
+		openings := openings(s, group)
 		if len(openings) < s.Count {
 			continue
 		}
@@ -53,33 +58,27 @@
 }
 
 // openings lists the room for tasks of the set in the group, the earliest first.
-func (e *Engine) openings(s *Set, group map[*Worker]bool) []opening {
+func openings(s *Set, group []slot) []opening {
 	var list []opening
-	for _, w := range e.order {
-		if group[w] {
-			list = append(list, e.openingsOn(w, s)...)
-		}
+	for _, sl := range group {
+		list = append(list, sl.openings(s)...)
 	}
 	slices.SortStableFunc(list, func(a, b opening) int { return cmp.Compare(a.in, b.in) })
 	return list
 }
 
-// openingsOn lists when the worker will have room for one task of the set, for two, and so on.
-func (e *Engine) openingsOn(w *Worker, s *Set) []opening {
-	members := w.sorted()
+// openings lists when the worker will have room for one task of the set, for two, and so on.
+func (sl *slot) openings(s *Set) []opening {
+	members := slices.Clone(sl.worker.sorted())
 	slices.SortStableFunc(members, func(a, b *Member) int { return cmp.Compare(a.rest(), b.rest()) })
-	free := w.freeFor(e.queue(s.Job))
-	most := s.Count
-	if per := s.step().MaxPerWorker; per > 0 {
-		most = min(most, per-w.membersOf(s))
-	}
+	free := sl.free
 	var list []opening
 	in := time.Duration(0)
 	for i := 0; ; i++ {
-		for len(list) < s.room().Count(free, most) {
-			list = append(list, opening{worker: w, in: in})
+		for len(list) < s.room().Count(free, sl.most) {
+			list = append(list, opening{worker: sl.worker, in: in})
 		}
-		if i == len(members) || len(list) >= most {
+		if i == len(members) || len(list) >= sl.most {
 			return list
 		}
 		in = max(in, members[i].rest())
--- a/internal/place/sets/speed.go
+++ b/internal/place/sets/speed.go
@@ -45,9 +45,10 @@
 // measure learns the workers' speeds from tasks of the same step that run on different workers.
 func (e *Engine) measure(now time.Time) {
 	for _, j := range e.open {
-		if j.Record.Phase.Final() {
+		if !j.measured || j.Record.Phase.Final() {
 			continue
 		}
+		j.measured = false
 		for _, step := range j.steps {
 			e.measureStep(step, now)
 		}
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -57,6 +57,15 @@
 	faults []*Set
 	// speed is how fast the worker is against the others, one on average.
 	speed float64
+
+	// rack has the workers beside this one.
+	rack *rack
+	// open is true if new tasks may be placed here in the decision that is under way.
+	open bool
+	// at is the worker's place in the search for room that is under way, one for the first; zero if it has none.
+	at int
+	// inOrder caches the members in a fixed order until one comes or goes.
+	inOrder []*Member
 }
 
 // newWorker returns a worker on which an earlier owner may have left a lease until leaseEnds.
@@ -68,7 +77,7 @@
 }
 
 // freeFor is what nobody uses or has claimed against the set's queue.
-func (w *Worker) freeFor(q Queue) Room {
+func (w *Worker) freeFor(q *Queue) Room {
 	free := w.Capacity.Sub(w.Used).Sub(w.claimed)
 	if q.Priority == 0 {
 		return free
@@ -133,6 +142,7 @@
 		if info.Born == 0 {
 			info.Born = w.Born
 		}
+		e.regroup = e.regroup || w.Rack != info.Rack
 		w.WorkerInfo, w.Present = info, true
 	}
 	for id, w := range e.workers {
@@ -142,6 +152,7 @@
 		w.Present = false
 		if !w.Busy() {
 			delete(e.workers, id)
+			e.regroup = true
 			e.order = slices.DeleteFunc(e.order, func(o *Worker) bool { return o == w })
 		}
 	}
@@ -149,6 +160,7 @@
 
 func (e *Engine) addWorker(w *Worker) {
 	e.workers[w.ID] = w
+	e.regroup = true
 	at, _ := slices.BinarySearchFunc(e.order, w.ID, func(o *Worker, id string) int {
 		switch {
 		case o.ID < id:
@@ -174,8 +186,11 @@
 	}
 }
 
-// sorted returns the members in a fixed order, so that decisions repeat.
+// sorted returns the members in a fixed order, so that decisions repeat; the slice stays as it is when members come or go.
 func (w *Worker) sorted() []*Member {
+	if len(w.inOrder) == len(w.members) {
+		return w.inOrder
+	}
 	list := make([]*Member, 0, len(w.members))
 	for _, m := range w.members {
 		list = append(list, m)
@@ -189,6 +204,7 @@
 		}
 		return a.Run.Number - b.Run.Number
 	})
+	w.inOrder = list
 	return list
 }
 
