Larger instances decide; the owner gathers more changes while its decisions are slow

Change: an instance lists its share of a processor with its address; one that is outclassed (1.5 times) leaves a free key to others once for 300 ms, and hands a term of more than 3 s over, at most once a minute. After a decision the owner waits twice as long as it took (2 to 60 ms), so decisions fill a third of its processor at most.

--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -51,6 +51,8 @@
 	KeyAge time.Duration
 	// Grace is the time between a request to stop and a kill.
 	Grace time.Duration
+	// Cores is how much of a processor the instance has, zero if that is not known.
+	Cores float64
 	// PeerAddress is where other instances reach this one; without it, requests are not relayed.
 	PeerAddress string
 	// Log is where the instance's events go.
@@ -90,13 +92,13 @@
 	}
 	n.fleet = &fleet{lister: parts.Lister, log: log}
 	n.Jobs.Servable = n.fleet.servable
-	n.peers = &relay.Peers{Store: parts.Store, Self: relay.Peer{Name: parts.Instance, Address: parts.PeerAddress}, Log: log}
+	n.peers = &relay.Peers{Store: parts.Store, Self: relay.Peer{Name: parts.Instance, Address: parts.PeerAddress, Cores: parts.Cores}, Log: log}
 	if parts.PeerAddress != "" {
 		n.Jobs.Relay = &relay.Relay{Peers: n.peers, Client: link.NewClient(nil), Log: log}
 	}
 	n.elector = &term.Elector{
 		Instance: parts.Instance, Store: parts.Store, Agent: parts.Agent, Lister: parts.Lister, Policy: n.policy,
-		Bounds: parts.Bounds, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
+		Bounds: parts.Bounds, Peers: n.peers, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
 	}
 	n.Meter.Publish("owner", func() any { return n.elector.Owns() })
 	return n
--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -32,6 +32,13 @@
 	watchWait = time.Second
 	// retryPause is the mean wait after a failed call to the key-value service.
 	retryPause = 100 * time.Millisecond
+	// yieldFor is how long an instance with a small processor leaves a free key to larger ones: these need three answers of
+	// the store, which take half of it when the store is slow by ten times.
+	yieldFor = 300 * time.Millisecond
+	// handOverAfter is how long a term lasts before it is handed to a larger instance, and handOverEvery how long an
+	// instance keeps what it was given back; the first covers the time in which all instances come up.
+	handOverAfter = 3 * time.Second
+	handOverEvery = time.Minute
 	// sitOut is how long an instance that could not reach the workers leaves ownership to others.
 	sitOut = 6 * time.Second
 )
@@ -56,6 +63,12 @@
 	Workers(ctx context.Context) ([]sets.WorkerInfo, error)
 }
 
+// Peers compares this instance with the others.
+type Peers interface {
+	// Outclassed reports whether another instance has far more of a processor.
+	Outclassed() bool
+}
+
 // Elector competes for ownership and runs a term whenever it has it.
 type Elector struct {
 	Instance string
@@ -64,12 +77,18 @@
 	Lister   Lister
 	Policy   *policy.Holder
 	Bounds   Bounds
-	Log      *event.Log
-	Meter    *meter.Set
+	// Peers is nil where all instances are alike.
+	Peers Peers
+	Log   *event.Log
+	Meter *meter.Set
 	// Now is the steady clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
 
+	// yielded is true once a free key was left to larger instances; handedOver is when a term was last given to one.
+	yielded    bool
+	handedOver time.Time
+
 	mu      sync.Mutex
 	current *term
 }
@@ -101,8 +120,12 @@
 		e.mu.Unlock()
 		e.Log.Emit(event.TermEnded, event.Fields{"token": token, "why": cause.Error()})
 		var cut *cutOffError
-		if errors.As(cause, &cut) {
+		var outclassed outclassedError
+		switch {
+		case errors.As(cause, &cut):
 			pause.For(ctx, sitOut)
+		case errors.As(cause, &outclassed):
+			e.handedOver, e.yielded = e.Now(), false
 		}
 	}
 }
@@ -127,6 +150,9 @@
 	if item.Revision != 0 {
 		return 0, 0, sent, e.await(ctx, item.Revision)
 	}
+	if e.yield(ctx) {
+		return 0, 0, sent, nil
+	}
 	data, err := json.Marshal(owner{Instance: e.Instance})
 	if err != nil {
 		return 0, 0, sent, err
@@ -150,6 +176,23 @@
 	return lease, token, sent, nil
 }
 
+// yield leaves a free key to larger instances once, and reports whether it did.
+func (e *Elector) yield(ctx context.Context) bool {
+	e.yielded = !e.yielded && e.outclassed()
+	if e.yielded {
+		pause.For(ctx, yieldFor)
+	}
+	return e.yielded
+}
+
+func (e *Elector) outclassed() bool { return e.Peers != nil && e.Peers.Outclassed() }
+
+// handsOver reports whether a term that began at began should go to a larger instance.
+func (e *Elector) handsOver(began, now time.Time) bool {
+	rested := e.handedOver.IsZero() || now.Sub(e.handedOver) > handOverEvery
+	return rested && now.Sub(began) > handOverAfter && e.outclassed()
+}
+
 // await returns once the owner's key may have gone.
 func (e *Elector) await(ctx context.Context, after int64) error {
 	call, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
--- /dev/null
+++ b/internal/node/term/elect_test.go
@@ -0,0 +1,46 @@
+package term
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// others says whether a larger instance is up.
+type others bool
+
+// Outclassed returns the value.
+func (o others) Outclassed() bool { return bool(o) }
+
+func TestTermIsHandedToALargerInstanceOnceAMinute(t *testing.T) {
+	began := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		larger  bool
+		age     time.Duration
+		handed  time.Duration
+		expects bool
+	}{
+		{"nobody is larger", false, time.Hour, 0, false},
+		{"all instances may still be coming up", true, time.Second, 0, false},
+		{"a larger one is up", true, 4 * time.Second, 0, true},
+		{"it was handed over a moment ago and came back", true, 4 * time.Second, 10 * time.Second, false},
+		{"it came back long ago", true, 4 * time.Second, 2 * time.Minute, true},
+	} {
+		now := began.Add(c.age)
+		e := &Elector{Peers: others(c.larger)}
+		if c.handed > 0 {
+			e.handedOver = now.Add(-c.handed)
+		}
+		assert.Equal(t, e.handsOver(began, now), c.expects, c.name)
+	}
+}
+
+func TestGatheringFollowsTheDecisions(t *testing.T) {
+	for _, c := range []struct{ took, gathers time.Duration }{
+		{0, gather}, {500 * time.Microsecond, gather}, {10 * time.Millisecond, 20 * time.Millisecond}, {time.Second, gatherMost},
+	} {
+		assert.Equal(t, (&term{took: c.took}).gathering(), c.gathers)
+	}
+}
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -17,8 +17,10 @@
 const (
 	// tickEvery bounds how late a decision is that only time brings about.
 	tickEvery = 100 * time.Millisecond
-	// gather is how long changes are collected before a decision.
-	gather = 2 * time.Millisecond
+	// gather is how long changes are collected before a decision, gatherMost the same while decisions are slow: decisions
+	// may fill a third of the processor, and a quick job waits a quarter of its objective at most.
+	gather     = 2 * time.Millisecond
+	gatherMost = 60 * time.Millisecond
 	// listEvery is how often the list of workers is read: three times within its oldest allowed age.
 	listEvery = 400 * time.Millisecond
 	// holdPast is how long a term keeps renewing workers' leases after its own lease may have lapsed. What runs then lives
@@ -51,6 +53,12 @@
 // Error says how it is known.
 func (e *fencedError) Error() string { return "another owner has taken over, as seen " + e.by }
 
+// outclassedError says that a larger instance should decide.
+type outclassedError struct{}
+
+// Error says so.
+func (outclassedError) Error() string { return "an instance with far more of a processor is up" }
+
 // stopError says that the instance stops.
 type stopError struct{}
 
@@ -74,8 +82,9 @@
 	orphans    map[string]bool
 	revisions  map[string]int64
 	committing bool
-	// decided is when the last decision began, slowLogged when a slow one was last logged.
+	// decided is when the last decision began and took how long it was, slowLogged when a slow one was last logged.
 	decided    time.Time
+	took       time.Duration
 	slowLogged time.Time
 	cause      error
 
@@ -156,6 +165,10 @@
 			t.state.Lock()
 			t.validUntil = sent.Add(leaseTTL - leaseMargin)
 			t.state.Unlock()
+			if t.handsOver(t.began, sent) {
+				t.end(outclassedError{})
+				return
+			}
 		case errors.As(err, &lapsed):
 			t.end(err)
 			return
@@ -191,13 +204,20 @@
 		case <-ctx.Done():
 			return
 		case <-t.kick:
-			pause.For(ctx, gather)
+			pause.For(ctx, t.gathering())
 		case <-ticker.C:
 		}
 		t.step(ctx)
 	}
 }
 
+// gathering is how long to wait for further changes: twice as long as the last decision took, within bounds.
+func (t *term) gathering() time.Duration {
+	t.state.Lock()
+	defer t.state.Unlock()
+	return min(max(gather, 2*t.took), gatherMost)
+}
+
 // step takes one decision and sends it on its way.
 func (t *term) step(ctx context.Context) {
 	now := t.Now()
@@ -235,7 +255,7 @@
 func (t *term) timeDecision(now time.Time) {
 	took, waited := t.Now().Sub(now), now.Sub(t.decided)
 	late := !t.decided.IsZero() && waited > slowAfter+tickEvery
-	t.decided = now
+	t.decided, t.took = now, took
 	t.Meter.Decisions.Add(took)
 	if took < slowAfter && !late || now.Sub(t.slowLogged) < slowLogEvery {
 		return
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -58,12 +58,19 @@
 
 // elect lets an instance compete; the returned function stops it and waits.
 func (s *site) elect(name string) (stop func()) {
+	s.t.Helper()
+	return s.electAmong(name, nil)
+}
+
+// electAmong is the same for an instance that compares itself with others.
+func (s *site) electAmong(name string, others term.Peers) (stop func()) {
+	s.t.Helper()
 	holder := policy.NewHolder(wishes{}, time.Now, func(policy.Snapshot) {})
 	assert.NilError(s.t, holder.Refresh(s.t.Context()))
 	e := &term.Elector{
 		Instance: name, Store: s.store, Agent: s.agents, Lister: workers{"w1", "w2"}, Policy: holder,
 		Bounds: term.Bounds{MaxHold: 6 * time.Second, StopTimeout: time.Second, PolicyAge: time.Minute, ListAge: time.Minute, Retention: time.Minute, RemoteFactor: 3},
-		Log:    event.Discard(), Meter: meter.New(s.t.Name() + name), Now: time.Now, WallNow: time.Now,
+		Peers:  others, Log: event.Discard(), Meter: meter.New(s.t.Name() + name), Now: time.Now, WallNow: time.Now,
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	done := make(chan struct{})
@@ -232,3 +239,37 @@
 	s.elect("a")
 	s.eventually("the end is acknowledged", func() bool { return s.agents.Unacknowledged() == 0 })
 }
+
+// outclassed stands for larger instances that are up.
+type outclassed struct{}
+
+func (outclassed) Outclassed() bool { return true }
+
+func (s *site) owner() string {
+	item, err := s.store.Item(s.t.Context(), work.OwnerKey)
+	assert.NilError(s.t, err)
+	return string(item.Data)
+}
+
+// The pattern: all instances come back at once, and a small one is the first.
+func TestSmallInstanceLeavesAFreeKeyToALargerOne(t *testing.T) {
+	s := newSite(t)
+	var reads atomic.Int32
+	s.store.SetFates(func(operation string) fake.Fate {
+		if operation == "item" {
+			reads.Add(1)
+		}
+		return fake.Delivered
+	})
+	s.electAmong("small", outclassed{})
+	s.eventually("the small one has seen that the key is free", func() bool { return reads.Load() > 0 })
+	s.elect("large")
+	s.eventually("an owner", func() bool { return s.owner() != "" })
+	assert.Equal(t, s.owner(), `{"instance":"large"}`)
+}
+
+func TestSmallInstanceDecidesIfNoLargerOneDoes(t *testing.T) {
+	s := newSite(t)
+	s.electAmong("small", outclassed{})
+	s.eventually("an owner", func() bool { return s.owner() == `{"instance":"small"}` })
+}
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,12 +23,17 @@
 	beatEvery = 2 * time.Second
 	// beatTimeout bounds each call for it.
 	beatTimeout = time.Second
+	// outclassedBy is how many times this instance's processor another must have to be the better owner: a hand-over costs a
+	// tenth of a second, which smaller differences don't win back.
+	outclassedBy = 1.5
 )
 
 // Peer is another instance.
 type Peer struct {
 	Name    string `json:"-"`
 	Address string `json:"address"`
+	// Cores is how much of a processor the instance has, zero if that is not known.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // Peers keeps this instance listed and knows the others.
@@ -48,6 +54,13 @@
 	return append([]Peer(nil), p.others...)
 }
 
+// Outclassed reports whether another listed instance has far more of a processor than this one.
+func (p *Peers) Outclassed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Self.Cores > 0 && slices.ContainsFunc(p.others, func(o Peer) bool { return o.Cores >= outclassedBy*p.Self.Cores })
+}
+
 // Run keeps the entry until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/peer/relay/peers_test.go
@@ -0,0 +1,27 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"gotest.tools/v3/assert"
+)
+
+func TestInstanceKnowsWhetherAnotherHasFarMoreOfAProcessor(t *testing.T) {
+	for _, c := range []struct {
+		self, other float64
+		outclassed  bool
+	}{
+		{0.2, 0.8, true}, {0.8, 0.2, false}, {0.4, 0.4, false}, {0.4, 0.5, false}, {0, 0.8, false}, {0.2, 0, false},
+	} {
+		kept := fake.NewTransactor()
+		one := &Peers{Store: kept, Self: Peer{Name: "one", Address: "a:1", Cores: c.self}, Log: event.Discard()}
+		two := &Peers{Store: kept, Self: Peer{Name: "two", Address: "b:1", Cores: c.other}, Log: event.Discard()}
+		assert.NilError(t, one.enter(t.Context()))
+		assert.NilError(t, two.enter(t.Context()))
+		assert.NilError(t, one.read(t.Context()))
+		assert.Equal(t, one.Outclassed(), c.outclassed, "%v", c)
+		assert.DeepEqual(t, one.Others(), []Peer{{Name: "two", Address: "b:1", Cores: c.other}})
+	}
+}
