Candidates watch the owner's key from the revision of their read, not from the key's own

The key is written once a term, so after 20 s its revision is older than the store's history: each watch is answered 410 at once, and each candidate reads the key again, six times a second. Change: a candidate lists the key, which gives the store's revision, and goes on from the last watch; it reads again after four quiet ones.

--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -30,6 +30,8 @@
 	storeTimeout = time.Second
 	// watchWait is how long a successor waits for the owner's key to change before it asks again.
 	watchWait = time.Second
+	// watchesPerRead is how many watches in a row may stay quiet before the key is read again, as a watch can miss a change.
+	watchesPerRead = 4
 	// retryPause is the mean wait after a failed call to the key-value service.
 	retryPause = 100 * time.Millisecond
 	// yieldFor is how long an instance with a small processor leaves a free key to larger ones: these need three answers of
@@ -143,12 +145,12 @@
 func (e *Elector) take(ctx context.Context) (lease, token int64, sent time.Time, err error) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	item, err := e.Store.Item(call, work.OwnerKey)
+	items, asOf, err := e.Store.Range(call, work.OwnerKey)
 	if err != nil {
 		return 0, 0, sent, err
 	}
-	if item.Revision != 0 {
-		return 0, 0, sent, e.await(ctx, item.Revision)
+	if len(items) > 0 {
+		return 0, 0, sent, e.await(ctx, asOf)
 	}
 	if e.yield(ctx) {
 		return 0, 0, sent, nil
@@ -193,17 +195,25 @@
 	return rested && now.Sub(began) > handOverAfter && e.outclassed()
 }
 
-// await returns once the owner's key may have gone.
+// await returns once the owner's key may have gone, and after a few quiet watches in any case.
+//
+// It goes on from the revision of the read or of the last watch: the key's own revision is soon older than the history.
 func (e *Elector) await(ctx context.Context, after int64) error {
-	call, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
-	defer cancel()
-	_, _, err := e.Store.Changes(call, work.OwnerKey, after, watchWait)
-	var gone *store.HistoryError
-	if errors.As(err, &gone) {
-		pause.For(ctx, jitter(retryPause))
-		return nil
+	for range watchesPerRead {
+		call, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
+		changes, upTo, err := e.Store.Changes(call, work.OwnerKey, after, watchWait)
+		cancel()
+		var gone *store.HistoryError
+		if errors.As(err, &gone) {
+			pause.For(ctx, jitter(retryPause))
+			return nil
+		}
+		if err != nil || len(changes) > 0 {
+			return err
+		}
+		after = upTo
 	}
-	return err
+	return nil
 }
 
 // jitter spreads a wait evenly from nothing to twice its mean.
--- a/internal/node/term/elect_test.go
+++ b/internal/node/term/elect_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/lentildeck/lentildeck/internal/state/work"
 	"gotest.tools/v3/assert"
 )
 
@@ -44,3 +47,32 @@
 		assert.Equal(t, (&term{took: c.took}).gathering(), c.gathers)
 	}
 }
+
+// The pattern: the owner has held its key for longer than the service keeps its history.
+func TestCandidateWaitsQuietlyForAnOwnerOfLongStanding(t *testing.T) {
+	kept := fake.NewTransactor()
+	lease, err := kept.Grant(t.Context(), leaseTTL)
+	assert.NilError(t, err)
+	_, err = kept.Commit(t.Context(), store.Transaction{Writes: []store.Write{{Key: work.OwnerKey, Lease: lease}}})
+	assert.NilError(t, err)
+	kept.Put("other", nil)
+	kept.ForgetHistory()
+	calls := make(chan string, 16)
+	kept.SetFates(func(operation string) fake.Fate {
+		if operation == "changes" {
+			// The owner ends while the candidate watches.
+			go kept.Lapse(lease)
+		}
+		calls <- operation
+		return fake.Delivered
+	})
+	e := &Elector{Store: kept, Now: time.Now}
+	_, token, _, err := e.take(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, token, int64(0))
+	items, _, err := kept.Range(t.Context(), work.OwnerKey)
+	assert.NilError(t, err)
+	assert.Equal(t, len(items), 0, "the candidate returned although the owner had not gone")
+	assert.Equal(t, <-calls, "range")
+	assert.Equal(t, <-calls, "changes")
+}
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -256,7 +256,7 @@
 	s := newSite(t)
 	var reads atomic.Int32
 	s.store.SetFates(func(operation string) fake.Fate {
-		if operation == "item" {
+		if operation == "range" {
 			reads.Add(1)
 		}
 		return fake.Delivered
--- a/internal/proof/fake/transact.go
+++ b/internal/proof/fake/transact.go
@@ -29,14 +29,16 @@
 
 // Transactor is a key-value service with transactions, in memory.
 type Transactor struct {
-	mu       sync.Mutex
-	items    map[string]store.Item
-	history  []store.Change
-	leases   map[int64]bool
-	revision int64
-	changed  chan struct{}
-	late     []store.Transaction
-	next     func(operation string) Fate
+	mu      sync.Mutex
+	items   map[string]store.Item
+	history []store.Change
+	// forgotten is the revision up to which the history is gone.
+	forgotten int64
+	leases    map[int64]bool
+	revision  int64
+	changed   chan struct{}
+	late      []store.Transaction
+	next      func(operation string) Fate
 }
 
 var _ store.Transactor = (*Transactor)(nil)
@@ -118,8 +120,11 @@
 	defer timer.Stop()
 	for {
 		t.mu.Lock()
-		found, upTo, changed := t.since(prefix, after), t.revision, t.changed
+		found, upTo, changed, gone := t.since(prefix, after), t.revision, t.changed, after < t.forgotten
 		t.mu.Unlock()
+		if gone {
+			return nil, after, &store.HistoryError{After: after}
+		}
 		if len(found) > 0 {
 			return found, upTo, nil
 		}
@@ -133,6 +138,13 @@
 	}
 }
 
+// ForgetHistory drops all changes so far, as a service does with old ones.
+func (t *Transactor) ForgetHistory() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forgotten, t.history = t.revision, nil
+}
+
 func (t *Transactor) since(prefix string, after int64) []store.Change {
 	var found []store.Change
 	for _, change := range t.history {
