--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -83,9 +83,13 @@
 // hangs reports whether the member has stood still although its worker answers and its gang is complete.
 func (e *Engine) hangs(m *Member, now time.Time) bool {
 	limit := max(e.cfg.HangTimeout, time.Duration(float64(m.Run.Set.step().Estimate)*hangShare))
-	return m.Run.whole() && m.Percent < 99 && now.Sub(m.movedAt) > limit && now.Sub(m.Worker.HeardAt) < time.Second
+	return m.Run.whole() && m.Percent < 99 && now.Sub(m.movedAt) > limit && now.Sub(m.Worker.HeardAt) < hangHeard
 }
 
+// hangHeard is how recently the worker must have answered for a task to count as hanging: a worker with tasks answers each
+// 0.8 s at least.
+const hangHeard = 1500 * time.Millisecond
+
 // hangShare of a task's estimate may pass without a new percent: three steps of a task that is slow by RemoteFactor.
 const hangShare = 0.1
 
