A start that an earlier owner recorded is not sent again to a worker without room

The owner writes its records in several transactions: the first may hold the intent of a run, and the one with the end that made room for it may be lost with the owner. The successor then finds both on record, sees that the ended one does not run, and sends its start again without asking for room. Change: such a start is given up if what the worker may run needs more than it has. Test: TestInheritedStartIsNotSentToAWorkerWithoutRoom (failed before).

--- a/internal/place/sets/engine_test.go
+++ b/internal/place/sets/engine_test.go
@@ -235,6 +235,23 @@
 	assert.Equal(t, s.running["w0-1"]["job-a.0.0.1"].Run, 1)
 }
 
+// The pattern: all instances are killed between two transactions, of which the first had the intent of a run and the second
+// would have had the end of the one whose room it took.
+func TestInheritedStartIsNotSentToAWorkerWithoutRoom(t *testing.T) {
+	s := newSite(t, 1, 1)
+	load := func(id string) {
+		record := &work.Record{Phase: work.Running, Sets: []work.SetRecord{{Run: 1, On: []string{"w0-0"}}}}
+		s.engine.Load(&work.Spec{Job: id, Queue: planQueue, Steps: []work.Step{gang(1, 8)}}, record, 0, s.now)
+	}
+	load("job-old")
+	load("job-new")
+	s.running["w0-0"]["job-new.0.0.0"] = sets.RunningEntry{Task: "job-new.0.0.0", Run: 1}
+	s.listAll()
+	s.step()
+	assert.DeepEqual(t, s.workersOf("job-new"), map[string]int{"w0-0": 1})
+	assert.DeepEqual(t, s.workersOf("job-old"), map[string]int{})
+}
+
 func TestFailuresAreCountedOnceForEachRun(t *testing.T) {
 	s := newSite(t, 1, 4)
 	job := s.submit("job-a", planQueue, "alpha", gang(2, 1))
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -126,10 +126,12 @@
 }
 
 // inheritedAbsent sends the start again that the earlier owner recorded but that never reached the worker.
+//
+// The records may hold more than the worker can: the end that made room for a later run may not have been written.
 func (e *Engine) inheritedAbsent(m *Member, now time.Time) {
 	s := m.Run.Set
 	if s.Job.Cancelled || s.Job.Record.Phase.Final() || s.record().Done || s.record().FailedRun == m.Run.Number ||
-		m.Run.stopping != "" || !m.Run.broken.IsZero() || !e.usable(m.Worker, now) {
+		m.Run.stopping != "" || !m.Run.broken.IsZero() || !e.usable(m.Worker, now) || m.Worker.overfull() {
 		e.endMember(m, Void, "", now)
 		return
 	}
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -85,6 +85,12 @@
 	return free.Sub(w.kept)
 }
 
+// overfull reports whether the members that may be alive need more than the worker has.
+func (w *Worker) overfull() bool {
+	free := w.Capacity.Sub(w.Used)
+	return free.MilliCores < 0 || free.MemoryMB < 0 || free.Accelerators < 0
+}
+
 // Busy reports whether anything may be alive on the worker.
 func (w *Worker) Busy() bool { return len(w.members) > 0 || len(w.strangers) > 0 }
 
