An instance of a cut-off data centre prolongs the leases there for two seconds

Change: peer/renew. The owner tells one instance of each other data centre, each 0.4 s, which workers have tasks and until when (2 s) their leases may be prolonged; silent for 0.9 s, that instance does. The owner counts on it until the instance, asked without the worker, has answered; so a worker that is dead alone is given up as soon as before. A successor waits no longer than for holdPast.

--- a/internal/kern/event/event.go
+++ b/internal/kern/event/event.go
@@ -69,6 +69,8 @@
 	WorkerAnswers    = define(414, "workerAnswers", log.InfoLevel, "A silent worker answers again.")
 	WorkersListed    = define(415, "workersListed", log.InfoLevel, "The list of workers changed: one came, left, drains, or was born again.")
 	DecisionSlow     = define(416, "decisionSlow", log.WarnLevel, "One decision of the owner took long, or the time between two decisions did; orders leave late meanwhile. `took` is the decision alone, `waited` the time since the one before.")
+	LeasesKept       = define(417, "leasesKept", log.InfoLevel, "Leases of this data centre's workers are prolonged here, as the owner has fallen silent; `request` is its last one.")
+	SubstituteChosen = define(418, "substituteChosen", log.InfoLevel, "An instance of another data centre may prolong the leases there on the owner's behalf.")
 	PolicyInForce    = define(510, "policyInForce", log.InfoLevel, "A newer configuration is in force on this instance; or which data centres are evacuated has changed.")
 	PolicyBad        = define(511, "policyBad", log.ErrorLevel, "A stored configuration or list entry could not be decoded; it is left out.")
 	RecordBad        = define(603, "recordBad", log.ErrorLevel, "A stored value can't be understood; it was left as it is.")
--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
@@ -19,6 +21,7 @@
 	"github.com/lentildeck/lentildeck/internal/node/term"
 	"github.com/lentildeck/lentildeck/internal/peer/link"
 	"github.com/lentildeck/lentildeck/internal/peer/relay"
+	"github.com/lentildeck/lentildeck/internal/peer/renew"
 	"github.com/lentildeck/lentildeck/internal/route/admit"
 	"github.com/lentildeck/lentildeck/internal/state/policy"
 	"github.com/lentildeck/lentildeck/internal/state/store"
@@ -51,6 +54,8 @@
 	KeyAge time.Duration
 	// Grace is the time between a request to stop and a kill.
 	Grace time.Duration
+	// DataCentre is where the instance is.
+	DataCentre string
 	// Cores is how much of a processor the instance has, zero if that is not known.
 	Cores float64
 	// PeerAddress is where other instances reach this one; without it, requests are not relayed.
@@ -72,14 +77,16 @@
 // Node is one instance.
 type Node struct {
 	Parts
-	Jobs     *admit.Service
-	Meter    *meter.Set
-	policy   *policy.Holder
-	peers    *relay.Peers
-	fleet    *fleet
-	elector  *term.Elector
-	stopping atomic.Bool
-	lost     bool
+	Jobs    *admit.Service
+	Meter   *meter.Set
+	policy  *policy.Holder
+	peers   *relay.Peers
+	fleet   *fleet
+	elector *term.Elector
+	// substitute prolongs leases for an owner elsewhere.
+	substitute *renew.Substitute
+	stopping   atomic.Bool
+	lost       bool
 }
 
 // New wires an instance.
@@ -92,12 +99,15 @@
 	}
 	n.fleet = &fleet{lister: parts.Lister, log: log}
 	n.Jobs.Servable = n.fleet.servable
-	n.peers = &relay.Peers{Store: parts.Store, Self: relay.Peer{Name: parts.Instance, Address: parts.PeerAddress, Cores: parts.Cores}, Log: log}
+	n.peers = &relay.Peers{Store: parts.Store, Self: relay.Peer{Name: parts.Instance, Address: parts.PeerAddress, DataCentre: parts.DataCentre, Cores: parts.Cores}, Log: log}
+	client := link.NewClient(nil)
 	if parts.PeerAddress != "" {
-		n.Jobs.Relay = &relay.Relay{Peers: n.peers, Client: link.NewClient(nil), Log: log}
+		n.Jobs.Relay = &relay.Relay{Peers: n.peers, Client: client, Log: log}
 	}
+	n.substitute = &renew.Substitute{Agent: parts.Agent, Log: log, Now: clock.Now, Life: rand.Int64N(math.MaxInt64) + 1}
 	n.elector = &term.Elector{
 		Instance: parts.Instance, Store: parts.Store, Agent: parts.Agent, Lister: parts.Lister, Policy: n.policy,
+		DataCentre: parts.DataCentre, Substitutes: &renew.Client{Link: client},
 		Bounds: parts.Bounds, Peers: n.peers, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
 	}
 	n.Meter.Publish("owner", func() any { return n.elector.Owns() })
@@ -143,6 +153,7 @@
 	if n.PeerAddress != "" {
 		parts.Go(func() { n.peers.Run(ctx) })
 		parts.Go(func() { n.servePeers(ctx) })
+		parts.Go(func() { n.substitute.Run(ctx) })
 	}
 	parts.Go(func() { served <- n.Serve(n, stop) })
 	n.Log.Emit(event.Started, event.Fields{"instance": n.Instance, "version": build.Version()})
@@ -171,9 +182,9 @@
 	}
 }
 
-// servePeers carries out requests of instances that are cut off from the key-value service.
+// servePeers carries out requests of instances that are cut off from the key-value service, and of the owner.
 func (n *Node) servePeers(ctx context.Context) {
-	server, err := relay.NewServer(n.Jobs)
+	server, err := link.Serve(link.Service{Handler: n.Jobs, Methods: relay.Description{}}, link.Service{Handler: n.substitute, Methods: renew.Description{}})
 	if err == nil {
 		var listener net.Listener
 		if listener, err = net.Listen("tcp4", n.PeerAddress); err == nil {
--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -12,6 +12,7 @@
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/node/meter"
+	"github.com/lentildeck/lentildeck/internal/peer/renew"
 	"github.com/lentildeck/lentildeck/internal/place/sets"
 	"github.com/lentildeck/lentildeck/internal/state/policy"
 	"github.com/lentildeck/lentildeck/internal/state/store"
@@ -69,6 +70,14 @@
 type Peers interface {
 	// Outclassed reports whether another instance has far more of a processor.
 	Outclassed() bool
+	// In returns the addresses of the other instances in the data centre.
+	In(dataCentre string) []string
+}
+
+// Substitutes are instances that prolong workers' leases while the owner can't.
+type Substitutes interface {
+	// Allow tells the instance at the address what it may prolong; ctx must have a deadline.
+	Allow(ctx context.Context, address string, request *renew.Request) (*renew.Reply, error)
 }
 
 // Elector competes for ownership and runs a term whenever it has it.
@@ -79,10 +88,12 @@
 	Lister   Lister
 	Policy   *policy.Holder
 	Bounds   Bounds
-	// Peers is nil where all instances are alike.
-	Peers Peers
-	Log   *event.Log
-	Meter *meter.Set
+	// DataCentre is where this instance is. Peers is nil where all instances are alike, Substitutes where none acts for others.
+	DataCentre  string
+	Peers       Peers
+	Substitutes Substitutes
+	Log         *event.Log
+	Meter       *meter.Set
 	// Now is the steady clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
--- a/internal/node/term/elect_test.go
+++ b/internal/node/term/elect_test.go
@@ -16,6 +16,9 @@
 // Outclassed returns the value.
 func (o others) Outclassed() bool { return bool(o) }
 
+// In knows of none.
+func (others) In(string) []string { return nil }
+
 func TestTermIsHandedToALargerInstanceOnceAMinute(t *testing.T) {
 	began := time.Unix(1000, 0)
 	for _, c := range []struct {
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -128,6 +128,7 @@
 		t.parts.Go(func() { t.list(ctx) })
 		t.parts.Go(func() { t.watch(ctx) })
 		t.parts.Go(func() { t.pending(ctx) })
+		t.parts.Go(func() { t.substitute(ctx) })
 		t.loop(ctx)
 	}
 	t.cancel()
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -245,6 +245,8 @@
 
 func (outclassed) Outclassed() bool { return true }
 
+func (outclassed) In(string) []string { return nil }
+
 func (s *site) owner() string {
 	item, err := s.store.Item(s.t.Context(), work.OwnerKey)
 	assert.NilError(s.t, err)
--- a/internal/peer/link/server.go
+++ b/internal/peer/link/server.go
@@ -17,13 +17,21 @@
 }
 
 // NewServer returns a server for the handler.
-func NewServer(handler Handler) (*Server, error) { return NewService(handler, description{}) }
+func NewServer(handler Handler) (*Server, error) { return Serve(Service{handler, description{}}) }
 
-// NewService returns a server for the methods that the description lists.
-func NewService(handler any, methods drpc.Description) (*Server, error) {
+// Service is a handler with the methods that peers may call.
+type Service struct {
+	Handler any
+	Methods drpc.Description
+}
+
+// Serve returns a server for several services.
+func Serve(services ...Service) (*Server, error) {
 	mux := drpcmux.New()
-	if err := mux.Register(handler, methods); err != nil {
-		return nil, fmt.Errorf("peer server: %w", err)
+	for _, s := range services {
+		if err := mux.Register(s.Handler, s.Methods); err != nil {
+			return nil, fmt.Errorf("peer server: %w", err)
+		}
 	}
 	return &Server{server: drpcserver.New(mux), done: make(chan struct{})}, nil
 }
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -32,6 +32,8 @@
 type Peer struct {
 	Name    string `json:"-"`
 	Address string `json:"address"`
+	// DataCentre is where the instance is, empty if that is not known.
+	DataCentre string `json:"dataCentre,omitempty"`
 	// Cores is how much of a processor the instance has, zero if that is not known.
 	Cores float64 `json:"cores,omitempty"`
 }
@@ -61,6 +63,19 @@
 	return p.Self.Cores > 0 && slices.ContainsFunc(p.others, func(o Peer) bool { return o.Cores >= outclassedBy*p.Self.Cores })
 }
 
+// In returns the addresses of the other instances that were last listed in the data centre.
+func (p *Peers) In(dataCentre string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var addresses []string
+	for _, o := range p.others {
+		if o.DataCentre == dataCentre {
+			addresses = append(addresses, o.Address)
+		}
+	}
+	return addresses
+}
+
 // Run keeps the entry until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -28,23 +28,20 @@
 	Admit(ctx context.Context, call *admit.Call) (*admit.Reply, error)
 }
 
-// description registers the method with drpc.
-type description struct{}
+// Description lists the methods for drpc.
+type Description struct{}
 
 // NumMethods returns the number of methods.
-func (description) NumMethods() int { return 1 }
+func (Description) NumMethods() int { return 1 }
 
 // Method describes the nth method.
-func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+func (Description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
 	if n != 0 {
 		return "", nil, nil, nil, false
 	}
 	return methodAdmit, link.Codec{}, link.Receive(Handler.Admit), Handler.Admit, true
 }
 
-// NewServer returns a server that carries out requests of peers.
-func NewServer(handler Handler) (*link.Server, error) { return link.NewService(handler, description{}) }
-
 // Relay asks peers.
 type Relay struct {
 	Peers  *Peers
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -25,7 +25,7 @@
 // tick settles leases that ran out, starts without an answer, gangs that lost a member and tasks that stand still.
 func (e *Engine) tick(now time.Time) {
 	for _, w := range e.order {
-		lapsed := now.After(w.LeaseEnds)
+		lapsed := w.lapsed(now)
 		if lapsed && now.Sub(w.HeardAt) > e.cfg.HeardWithin {
 			// Whatever was listed then is dead by now.
 			clear(w.strangers)
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -146,19 +146,19 @@
 // release adds the room of the run's live members to the slots, or takes it back; it reports whether there was any.
 func (plan *eviction) release(s *Set, run *Run, sign int) bool {
 	room := run.Set.room().Times(sign)
-	any := false
+	touched := false
 	for _, m := range run.Members {
 		if m.State == Ended || m.Worker.at == 0 {
 			continue
 		}
-		any = true
+		touched = true
 		sl := &plan.slots[m.Worker.at-1]
 		plan.total -= sl.fits
 		sl.free = sl.free.Add(room)
 		sl.fits = s.room().Count(sl.free, sl.most)
 		plan.total += sl.fits
 	}
-	return any
+	return touched
 }
 
 // targets lists the runs that may be stopped for the set; the list is worked out once in a pass.
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -39,6 +39,8 @@
 	doubtedAt time.Time
 	// LeaseEnds is when everything on the worker has certainly been killed, unless its lease is renewed.
 	LeaseEnds time.Time
+	// prolonged is until when tasks may live as another instance may prolong their leases on the owner's behalf.
+	prolonged prolonged
 	// AvoidUntil is when the worker gets new work again after trouble.
 	AvoidUntil time.Time
 	// Processed is the number of the last end that was taken in.
@@ -227,6 +229,44 @@
 	}
 }
 
+// prolonged is a time that follows from another instance's permission.
+type prolonged struct {
+	by    string
+	until time.Time
+}
+
+// MayProlong notes that the instance may prolong the worker's leases, so that what runs there may live until ends.
+func (e *Engine) MayProlong(id, by string, ends, now time.Time) {
+	w := e.workers[id]
+	if w == nil {
+		return
+	}
+	if w.prolonged.by != by && w.prolonged.until.After(now) {
+		// Two instances may act at once now, so no single one's word settles it.
+		by = ""
+	}
+	w.prolonged = prolonged{by: by, until: latest(w.prolonged.until, ends)}
+}
+
+// ProlongsNoLonger notes that the instance prolongs the worker's leases no longer; what it has prolonged lives until ends at most.
+func (e *Engine) ProlongsNoLonger(id, by string, ends time.Time) {
+	if w := e.workers[id]; w != nil && w.prolonged.by == by && by != "" {
+		w.prolonged.until = ends
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// lapsed reports whether everything on the worker has certainly been killed.
+func (w *Worker) lapsed(now time.Time) bool {
+	return now.After(w.LeaseEnds) && now.After(w.prolonged.until)
+}
+
 // NeedsStop reports whether the run may be alive on the worker, or may still come alive.
 func (w *Worker) NeedsStop(task string, run int) bool {
 	key := runKey{task, run}
