A gang of one rack waits for workers that are expected; so does a task for the rack of its data

Change: for as long as waiting costs less than the slower run, workers count for the racks that are listed and neither drain nor are evacuated, though they get no tasks at the moment (not heard, avoided).

--- a/internal/place/sets/find.go
+++ b/internal/place/sets/find.go
@@ -23,7 +23,8 @@
 	slots []slot
 	// total is how many tasks fit into all slots together.
 	total int
-	// inRack is true if the set must stay within a rack, as one of them could hold it if it were empty.
+	// inRack is true if the set must stay within a rack, as one of them could hold it if it were empty. For a while, workers
+	// count for that which get no tasks only at the moment, as right after a change of owner.
 	inRack bool
 }
 
@@ -58,7 +59,10 @@
 	step, room, q := s.step(), s.room(), &s.Job.rules
 	near := e.nearOnly(s, now)
 	list := e.slotBuffer[:0]
+	patient := step.SameRack && s.Count > 1 && e.patient(s, now)
 	outside, barred := 0, false
+	// most and mostKept are the most tasks that any one rack could hold, of those for all and of those kept for others.
+	most, mostKept := 0, 0
 	for _, r := range e.racks {
 		if near && r.name != step.Affinity {
 			continue
@@ -67,37 +71,50 @@
 		barred = barred || kept
 		holds := 0
 		for _, w := range r.workers {
-			if !w.open || w.Service != q.Service || !w.has(step.Requires) {
+			if !w.open && (!patient || e.Closed(w)) || w.Service != q.Service || !w.has(step.Requires) {
 				continue
 			}
-			most := s.Count
+			bound := s.Count
 			if step.MaxPerWorker > 0 {
-				most = min(most, step.MaxPerWorker-w.membersOf(s))
+				bound = min(bound, step.MaxPerWorker-w.membersOf(s))
+			}
+			empty := room.Count(w.Capacity, bound)
+			if empty == 0 || slices.Contains(s.soured, w) {
+				continue
+			}
+			holds += empty
+			if !w.open {
+				continue
 			}
-			empty := room.Count(w.Capacity, most)
 			if !kept {
 				outside += empty
 			}
-			if empty > 0 && !slices.Contains(s.soured, w) {
-				holds += empty
-				free := w.freeFor(q)
-				list = append(list, slot{worker: w, fits: room.Count(free, most), free: free, most: most, kept: kept})
-			}
+			free := w.freeFor(q)
+			list = append(list, slot{worker: w, fits: room.Count(free, bound), free: free, most: bound, kept: kept})
+		}
+		if kept {
+			mostKept = max(mostKept, holds)
+		} else {
+			most = max(most, holds)
 		}
-		r.holds = holds
 	}
 	e.slotBuffer = list
 	if barred && outside >= s.Count {
-		list = slices.DeleteFunc(list, func(sl slot) bool { return sl.kept })
+		list, mostKept = slices.DeleteFunc(list, func(sl slot) bool { return sl.kept }), 0
 	}
-	o := offer{slots: list}
+	o := offer{slots: list, inRack: step.SameRack && s.Count > 1 && max(most, mostKept) >= s.Count}
 	for _, sl := range list {
 		o.total += sl.fits
-		o.inRack = o.inRack || step.SameRack && s.Count > 1 && sl.worker.rack.holds >= s.Count
 	}
 	return o
 }
 
+// patient reports whether waiting for a place near its data, or in one rack, still costs the set less than running three
+// times as long elsewhere.
+func (e *Engine) patient(s *Set, now time.Time) bool {
+	return now.Sub(s.readyAt) <= time.Duration((e.cfg.RemoteFactor-1)*float64(s.step().Estimate))
+}
+
 // byRack splits slots, which are grouped by rack.
 func byRack(slots []slot) [][]slot {
 	var groups [][]slot
@@ -125,20 +142,19 @@
 
 // nearOnly reports whether the set should wait for the rack that holds its data.
 //
-// Waiting pays for as long as it costs less than the slower run elsewhere would.
+// Workers count that get no tasks only at the moment.
 func (e *Engine) nearOnly(s *Set, now time.Time) bool {
 	step := s.step()
 	if step.Affinity == "" {
 		return false
 	}
-	patience := time.Duration((e.cfg.RemoteFactor - 1) * float64(step.Estimate))
 	r := e.onRack(step.Affinity)
-	if r == nil || now.Sub(s.readyAt) > patience {
+	if r == nil || !e.patient(s, now) {
 		return false
 	}
 	could := 0
 	for _, w := range r.workers {
-		if w.open && !slices.Contains(s.soured, w) {
+		if !e.Closed(w) && !slices.Contains(s.soured, w) {
 			could += s.room().Count(w.Capacity, s.Count)
 		}
 	}
--- a/internal/place/sets/rack.go
+++ b/internal/place/sets/rack.go
@@ -13,8 +13,6 @@
 	workers []*Worker
 	// quick is true if the rack is kept for jobs of priority 0.
 	quick bool
-	// holds is how many tasks of the set that is searched for would fit if the rack were empty.
-	holds int
 }
 
 // group works the racks out anew after workers have come, gone or moved.
