Jobs with turns, and work that lasts

Cause: jobs of contracts that the two sites don't exercise ran as if they had not asked. Change: a job's steps run in turns (repeatCount, startTimeMs, intervalMs), each with its own due time, objective, sets and names; turns overlap; the time of day is read once when a job is taken in. Work that lasts (longRunning, maxUnavailable) is started again however it ends, may use kept racks and room, leaves a worker that leaves, and is stopped for others only within its bound. The codec keeps nanoseconds now. Three changes in one commit, as they share the job's types. Not built still: advice and tickets, fills and pace, upkeep, moves.

--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -100,9 +100,10 @@
 			continue
 		}
 		spec.Job = job
-		age := min(max(t.WallNow().Sub(spec.Accepted), 0), maxAge)
-		t.engine.Load(spec, known[job], age, now)
-		t.Log.Emit(event.JobSeen, event.Fields{"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "steps": len(spec.Steps), "tasks": spec.Steps[0].Count, "accelerators": spec.Steps[0].Accelerators, "estimate": spec.Steps[0].Estimate.String()})
+		wall := t.WallNow()
+		age := min(max(wall.Sub(spec.Accepted), 0), maxAge)
+		t.engine.Load(spec, known[job], age, now, wall)
+		t.Log.Emit(event.JobSeen, event.Fields{"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "steps": len(spec.Steps), "turns": spec.Turns(), "tasks": spec.Steps[0].Count, "accelerators": spec.Steps[0].Accelerators, "estimate": spec.Steps[0].Estimate.String()})
 		if t.orphans[job] {
 			t.cancelJob(job, now)
 		}
--- a/internal/node/term/substitute_test.go
+++ b/internal/node/term/substitute_test.go
@@ -45,7 +45,7 @@
 		tm.engine.Listed(info.ID, sets.Listing{Born: 1}, now, now)
 	}
 	step := work.Step{Count: 2, MilliCores: 1000, Accelerators: 8, Estimate: time.Second, Requires: "busy"}
-	tm.engine.Load(&work.Spec{Job: "0000000000000001", Queue: "plan", Steps: []work.Step{step}}, nil, 0, now)
+	tm.engine.Load(&work.Spec{Job: "0000000000000001", Queue: "plan", Steps: []work.Step{step}}, nil, 0, now, now)
 	tm.engine.Decide(true, now)
 	return tm, &now
 }
--- a/internal/peer/link/protocol.go
+++ b/internal/peer/link/protocol.go
@@ -78,8 +78,19 @@
 // Codec encodes messages as CBOR.
 type Codec struct{}
 
+// encoder keeps times to the nanosecond; by default they would lose what is below a second.
+var encoder = newEncoder()
+
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic("link: the options of the codec: " + err.Error())
+	}
+	return mode
+}
+
 // Marshal encodes a message.
-func (Codec) Marshal(message drpc.Message) ([]byte, error) { return cbor.Marshal(message) }
+func (Codec) Marshal(message drpc.Message) ([]byte, error) { return encoder.Marshal(message) }
 
 // Unmarshal decodes a message.
 func (Codec) Unmarshal(data []byte, message drpc.Message) error {
--- a/internal/place/sets/bench_test.go
+++ b/internal/place/sets/bench_test.go
@@ -44,7 +44,7 @@
 	queues := []string{planQueue, batchQueue, batchQueue}
 	for i := range jobs {
 		step := work.Step{Count: 4 + i%5, MilliCores: 4000, MemoryMB: 8000, Accelerators: 1 + i%8, Estimate: 8 * time.Second, Gang: i%3 == 0}
-		e.Load(&work.Spec{Job: fmt.Sprintf("%016x", i), Queue: queues[i%3], Workspace: "beta", Steps: []work.Step{step}}, nil, time.Duration(i)*time.Millisecond, now)
+		e.Load(&work.Spec{Job: fmt.Sprintf("%016x", i), Queue: queues[i%3], Workspace: "beta", Steps: []work.Step{step}}, nil, time.Duration(i)*time.Millisecond, now, now)
 	}
 	for range 3 {
 		e.Decide(true, now)
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -52,7 +52,7 @@
 	case m.State == Ordered && now.Sub(m.orderedAt) > e.startTimeout(m):
 		m.Worker.avoid(now.Add(e.cfg.Avoid[Refused]))
 		e.stopRun(run, "a start had no answer", now)
-	case m.State == Started && m.Worker.Draining && run.Set.step().Checkpoints && m.rest() > leaveMargin:
+	case m.State == Started && m.Worker.Draining && m.goesOn():
 		e.stopRun(run, "its worker leaves, and it can go on elsewhere", now)
 	case m.State == Started && e.hangs(m, now):
 		m.Worker.avoid(now.Add(e.cfg.FaultPause))
@@ -64,6 +64,12 @@
 // leaveMargin is the rest of its work that a task may still finish on a worker that leaves.
 const leaveMargin = 1500 * time.Millisecond
 
+// goesOn reports whether the member will not end before its worker has left, but can go on elsewhere.
+func (m *Member) goesOn() bool {
+	step := m.Run.Set.step()
+	return step.Lasts || step.Checkpoints && m.rest() > leaveMargin
+}
+
 // rest is the time that the member's work will still take as far as its progress shows, or its step's estimate.
 func (m *Member) rest() time.Duration {
 	left := float64(100-m.Percent) / 100
@@ -105,29 +111,43 @@
 
 // ready returns the sets that could start, the most pressing first.
 func (e *Engine) ready(now time.Time) []*Set {
-	e.entitle()
-	jobs := make([]*Job, 0, len(e.open))
+	e.entitle(now)
+	turns := make([]*turn, 0, len(e.open))
 	for _, j := range e.open {
 		if j.Record.Phase.Final() || j.Cancelled {
 			continue
 		}
 		j.rules = e.queue(j)
-		e.rank(j, now)
-		jobs = append(jobs, j)
+		j.tier = j.rules.Priority + 1
+		if j.entitled {
+			j.tier = 0
+		}
+		for _, t := range j.turns {
+			if !t.due.After(now) && !t.over() {
+				t.assess(now)
+				turns = append(turns, t)
+			}
+		}
 	}
-	slices.SortStableFunc(jobs, func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.rank, b.rank))
+	slices.SortStableFunc(turns, func(a, b *turn) int {
+		return cmp.Or(cmp.Compare(a.job.tier, b.job.tier), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.rank, b.rank))
 	})
 	var list []*Set
-	for _, j := range jobs {
-		for i := range j.steps {
-			if j.left[i] == 0 || !j.unlocked(i) {
-				continue
-			}
-			for _, s := range j.steps[i] {
-				if s.Run == nil && !s.record().Done {
-					list = append(list, s)
-				}
+	for _, t := range turns {
+		list = t.appendReady(list)
+	}
+	return list
+}
+
+// appendReady adds the sets that could start.
+func (t *turn) appendReady(list []*Set) []*Set {
+	for i := range t.steps {
+		if t.left[i] == 0 || !t.unlocked(i) {
+			continue
+		}
+		for _, s := range t.steps[i] {
+			if s.Run == nil && !s.record().Done {
+				list = append(list, s)
 			}
 		}
 	}
@@ -135,9 +155,9 @@
 }
 
 // unlocked reports whether all steps that come before the step are done.
-func (j *Job) unlocked(step int) bool {
-	for _, earlier := range j.Spec.Steps[step].After {
-		if j.left[earlier] > 0 {
+func (t *turn) unlocked(step int) bool {
+	for _, earlier := range t.job.Spec.Steps[step].After {
+		if t.left[earlier] > 0 {
 			return false
 		}
 	}
@@ -145,7 +165,7 @@
 }
 
 // entitle marks the jobs of priority 0 that are within their workspace's guarantee, the oldest first.
-func (e *Engine) entitle() {
+func (e *Engine) entitle(now time.Time) {
 	used := make(map[string]int, len(e.promised))
 	for _, j := range e.open {
 		j.entitled = false
@@ -153,7 +173,7 @@
 			continue
 		}
 		ws := j.Spec.Workspace
-		need := j.openNeed()
+		need := j.openNeed(now)
 		if used[ws]+need > e.promised[ws] {
 			continue
 		}
@@ -162,51 +182,52 @@
 	}
 }
 
-// openNeed is the accelerators of all tasks that are not done.
-func (j *Job) openNeed() int {
+// openNeed is the accelerators of all tasks that are not done and whose turn has come.
+func (j *Job) openNeed(now time.Time) int {
 	need := 0
 	for _, s := range j.sets {
-		if !s.record().Done {
+		if !s.record().Done && !s.turn.due.After(now) {
 			need += s.need().Accelerators
 		}
 	}
 	return need
 }
 
-// rank works out the job's place in the order.
-func (e *Engine) rank(j *Job, now time.Time) {
-	q := &j.rules
-	j.tier = q.Priority + 1
-	if j.entitled {
-		j.tier = 0
+// assess works out the turn's place in the order.
+func (t *turn) assess(now time.Time) {
+	if t.job.lasts {
+		// It earns for as long as it runs, so it is never too late.
+		t.lateness, t.rank = inTime, -now.Sub(t.due).Seconds()
+		return
 	}
-	objective := time.Duration(q.Stretch*float64(j.chain)) + q.Target
-	finish := now.Add(e.remaining(j))
-	j.lateness = hopeless
+	q := &t.job.rules
+	objective := time.Duration(q.Stretch*float64(t.job.chain)) + q.Target
+	finish := now.Add(t.remaining())
+	t.lateness = hopeless
 	switch {
-	case !finish.After(j.Accepted.Add(objective)):
-		j.lateness = inTime
-	case !finish.After(j.Accepted.Add(lateFactor * objective)):
-		j.lateness = late
+	case !finish.After(t.due.Add(objective)):
+		t.lateness = inTime
+	case !finish.After(t.due.Add(lateFactor * objective)):
+		t.lateness = late
 	}
-	j.rank = -now.Sub(j.Accepted.Add(objective)).Seconds()
+	t.rank = -now.Sub(t.due.Add(objective)).Seconds()
 }
 
 // remaining is the estimated time of the longest chain of steps that are not done.
-func (e *Engine) remaining(j *Job) time.Duration {
+func (t *turn) remaining() time.Duration {
 	longest := time.Duration(0)
 	// Most jobs have few steps, so this stays off the heap.
 	var few [4]time.Duration
 	ends := few[:]
-	if len(j.steps) > len(few) {
-		ends = make([]time.Duration, len(j.steps))
+	if len(t.steps) > len(few) {
+		ends = make([]time.Duration, len(t.steps))
 	}
-	for i := range j.steps {
-		step := &j.Spec.Steps[i]
+	for i := range t.steps {
+		step := &t.job.Spec.Steps[i]
 		for _, earlier := range step.After {
 			ends[i] = max(ends[i], ends[earlier])
 		}
-		if j.left[i] > 0 {
+		if t.left[i] > 0 {
 			ends[i] += step.Estimate
 		}
 		longest = max(longest, ends[i])
@@ -221,6 +242,7 @@
 	affinity string
 	requires string
 	most     int
+	lasts    bool
 	queue    string
 }
 
@@ -238,7 +260,7 @@
 
 func (s *Set) demand() demand {
 	step := s.step()
-	return demand{s.room(), step.SameRack, step.Affinity, step.Requires, step.MaxPerWorker, s.Job.Spec.Queue}
+	return demand{s.room(), step.SameRack, step.Affinity, step.Requires, step.MaxPerWorker, step.Lasts, s.Job.Spec.Queue}
 }
 
 // mayFit reports whether a search makes sense after what the pass has learned.
@@ -277,7 +299,7 @@
 // like reports whether the set, a single task for which nobody is stopped, has as little chance as one that has found no
 // room in this decision.
 func (s *Set) like(missed *Set) bool {
-	return missed != nil && s.Job == missed.Job && s.Step == missed.Step && s.Count == 1 && s.Job.rules.Priority != 0 &&
+	return missed != nil && s.turn == missed.turn && s.Step == missed.Step && s.Count == 1 && s.Job.rules.Priority != 0 &&
 		!s.special() && !missed.special()
 }
 
@@ -338,5 +360,5 @@
 	e.touch(s.Job)
 	s.Job.Waiting = ""
 	e.act(Note{What: RunPlaced, Job: s.Job.ID(), Task: s.taskName(0), Run: run.Number, Worker: workers[0].ID,
-		Text: fmt.Sprintf("%s; %d tasks, tier %d, lateness %d, waited %s", why, len(workers), s.Job.tier, s.Job.lateness, now.Sub(s.readyAt).Round(time.Millisecond))})
+		Text: fmt.Sprintf("%s; %d tasks, tier %d, lateness %d, waited %s", why, len(workers), s.Job.tier, s.turn.lateness, now.Sub(s.readyAt).Round(time.Millisecond))})
 }
--- a/internal/place/sets/engine_test.go
+++ b/internal/place/sets/engine_test.go
@@ -152,7 +152,7 @@
 }
 
 func (s *site) submit(id, queue, workspace string, steps ...work.Step) *sets.Job {
-	return s.engine.Load(&work.Spec{Job: id, Queue: queue, Workspace: workspace, Steps: steps}, nil, 0, s.now)
+	return s.engine.Load(&work.Spec{Job: id, Queue: queue, Workspace: workspace, Steps: steps}, nil, 0, s.now, s.now)
 }
 
 // workersOf lists the workers that run tasks of the job.
@@ -211,7 +211,7 @@
 	s := newSite(t, 1, 2)
 	record := &work.Record{Phase: work.Running, Sets: []work.SetRecord{{Run: 3, On: []string{"w0-0"}}}}
 	spec := &work.Spec{Job: "job-a", Queue: planQueue, Steps: []work.Step{gang(1, 1)}}
-	s.engine.Load(spec, record, 0, s.now)
+	s.engine.Load(spec, record, 0, s.now, s.now)
 	s.running["w0-0"]["job-a.0.0.0"] = sets.RunningEntry{Task: "job-a.0.0.0", Run: 3}
 	s.listAll()
 	s.step()
@@ -228,7 +228,7 @@
 	s := newSite(t, 1, 2)
 	record := &work.Record{Phase: work.Running, Sets: []work.SetRecord{{Run: 1, On: []string{"w0-0", "w0-1"}}}}
 	spec := &work.Spec{Job: "job-a", Queue: planQueue, Steps: []work.Step{gang(2, 8)}}
-	s.engine.Load(spec, record, 0, s.now)
+	s.engine.Load(spec, record, 0, s.now, s.now)
 	s.running["w0-0"]["job-a.0.0.0"] = sets.RunningEntry{Task: "job-a.0.0.0", Run: 1}
 	s.listAll()
 	s.step()
@@ -241,7 +241,7 @@
 	s := newSite(t, 1, 1)
 	load := func(id string) {
 		record := &work.Record{Phase: work.Running, Sets: []work.SetRecord{{Run: 1, On: []string{"w0-0"}}}}
-		s.engine.Load(&work.Spec{Job: id, Queue: planQueue, Steps: []work.Step{gang(1, 8)}}, record, 0, s.now)
+		s.engine.Load(&work.Spec{Job: id, Queue: planQueue, Steps: []work.Step{gang(1, 8)}}, record, 0, s.now, s.now)
 	}
 	load("job-old")
 	load("job-new")
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -282,18 +282,16 @@
 func (e *Engine) setDone(m *Member, now time.Time) {
 	s := m.Run.Set
 	rec := s.record()
-	if rec.Done {
+	if rec.Done || s.step().Lasts {
 		return
 	}
 	rec.Done = true
 	j := s.Job
 	e.act(Note{What: RunDone, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number,
 		Text: fmt.Sprintf("took %s, estimated %s", now.Sub(m.Run.Began).Round(time.Millisecond), s.step().Estimate.Round(time.Millisecond))})
-	j.left[s.Step]--
-	for _, left := range j.left {
-		if left > 0 {
-			return
-		}
+	s.turn.left[s.Step]--
+	if slices.ContainsFunc(j.turns, func(t *turn) bool { return !t.over() }) {
+		return
 	}
 	if !j.Record.Phase.Final() {
 		e.finish(j, work.Completed, "all tasks done", now)
@@ -307,10 +305,13 @@
 	}
 	rec.Failures++
 	rec.FailedRun = m.Run.Number
-	s.soured = append(s.soured, m.Worker)
+	if !s.step().Lasts {
+		// A set that may fail any number of times would run out of workers.
+		s.soured = append(s.soured, m.Worker)
+	}
 	e.blame(m, now)
 	j := s.Job
-	if rec.Failures >= e.queue(j).MaxAttempts && !j.Record.Phase.Final() {
+	if rec.Failures >= e.queue(j).MaxAttempts && !j.Record.Phase.Final() && !s.step().Lasts {
 		e.finish(j, work.Failed, "a set failed as often as its queue allows", now)
 	}
 }
--- a/internal/place/sets/find.go
+++ b/internal/place/sets/find.go
@@ -89,7 +89,7 @@
 			if !kept {
 				outside += empty
 			}
-			free := w.freeFor(q)
+			free := w.freeFor(s)
 			list = append(list, slot{worker: w, fits: room.Count(free, bound), free: free, most: bound, kept: kept})
 		}
 		if kept {
@@ -133,7 +133,7 @@
 func (w *Worker) membersOf(s *Set) int {
 	n := 0
 	for _, m := range w.members {
-		if other := m.Run.Set; other.Job == s.Job && other.Step == s.Step {
+		if other := m.Run.Set; other.turn == s.turn && other.Step == s.Step {
 			n++
 		}
 	}
--- a/internal/place/sets/job.go
+++ b/internal/place/sets/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/state/work"
@@ -32,9 +33,7 @@
 	Waiting string
 
 	sets  []*Set
-	steps [][]*Set
-	// left is the number of sets not done.
-	left []int
+	turns []*turn
 	// begun is true once any task was started.
 	begun bool
 	// waitKept is true while the key that counts the job as pending exists.
@@ -46,15 +45,34 @@
 	// rules is what the configuration said about the job's queue at the last decision, chain the job's longest chain of work.
 	rules Queue
 	chain time.Duration
+	// lasts is true if the job runs until it is cancelled.
+	lasts bool
 	// measured is true if a task's progress was measured since the last decision.
 	measured bool
 	// entitled is true while the job is within its workspace's guarantee.
 	entitled bool
 	tier     int
+}
+
+// turn is one run of all steps of a job.
+type turn struct {
+	job *Job
+	// number counts from zero.
+	number int
+	// due is when the turn may start, on the engine's clock; for a job that runs at once it is when the job was accepted.
+	due   time.Time
+	steps [][]*Set
+	// left is the number of sets not done, by step.
+	left     []int
 	rank     float64
 	lateness int
 }
 
+// over reports whether all sets are done.
+func (t *turn) over() bool {
+	return !slices.ContainsFunc(t.left, func(left int) bool { return left > 0 })
+}
+
 // ID returns the job's ID.
 func (j *Job) ID() string { return j.Spec.Job }
 
@@ -62,6 +80,7 @@
 type Set struct {
 	Job  *Job
 	Step int
+	turn *turn
 	// First is the index of the set's first task in the step, Count the number of its tasks.
 	First int
 	Count int
@@ -95,7 +114,7 @@
 
 // taskName is the name of the set's member i on the workers.
 func (s *Set) taskName(i int) string {
-	return fmt.Sprintf("%s.0.%d.%d", s.Job.Spec.Job, s.Step, s.First+i)
+	return fmt.Sprintf("%s.%d.%d.%d", s.Job.Spec.Job, s.turn.number, s.Step, s.First+i)
 }
 
 // Run is one start of a set.
@@ -177,13 +196,14 @@
 func (m *Member) Wanted() bool { return m.State == Ordered && !m.stopSent }
 
 // Load takes in a job as the ledger has it; record is nil for a job that no owner has seen.
-func (e *Engine) Load(spec *work.Spec, record *work.Record, age time.Duration, now time.Time) *Job {
+// wall is the time of day that belongs to now; only jobs with turns need it.
+func (e *Engine) Load(spec *work.Spec, record *work.Record, age time.Duration, now, wall time.Time) *Job {
 	if j := e.jobs[spec.Job]; j != nil {
 		return j
 	}
-	j := &Job{Spec: spec, Accepted: now.Add(-age), waitKept: true, chain: spec.Chain()}
+	j := &Job{Spec: spec, Accepted: now.Add(-age), waitKept: true, chain: spec.Chain(), lasts: spec.Lasts()}
 	j.rules = e.queue(j)
-	j.build()
+	j.build(now, wall)
 	e.jobs[spec.Job] = j
 	e.keepOpen(j)
 	if record == nil || len(record.Sets) != len(j.sets) {
@@ -199,35 +219,45 @@
 		j.endedAt = now
 	}
 	for _, s := range j.sets {
-		s.readyAt = now
+		s.readyAt = latest(now, s.turn.due)
 	}
 	return j
 }
 
-func (j *Job) build() {
-	j.steps = make([][]*Set, len(j.Spec.Steps))
-	j.left = make([]int, len(j.Spec.Steps))
-	for i := range j.Spec.Steps {
-		step := &j.Spec.Steps[i]
-		size, count := 1, step.Count
-		if step.Gang {
-			size, count = step.Count, 1
+func (j *Job) build(now, wall time.Time) {
+	for number := range j.Spec.Turns() {
+		t := &turn{job: j, number: number, due: j.Accepted, steps: make([][]*Set, len(j.Spec.Steps)), left: make([]int, len(j.Spec.Steps))}
+		if r := j.Spec.Repeat; r != nil {
+			t.due = now.Add(r.Start.Add(time.Duration(number) * r.Interval).Sub(wall))
 		}
-		for n := range count {
-			s := &Set{Job: j, Step: i, First: n, Count: size, index: len(j.sets)}
-			j.sets = append(j.sets, s)
-			j.steps[i] = append(j.steps[i], s)
+		j.turns = append(j.turns, t)
+		for i := range j.Spec.Steps {
+			t.build(i)
 		}
-		j.left[i] = count
 	}
 }
 
+// build makes the sets of one step.
+func (t *turn) build(i int) {
+	step := &t.job.Spec.Steps[i]
+	size, count := 1, step.Count
+	if step.Gang {
+		size, count = step.Count, 1
+	}
+	for n := range count {
+		s := &Set{Job: t.job, Step: i, turn: t, First: n, Count: size, index: len(t.job.sets)}
+		t.job.sets = append(t.job.sets, s)
+		t.steps[i] = append(t.steps[i], s)
+	}
+	t.left[i] = count
+}
+
 // adopt rebuilds the runs that an earlier owner may have started.
 func (e *Engine) adopt(j *Job, now time.Time) {
 	for _, s := range j.sets {
 		rec := s.record()
 		if rec.Done {
-			j.left[s.Step]--
+			s.turn.left[s.Step]--
 		}
 		if len(rec.On) != s.Count {
 			rec.On = nil
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -77,7 +77,7 @@
 // mayStopOthers reports whether the set may have room made: quick jobs that still gain by it, and any gang that waits
 // although much is free, since what is stopped for it finds room elsewhere.
 func (e *Engine) mayStopOthers(s *Set, now time.Time) bool {
-	if s.Job.rules.Priority == 0 && (s.Job.lateness != hopeless || s.Job.entitled) {
+	if s.Job.rules.Priority == 0 && (s.turn.lateness != hopeless || s.Job.entitled) {
 		return true
 	}
 	return s.Count > 1 && e.use < scatteredUse && now.Sub(s.readyAt) > scatteredAfter
@@ -187,8 +187,9 @@
 		if !yields(j, s.Job) {
 			continue
 		}
+		allowed := j.allowances()
 		for _, other := range j.sets {
-			if s.Job.rules.Priority != 0 && other.Count > 1 {
+			if s.Job.rules.Priority != 0 && other.Count > 1 || !allowed.take(other) {
 				continue
 			}
 			if run := other.Run; run != nil && run.stopping == "" && run.broken.IsZero() && run.whole() {
--- a/internal/place/sets/quick.go
+++ b/internal/place/sets/quick.go
@@ -23,7 +23,7 @@
 	}
 }
 
-// barred reports whether the set must leave the rack to jobs of priority 0.
+// barred reports whether the set must leave the rack to jobs of priority 0; work that lasts must run wherever there is room.
 func (e *Engine) barred(s *Set, r *rack) bool {
-	return r.quick && s.Job.rules.Priority != 0 && s.step().Affinity != r.name
+	return r.quick && s.Job.rules.Priority != 0 && s.step().Affinity != r.name && !s.step().Lasts
 }
--- a/internal/place/sets/speed.go
+++ b/internal/place/sets/speed.go
@@ -49,8 +49,10 @@
 			continue
 		}
 		j.measured = false
-		for _, step := range j.steps {
-			e.measureStep(step, now)
+		for _, t := range j.turns {
+			for _, step := range t.steps {
+				e.measureStep(step, now)
+			}
 		}
 	}
 }
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -78,10 +78,11 @@
 	}
 }
 
-// freeFor is what nobody uses or has claimed against the set's queue.
-func (w *Worker) freeFor(q *Queue) Room {
+// freeFor is what nobody uses or has claimed against the set; room that is kept for gangs binds neither quick jobs nor work
+// that lasts.
+func (w *Worker) freeFor(s *Set) Room {
 	free := w.Capacity.Sub(w.Used).Sub(w.claimed)
-	if q.Priority == 0 {
+	if s.Job.rules.Priority == 0 || s.step().Lasts {
 		return free
 	}
 	return free.Sub(w.kept)
--- a/internal/state/work/spec.go
+++ b/internal/state/work/spec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -29,6 +30,18 @@
 	Affinity string `json:"affinity,omitempty"`
 	// MaxPerWorker bounds the tasks of the step on one worker; zero means no bound.
 	MaxPerWorker int `json:"maxPerWorker,omitempty"`
+	// Lasts means that the tasks run until the job is cancelled, and are started again however they end.
+	Lasts bool `json:"lasts,omitempty"`
+	// MaxAway bounds how many tasks of a step that lasts may be away from their work by the owner's doing; zero means no bound.
+	MaxAway int `json:"maxAway,omitempty"`
+}
+
+// Repeat says when the steps of a job run, if not once and at once.
+type Repeat struct {
+	// Count is how many times the steps run; turn K, from zero, is due at Start and K times Interval. Turns may overlap.
+	Count    int           `json:"count"`
+	Start    time.Time     `json:"start"`
+	Interval time.Duration `json:"interval"`
 }
 
 // Spec is a job as it was accepted; it never changes.
@@ -39,6 +52,8 @@
 	// Payload is handed to the workers as it is.
 	Payload string `json:"payload,omitempty"`
 	Steps   []Step `json:"steps"`
+	// Repeat is nil for a job that runs once and at once.
+	Repeat *Repeat `json:"repeat,omitempty"`
 	// Accepted is the time of day at the instance that accepted the job.
 	Accepted time.Time `json:"accepted"`
 }
@@ -48,6 +63,8 @@
 	MaxPayload = 4000
 	MaxSteps   = 200
 	MaxTasks   = 20000
+	// maxSpan bounds the time from a job's first turn to its last, well within what a duration can hold.
+	maxSpan = 100 * 365 * 24 * time.Hour
 )
 
 // Problem says why a spec can't be accepted.
@@ -71,7 +88,7 @@
 	tasks := 0
 	for i := range s.Steps {
 		step := &s.Steps[i]
-		if step.Count < 1 || step.MilliCores < 0 || step.MemoryMB < 0 || step.Accelerators < 0 || step.MaxPerWorker < 0 || step.Estimate < 0 {
+		if step.Count < 1 || step.MilliCores < 0 || step.MemoryMB < 0 || step.Accelerators < 0 || step.MaxPerWorker < 0 || step.MaxAway < 0 || step.Estimate < 0 {
 			return problem("step %d needs a count of at least 1, and no size may be negative", i)
 		}
 		for _, earlier := range step.After {
@@ -84,9 +101,38 @@
 			return problem("more than %d tasks", MaxTasks)
 		}
 	}
+	return s.checkRepeat(tasks)
+}
+
+func (s *Spec) checkRepeat(tasks int) error {
+	if s.Repeat == nil {
+		return nil
+	}
+	if s.Repeat.Count < 1 || s.Repeat.Interval < 0 {
+		return problem("%d turns, %s apart; at least one is needed, and time goes forward", s.Repeat.Count, s.Repeat.Interval)
+	}
+	if s.Repeat.Interval > maxSpan/time.Duration(s.Repeat.Count) {
+		return problem("%d turns, %s apart, would take longer than %s", s.Repeat.Count, s.Repeat.Interval, maxSpan)
+	}
+	if s.Repeat.Count > MaxTasks/tasks {
+		return problem("%d turns of %d tasks; at most %d tasks are allowed", s.Repeat.Count, tasks, MaxTasks)
+	}
 	return nil
 }
 
+// Lasts reports whether any step runs until the job is cancelled.
+func (s *Spec) Lasts() bool {
+	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.Lasts })
+}
+
+// Turns is how many times the steps run.
+func (s *Spec) Turns() int {
+	if s.Repeat == nil {
+		return 1
+	}
+	return s.Repeat.Count
+}
+
 // Encode returns the stored form.
 func (s *Spec) Encode() ([]byte, error) { return json.Marshal(s) }
 
--- /dev/null
+++ b/internal/state/work/spec_test.go
@@ -0,0 +1,27 @@
+package work_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"gotest.tools/v3/assert"
+)
+
+func TestTurnsThatMakeNoSenseAreRefused(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		repeat work.Repeat
+		ok     bool
+	}{
+		{"a week of nights", work.Repeat{Count: 7, Interval: 24 * time.Hour}, true},
+		{"no turn", work.Repeat{Count: 0, Interval: time.Hour}, false},
+		{"back in time", work.Repeat{Count: 2, Interval: -time.Hour}, false},
+		{"more tasks than one job may have", work.Repeat{Count: work.MaxTasks, Interval: time.Second}, false},
+		{"longer than a duration can hold", work.Repeat{Count: 1000, Interval: math.MaxInt64 / 500}, false},
+	} {
+		spec := work.Spec{Steps: []work.Step{{Count: 2}}, Repeat: &c.repeat}
+		assert.Equal(t, spec.Check() == nil, c.ok, c.name)
+	}
+}
