Gangs that may stop others get room kept, too; two at a time while much is free

While less than half of the fleet is in use a gang may have small tasks stopped; the pause after a search that found none also kept it from having room kept, so it never had. Change: the pause binds searches only. While less than 0.6 of the accelerators is in use, two gangs may have room kept (one else).

--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -315,12 +315,12 @@
 			p.misses[s.demand()] = s.Count
 		}
 	}
-	if p.evictions < evictionsPerPass && e.mayStopOthers(s, now) && !now.Before(s.claimAgain) {
+	if p.evictions < evictionsPerPass && e.mayStopOthers(s, now) && !now.Before(s.claimAgain) && !now.Before(s.evictAgain) {
 		p.evictions++
 		if e.preempt(s, p, now) {
 			return true
 		}
-		s.claimAgain = now.Add(evictionPause)
+		s.evictAgain = now.Add(evictionPause)
 	}
 	if e.reserve(s, now) {
 		return true
--- a/internal/place/sets/job.go
+++ b/internal/place/sets/job.go
@@ -90,8 +90,10 @@
 	// readyAt is when the set last became ready to run.
 	readyAt time.Time
 	claim   *claim
-	// claimAgain is when the set may stop others again.
+	// claimAgain is when the set may claim room again after a claim came to nothing, and evictAgain when it is worth looking
+	// again for others to stop.
 	claimAgain time.Time
+	evictAgain time.Time
 	// moves counts how often a run was given up since a worker had become slow.
 	moves int
 	// soured are workers that a run of the set failed on.
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -285,11 +285,11 @@
 		e.plan(s, workers, "free room elsewhere", now)
 		return
 	}
-	if c.kept && e.mayStopOthers(s, now) && !now.Before(s.claimAgain) {
+	if c.kept && e.mayStopOthers(s, now) && !now.Before(s.evictAgain) {
 		if e.preempt(s, p, now) {
 			return
 		}
-		s.claimAgain = now.Add(evictionPause)
+		s.evictAgain = now.Add(evictionPause)
 	}
 	e.claimRoom(s, c)
 }
--- a/internal/place/sets/reserve.go
+++ b/internal/place/sets/reserve.go
@@ -10,8 +10,11 @@
 	// reserveAfter is how long a set waits before room is kept for it as it becomes free: small work would take every gap
 	// that a large gang needs.
 	reserveAfter = 4 * time.Second
-	// reservesMost bounds how many gangs have room kept for them at a time, as kept room lies idle.
-	reservesMost = 1
+	// reservesFew bounds how many gangs have room kept for them at a time, as kept room lies idle; reservesMany is the bound
+	// while less than amplyFree of the accelerators is in use, when little is lost by it.
+	reservesFew  = 1
+	reservesMany = 2
+	amplyFree    = 0.6
 	// reserveFor is how long room is kept before the choice is made anew.
 	reserveFor = 12 * time.Second
 )
@@ -24,7 +27,7 @@
 
 // reserve keeps the room for a gang that will be free first, without stopping anyone; it reports whether it did.
 func (e *Engine) reserve(s *Set, now time.Time) bool {
-	if s.Count == 1 || e.reserved >= reservesMost || now.Sub(s.readyAt) < reserveAfter || now.Before(s.claimAgain) {
+	if s.Count == 1 || e.reserved >= e.reservesMost() || now.Sub(s.readyAt) < reserveAfter || now.Before(s.claimAgain) {
 		return false
 	}
 	var best []opening
@@ -57,6 +60,13 @@
 	return true
 }
 
+func (e *Engine) reservesMost() int {
+	if e.use < amplyFree {
+		return reservesMany
+	}
+	return reservesFew
+}
+
 // openings lists the room for tasks of the set in the group, the earliest first.
 func openings(s *Set, group []slot) []opening {
 	var list []opening
