Idle workers are looked at each 1.5 s again

A worker counts as heard of from the sending of its last answered look; with looks that wait 1.9 s that is up to 3.8 s ago, and at 4 s a worker gets no work. Change: 1.5 s as before; a test states what the bound needs (failed with 1.9 s).

--- a/internal/node/term/elect_test.go
+++ b/internal/node/term/elect_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/place/sets"
 	"github.com/lentildeck/lentildeck/internal/proof/fake"
 	"github.com/lentildeck/lentildeck/internal/state/store"
 	"github.com/lentildeck/lentildeck/internal/state/work"
@@ -79,3 +80,8 @@
 	assert.Equal(t, <-calls, "range")
 	assert.Equal(t, <-calls, "changes")
 }
+
+// The pattern: an idle worker answers at the end of each look, and the owner's decisions take their time.
+func TestIdleWorkerIsHeardOfOftenEnoughToBeGivenWork(t *testing.T) {
+	assert.Assert(t, 2*idleWait+answerTimeout <= sets.DefaultConfig().HeardWithin)
+}
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -16,7 +16,7 @@
 	// the users price each look.
 	busyWait = 800 * time.Millisecond
 	// idleWait is the same for a worker that has nothing to do.
-	idleWait = 1900 * time.Millisecond
+	idleWait = 1500 * time.Millisecond
 	// answerTimeout is how long an answer may take beyond the wait that was asked for.
 	answerTimeout = 500 * time.Millisecond
 	// leavingLease is the lease of what runs on a worker that leaves: once it is gone, its tasks start elsewhere the sooner.
