--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -98,7 +98,7 @@
 	Now     func() time.Time
 	WallNow func() time.Time
 
-	// yielded is true once a free key was left to larger instances; handedOver is when a term was last given to one.
+	// yielded is true once the key, free as it still is, was left to larger instances; handedOver is when a term was last given to one.
 	yielded    bool
 	handedOver time.Time
 
@@ -161,6 +161,7 @@
 		return 0, 0, sent, err
 	}
 	if len(items) > 0 {
+		e.yielded = false
 		return 0, 0, sent, e.await(ctx, asOf)
 	}
 	if e.yield(ctx) {
--- a/internal/node/term/elect_test.go
+++ b/internal/node/term/elect_test.go
@@ -70,13 +70,14 @@
 		calls <- operation
 		return fake.Delivered
 	})
-	e := &Elector{Store: kept, Now: time.Now}
+	e := &Elector{Store: kept, Now: time.Now, yielded: true}
 	_, token, _, err := e.take(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, token, int64(0))
 	items, _, err := kept.Range(t.Context(), work.OwnerKey)
 	assert.NilError(t, err)
 	assert.Equal(t, len(items), 0, "the candidate returned although the owner had not gone")
+	assert.Assert(t, !e.yielded, "the key will be free anew")
 	assert.Equal(t, <-calls, "range")
 	assert.Equal(t, <-calls, "changes")
 }
--- a/internal/node/term/substitute.go
+++ b/internal/node/term/substitute.go
@@ -125,7 +125,7 @@
 			continue
 		}
 		request.Workers = append(request.Workers, agent.Target{Worker: w.ID, Address: w.Address})
-		t.engine.MayProlong(w.ID, s.name(), now.Add(stretch(allowFor)+stretch(t.Bounds.MaxHold)), now)
+		t.engine.MayProlong(w.ID, s.name(), now.Add(stretch(allowFor)+stretch(t.Bounds.MaxHold)))
 	}
 	return request, true
 }
--- a/internal/peer/renew/substitute.go
+++ b/internal/peer/renew/substitute.go
@@ -105,7 +105,7 @@
 		return
 	}
 	if _, err = s.Agent.Look(call, to, agent.Look{Token: held.Token, Deadline: answer.Clock + held.Lease}); err != nil {
-		s.Log.Emit(event.WorkerSilent, event.Fields{"worker": to.Worker, "error": err.Error(), "onBehalfOf": held.Token})
+		s.Log.Emit(event.WorkerSilent, event.Fields{"worker": to.Worker, "error": err.Error()})
 	}
 }
 
--- a/internal/place/sets/find.go
+++ b/internal/place/sets/find.go
@@ -54,59 +54,84 @@
 	return nil
 }
 
+// search gathers the places that a set may have.
+type search struct {
+	set     *Set
+	patient bool
+	slots   []slot
+	// barred is true once a rack was seen that is kept for others.
+	barred bool
+	// outside is how many tasks the open workers of other racks could hold if they were empty.
+	outside int
+	// most and mostKept are the most tasks that any one rack could hold, of the other racks and of those kept for others.
+	most     int
+	mostKept int
+}
+
 // offer lists the workers on which a task of the set may start, also those that are full; it holds until the next call.
 func (e *Engine) offer(s *Set, now time.Time) offer {
-	step, room, q := s.step(), s.room(), &s.Job.rules
+	step := s.step()
+	tight := step.SameRack && s.Count > 1
 	near := e.nearOnly(s, now)
-	list := e.slotBuffer[:0]
-	patient := step.SameRack && s.Count > 1 && e.patient(s, now)
-	outside, barred := 0, false
-	// most and mostKept are the most tasks that any one rack could hold, of those for all and of those kept for others.
-	most, mostKept := 0, 0
+	found := search{set: s, patient: tight && e.patient(s, now), slots: e.slotBuffer[:0]}
 	for _, r := range e.racks {
-		if near && r.name != step.Affinity {
+		if !near || r.name == step.Affinity {
+			e.searchRack(&found, r)
+		}
+	}
+	e.slotBuffer = found.slots
+	if found.barred && found.outside >= s.Count {
+		found.slots = slices.DeleteFunc(found.slots, func(sl slot) bool { return sl.kept })
+		found.mostKept = 0
+	}
+	o := offer{slots: found.slots, inRack: tight && max(found.most, found.mostKept) >= s.Count}
+	for _, sl := range o.slots {
+		o.total += sl.fits
+	}
+	return o
+}
+
+// searchRack adds the rack's workers.
+func (e *Engine) searchRack(found *search, r *rack) {
+	s := found.set
+	kept := e.barred(s, r)
+	found.barred = found.barred || kept
+	holds := 0
+	for _, w := range r.workers {
+		if !w.open && (!found.patient || e.Closed(w)) || !w.suits(s) {
 			continue
 		}
-		kept := e.barred(s, r)
-		barred = barred || kept
-		holds := 0
-		for _, w := range r.workers {
-			if !w.open && (!patient || e.Closed(w)) || w.Service != q.Service || !w.has(step.Requires) {
-				continue
-			}
-			bound := s.Count
-			if step.MaxPerWorker > 0 {
-				bound = min(bound, step.MaxPerWorker-w.membersOf(s))
-			}
-			empty := room.Count(w.Capacity, bound)
-			if empty == 0 || slices.Contains(s.soured, w) {
-				continue
-			}
-			holds += empty
-			if !w.open {
-				continue
-			}
-			if !kept {
-				outside += empty
-			}
-			free := w.freeFor(s)
-			list = append(list, slot{worker: w, fits: room.Count(free, bound), free: free, most: bound, kept: kept})
+		bound := w.boundFor(s)
+		empty := s.room().Count(w.Capacity, bound)
+		holds += empty
+		if empty == 0 || !w.open {
+			continue
 		}
-		if kept {
-			mostKept = max(mostKept, holds)
-		} else {
-			most = max(most, holds)
+		if !kept {
+			found.outside += empty
 		}
+		free := w.freeFor(s)
+		found.slots = append(found.slots, slot{worker: w, fits: s.room().Count(free, bound), free: free, most: bound, kept: kept})
 	}
-	e.slotBuffer = list
-	if barred && outside >= s.Count {
-		list, mostKept = slices.DeleteFunc(list, func(sl slot) bool { return sl.kept }), 0
+	if kept {
+		found.mostKept = max(found.mostKept, holds)
+		return
 	}
-	o := offer{slots: list, inRack: step.SameRack && s.Count > 1 && max(most, mostKept) >= s.Count}
-	for _, sl := range list {
-		o.total += sl.fits
+	found.most = max(found.most, holds)
+}
+
+// suits reports whether the set may ever run on the worker: it is of the right service and carries the label, and no run of
+// the set has failed there.
+func (w *Worker) suits(s *Set) bool {
+	return w.Service == s.Job.rules.Service && w.has(s.step().Requires) && !slices.Contains(s.soured, w)
+}
+
+// boundFor is how many tasks of the set the worker may get however much is free.
+func (w *Worker) boundFor(s *Set) int {
+	if per := s.step().MaxPerWorker; per > 0 {
+		return min(s.Count, per-w.membersOf(s))
 	}
-	return o
+	return s.Count
 }
 
 // patient reports whether waiting for a place near its data, or in one rack, still costs the set less than running three
--- a/internal/place/sets/prolong_test.go
+++ b/internal/place/sets/prolong_test.go
@@ -37,7 +37,7 @@
 // The pattern: a data centre is cut off for seven seconds while an instance in it prolongs the leases.
 func TestTaskOfACutOffWorkerIsNotStartedElsewhereWhileItsLeaseMayBeProlonged(t *testing.T) {
 	s, id := cutOff(t)
-	s.engine.MayProlong(id, "helper", s.now.Add(8*time.Second), s.now)
+	s.engine.MayProlong(id, "helper", s.now.Add(8*time.Second))
 	s.pass(7 * time.Second)
 	assert.Equal(t, s.lapses(), 0)
 	s.pass(2 * time.Second)
@@ -46,7 +46,7 @@
 
 func TestTaskOfADeadWorkerIsGivenUpOnceNobodyProlongsItsLease(t *testing.T) {
 	s, id := cutOff(t)
-	s.engine.MayProlong(id, "helper", s.now.Add(8*time.Second), s.now)
+	s.engine.MayProlong(id, "helper", s.now.Add(8*time.Second))
 	s.engine.ProlongsNoLonger(id, "helper", time.Time{})
 	s.pass(6400 * time.Millisecond)
 	assert.Equal(t, s.lapses(), 1)
@@ -54,7 +54,7 @@
 
 func TestWhatWasProlongedLivesOn(t *testing.T) {
 	s, id := cutOff(t)
-	s.engine.MayProlong(id, "helper", s.now.Add(8*time.Second), s.now)
+	s.engine.MayProlong(id, "helper", s.now.Add(8*time.Second))
 	s.engine.ProlongsNoLonger(id, "helper", s.now.Add(7*time.Second))
 	s.pass(6800 * time.Millisecond)
 	assert.Equal(t, s.lapses(), 0)
@@ -63,9 +63,11 @@
 // The pattern: the first helper falls silent, a second is chosen and says that it has prolonged nothing.
 func TestOneOfTwoHelpersCannotSpeakForBoth(t *testing.T) {
 	s, id := cutOff(t)
-	s.engine.MayProlong(id, "first", s.now.Add(8*time.Second), s.now)
-	s.engine.MayProlong(id, "second", s.now.Add(9*time.Second), s.now)
+	s.engine.MayProlong(id, "first", s.now.Add(8*time.Second))
+	s.engine.MayProlong(id, "second", s.now.Add(9*time.Second))
 	s.engine.ProlongsNoLonger(id, "second", time.Time{})
-	s.pass(8800 * time.Millisecond)
-	assert.Equal(t, s.lapses(), 0)
+	s.pass(7800 * time.Millisecond)
+	assert.Equal(t, s.lapses(), 0, "the first may still act")
+	s.pass(400 * time.Millisecond)
+	assert.Equal(t, s.lapses(), 1, "neither can")
 }
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -230,28 +230,30 @@
 	}
 }
 
-// prolonged is a time that follows from another instance's permission.
+// prolonged is the times that follow from other instances' permissions: until from the one that was asked last, others from
+// those before it, which nobody can call back any more.
 type prolonged struct {
-	by    string
-	until time.Time
+	by     string
+	until  time.Time
+	others time.Time
 }
 
 // MayProlong notes that the instance may prolong the worker's leases, so that what runs there may live until ends.
-func (e *Engine) MayProlong(id, by string, ends, now time.Time) {
+func (e *Engine) MayProlong(id, by string, ends time.Time) {
 	w := e.workers[id]
 	if w == nil {
 		return
 	}
-	if w.prolonged.by != by && w.prolonged.until.After(now) {
-		// Two instances may act at once now, so no single one's word settles it.
-		by = ""
+	p := &w.prolonged
+	if p.by != by {
+		p.by, p.until, p.others = by, time.Time{}, latest(p.others, p.until)
 	}
-	w.prolonged = prolonged{by: by, until: latest(w.prolonged.until, ends)}
+	p.until = latest(p.until, ends)
 }
 
 // ProlongsNoLonger notes that the instance prolongs the worker's leases no longer; what it has prolonged lives until ends at most.
 func (e *Engine) ProlongsNoLonger(id, by string, ends time.Time) {
-	if w := e.workers[id]; w != nil && w.prolonged.by == by && by != "" {
+	if w := e.workers[id]; w != nil && w.prolonged.by == by {
 		w.prolonged.until = ends
 	}
 }
@@ -265,7 +267,7 @@
 
 // lapsed reports whether everything on the worker has certainly been killed.
 func (w *Worker) lapsed(now time.Time) bool {
-	return now.After(w.LeaseEnds) && now.After(w.prolonged.until)
+	return now.After(w.LeaseEnds) && now.After(w.prolonged.until) && now.After(w.prolonged.others)
 }
 
 // NeedsStop reports whether the run may be alive on the worker, or may still come alive.
