--- a/internal/kern/event/event.go
+++ b/internal/kern/event/event.go
@@ -26,6 +26,7 @@
 	Stopping         = define(101, "stopping", log.InfoLevel, "A planned stop began; readiness is off and nothing in flight is cut.")
 	Stopped          = define(102, "stopped", log.InfoLevel, "Everything in flight has ended and the owner lease was handed back.")
 	PartFailed       = define(103, "partFailed", log.ErrorLevel, "A part of the daemon ended with an error.")
+	AcceptFailed     = define(105, "acceptFailed", log.WarnLevel, "A caller's channel could not be taken for want of descriptors; it is tried again. Logged once until one could be taken.")
 	Routed           = define(200, "routed", log.DebugLevel, "A quick request was sent to a backend server; `why` gives the rule that chose it.")
 	NotRouted        = define(201, "notRouted", log.InfoLevel, "A quick request got no whole answer; `error` says whether it may have run.")
 	ServerSilent     = define(202, "serverSilent", log.WarnLevel, "A backend server did not answer a ping; its idle connections were closed and new ones are tried.")
