One check of overdrawn room, one way to take the later of two times

Cause: the last read of the change. overfull wrote the check again that Room.Count begins with; Renewed and avoid wrote out what latest does. Change: Room.overdrawn serves both; Renewed and avoid call latest. Behaviour is the same; no test was touched.

--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -201,9 +201,7 @@
 }
 
 func (w *Worker) avoid(until time.Time) {
-	if until.After(w.AvoidUntil) {
-		w.AvoidUntil = until
-	}
+	w.AvoidUntil = latest(w.AvoidUntil, until)
 }
 
 // StopAnswered notes that the worker has acknowledged the stop of a run.
--- a/internal/place/sets/room.go
+++ b/internal/place/sets/room.go
@@ -22,9 +22,12 @@
 	return Room{r.MilliCores * n, r.MemoryMB * n, r.Accelerators * n}
 }
 
+// overdrawn reports whether less than nothing is left of anything.
+func (r Room) overdrawn() bool { return r.MilliCores < 0 || r.MemoryMB < 0 || r.Accelerators < 0 }
+
 // Count returns how many times r fits into free, at most limit.
 func (r Room) Count(free Room, limit int) int {
-	if free.MilliCores < 0 || free.MemoryMB < 0 || free.Accelerators < 0 {
+	if free.overdrawn() {
 		return 0
 	}
 	n := limit
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -89,10 +89,7 @@
 }
 
 // overfull reports whether the members that may be alive need more than the worker has.
-func (w *Worker) overfull() bool {
-	free := w.Capacity.Sub(w.Used)
-	return free.MilliCores < 0 || free.MemoryMB < 0 || free.Accelerators < 0
-}
+func (w *Worker) overfull() bool { return w.Capacity.Sub(w.Used).overdrawn() }
 
 // Busy reports whether anything may be alive on the worker.
 func (w *Worker) Busy() bool { return len(w.members) > 0 || len(w.strangers) > 0 }
@@ -225,8 +222,8 @@
 
 // Renewed notes that a lease renewal was sent to the worker, so what runs there may live until ends.
 func (e *Engine) Renewed(id string, ends time.Time) {
-	if w := e.workers[id]; w != nil && ends.After(w.LeaseEnds) {
-		w.LeaseEnds = ends
+	if w := e.workers[id]; w != nil {
+		w.LeaseEnds = latest(w.LeaseEnds, ends)
 	}
 }
 
