Tasks of a step share a search; searches meet only workers with room

Cause: each waiting task searched the whole fleet. Sets with a bound on each worker, or that had failed somewhere, skipped what the pass had learned; each placed task cost a search of its own. Change: the tasks of a step are placed from one search; open workers are listed by free accelerators; what the fleet could hold if it were empty is worked out once a decision for each kind of demand; a miss counts for sets with a bound on each worker, too. Conclusion: decisions no longer feed the rush, but starts still lag placements by a second: commits go out one after the other.

--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -17,8 +17,8 @@
 	}
 	e.survey(now)
 	ready := e.ready(now)
-	p := &pass{misses: make(map[demand]int), targets: make(map[beneficiary]*targets)}
-	e.startClaims(ready, p, now)
+	p := newPass()
+	e.startClaims(p, now)
 	e.placeAll(ready, p, now)
 }
 
@@ -109,8 +109,8 @@
 // lateFactor times its objective is when a job's completion has lost its worth.
 const lateFactor = 3
 
-// ready returns the sets that could start, the most pressing first.
-func (e *Engine) ready(now time.Time) []*Set {
+// ready returns the steps with sets that could start, the most pressing first.
+func (e *Engine) ready(now time.Time) []waitingStep {
 	e.entitle(now)
 	turns := make([]*turn, 0, len(e.open))
 	for _, j := range e.open {
@@ -132,28 +132,29 @@
 	slices.SortStableFunc(turns, func(a, b *turn) int {
 		return cmp.Or(cmp.Compare(a.job.tier, b.job.tier), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.rank, b.rank))
 	})
-	var list []*Set
+	var list []waitingStep
 	for _, t := range turns {
-		list = t.appendReady(list)
-	}
-	return list
-}
-
-// appendReady adds the sets that could start.
-func (t *turn) appendReady(list []*Set) []*Set {
-	for i := range t.steps {
-		if t.left[i] == 0 || !t.unlocked(i) {
-			continue
-		}
-		for _, s := range t.steps[i] {
-			if s.Run == nil && !s.record().Done {
-				list = append(list, s)
+		for i := range t.steps {
+			if t.idle[i] > 0 && t.unlocked(i) {
+				list = append(list, waitingStep{turn: t, step: i})
 			}
 		}
 	}
 	return list
 }
 
+// waitingStep is a step of a turn with sets that could start.
+type waitingStep struct {
+	turn *turn
+	step int
+}
+
+// sets lists all sets of the step, also those that don't wait.
+func (w waitingStep) sets() []*Set { return w.turn.steps[w.step] }
+
+// idle counts the sets that wait.
+func (w waitingStep) idle() int { return w.turn.idle[w.step] }
+
 // unlocked reports whether all steps that come before the step are done.
 func (t *turn) unlocked(step int) bool {
 	for _, earlier := range t.job.Spec.Steps[step].After {
@@ -235,86 +236,45 @@
 	return longest
 }
 
-// demand is all of a set that decides whether it fits, but for how many tasks it has.
-type demand struct {
-	room     Room
-	sameRack bool
-	affinity string
-	requires string
-	most     int
-	lasts    bool
-	queue    string
-}
-
 // evictionsPerPass bounds the searches for work to stop in one decision; the others follow with the next.
 const evictionsPerPass = 8
 
-// pass is what one decision has learned: as free room only shrinks in it, what did not fit need not be tried again.
-type pass struct {
-	// misses has the fewest tasks of each demand that found no room.
-	misses    map[demand]int
-	evictions int
-	// targets are the runs that may be stopped, by for whom.
-	targets map[beneficiary]*targets
-}
-
-func (s *Set) demand() demand {
-	step := s.step()
-	return demand{s.room(), step.SameRack, step.Affinity, step.Requires, step.MaxPerWorker, step.Lasts, s.Job.Spec.Queue}
-}
-
-// mayFit reports whether a search makes sense after what the pass has learned.
-func (p *pass) mayFit(s *Set) bool {
-	least, missed := p.misses[s.demand()]
-	return !missed || s.Count < least
-}
-
 // placeAll plans runs in order.
-func (e *Engine) placeAll(ready []*Set, p *pass, now time.Time) {
+func (e *Engine) placeAll(ready []waitingStep, p *pass, now time.Time) {
 	e.reserved = 0
-	for _, s := range ready {
-		if s.claim != nil && s.claim.kept {
+	for _, s := range e.claimants {
+		if s.claim.kept {
 			e.reserved++
 		}
 	}
 	e.waiting = 0
-	var missed *Set
-	for _, s := range ready {
-		if s.Run == nil && s.claim == nil && !s.like(missed) {
-			missed = nil
-			if !e.place(s, p, now) {
-				missed = s
+	for _, step := range ready {
+		if first := step.sets()[0]; first.Count > 1 {
+			if first.Run == nil && first.claim == nil {
+				e.place(first, p, now)
 			}
+		} else {
+			e.placeTasks(step, p, now)
 		}
-		if s.Run == nil {
-			e.waiting++
-		}
+		e.waiting += step.idle()
 	}
 }
 
-// special reports whether the set differs from others of its demand: it has failed somewhere, or its step has a bound on
-// each worker.
-func (s *Set) special() bool { return len(s.soured) > 0 || s.step().MaxPerWorker > 0 }
-
-// like reports whether the set, a single task for which nobody is stopped, has as little chance as one that has found no
-// room in this decision.
-func (s *Set) like(missed *Set) bool {
-	return missed != nil && s.turn == missed.turn && s.Step == missed.Step && s.Count == 1 && s.Job.rules.Priority != 0 &&
-		!s.special() && !missed.special()
-}
-
 // place reports whether the set is on its way: planned, or with room that is being made.
 func (e *Engine) place(s *Set, p *pass, now time.Time) bool {
-	special := s.special()
-	if special || p.mayFit(s) {
-		if workers := e.find(s, now); workers != nil {
+	sc := e.scope(s, p, now)
+	if p.mayFit(s, sc) {
+		if workers := e.find(s, sc); workers != nil {
 			e.plan(s, workers, "free room", now)
 			return true
 		}
-		if !special {
-			p.misses[s.demand()] = s.Count
-		}
+		p.missed(s, sc)
 	}
+	return e.makeRoom(s, p, now)
+}
+
+// makeRoom reports whether room for the set, which found none, is on its way; if not, it says why the job waits.
+func (e *Engine) makeRoom(s *Set, p *pass, now time.Time) bool {
 	if p.evictions < evictionsPerPass && e.mayStopOthers(s, now) && !now.Before(s.claimAgain) && !now.Before(s.evictAgain) {
 		p.evictions++
 		if e.preempt(s, p, now) {
@@ -322,7 +282,7 @@
 		}
 		s.evictAgain = now.Add(evictionPause)
 	}
-	if e.reserve(s, now) {
+	if e.reserve(s, p, now) {
 		return true
 	}
 	e.waits(s, now)
@@ -350,6 +310,7 @@
 	rec.From = rec.Saved
 	run := &Run{Set: s, Number: rec.Run, Began: now, alive: len(workers), from: rec.Saved}
 	s.Run = run
+	s.turn.idle[s.Step]--
 	rec.On = make([]string, len(workers))
 	for i, w := range workers {
 		rec.On[i] = w.ID
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -95,6 +95,12 @@
 	reserved int
 	// waiting counts the sets without a place.
 	waiting int
+	// claimants are the sets that have claimed room, the first first.
+	claimants []*Set
+	// stock has the open workers by their free accelerators.
+	stock stock
+	// visited counts the looks at workers in the searches of the last decision.
+	visited int
 	// slotBuffer is used by one search after the other.
 	slotBuffer []slot
 }
@@ -131,6 +137,9 @@
 // Waiting counts the sets that could run and found no place in the last decision.
 func (e *Engine) Waiting() int { return e.waiting }
 
+// Visited counts the looks at workers in the searches for room of the last decision, which is what a decision costs.
+func (e *Engine) Visited() int { return e.visited }
+
 // Job returns the job of that ID, or nil.
 func (e *Engine) Job(id string) *Job { return e.jobs[id] }
 
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -336,6 +336,9 @@
 func (e *Engine) closeRun(run *Run, now time.Time) {
 	s := run.Set
 	s.Run = nil
+	if !s.record().Done {
+		s.turn.idle[s.Step]++
+	}
 	s.record().On, s.record().From = nil, ""
 	s.readyAt = now
 }
--- a/internal/place/sets/job.go
+++ b/internal/place/sets/job.go
@@ -62,8 +62,9 @@
 	// due is when the turn may start, on the engine's clock; for a job that runs at once it is when the job was accepted.
 	due   time.Time
 	steps [][]*Set
-	// left is the number of sets not done, by step.
+	// left is the number of sets not done, by step, and idle that of the sets among them without a run.
 	left     []int
+	idle     []int
 	rank     float64
 	lateness int
 }
@@ -228,7 +229,7 @@
 
 func (j *Job) build(now, wall time.Time) {
 	for number := range j.Spec.Turns() {
-		t := &turn{job: j, number: number, due: j.Accepted, steps: make([][]*Set, len(j.Spec.Steps)), left: make([]int, len(j.Spec.Steps))}
+		t := &turn{job: j, number: number, due: j.Accepted, steps: make([][]*Set, len(j.Spec.Steps)), left: make([]int, len(j.Spec.Steps)), idle: make([]int, len(j.Spec.Steps))}
 		if r := j.Spec.Repeat; r != nil {
 			t.due = now.Add(r.Start.Add(time.Duration(number) * r.Interval).Sub(wall))
 		}
@@ -251,7 +252,7 @@
 		t.job.sets = append(t.job.sets, s)
 		t.steps[i] = append(t.steps[i], s)
 	}
-	t.left[i] = count
+	t.left[i], t.idle[i] = count, count
 }
 
 // adopt rebuilds the runs that an earlier owner may have started.
@@ -261,6 +262,9 @@
 		if rec.Done {
 			s.turn.left[s.Step]--
 		}
+		if rec.Done || len(rec.On) == s.Count {
+			s.turn.idle[s.Step]--
+		}
 		if len(rec.On) != s.Count {
 			rec.On = nil
 			continue
@@ -285,10 +289,12 @@
 	w.members[runKey{m.task, m.Run.Number}] = m
 	w.inOrder = nil
 	w.Used = w.Used.Add(m.Run.Set.room())
+	w.restock()
 }
 
 func (w *Worker) detach(m *Member) {
 	delete(w.members, runKey{m.task, m.Run.Number})
 	w.inOrder = nil
 	w.Used = w.Used.Sub(m.Run.Set.room())
+	w.restock()
 }
--- /dev/null
+++ b/internal/place/sets/large_test.go
@@ -0,0 +1,88 @@
+package sets_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/sets"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+)
+
+// largeRacks of largeRack workers are the fleet that the large deployment names, to the nearest rack.
+const (
+	largeRacks = 92
+	largeRack  = 12
+)
+
+// backlog is what waits on a large fleet: jobs of single tasks, some with a bound on each worker, and gangs of whole workers.
+type backlog struct{ plain, bounded, gangs int }
+
+// waiting counts the sets.
+func (b backlog) waiting() int { return tasksPerJob*(b.plain+b.bounded) + b.gangs }
+
+// tasksPerJob is the mean width of the batch jobs that the users name for their large deployment.
+const tasksPerJob = 78
+
+// backlogs are a tenth of the stated number of waiting sets, that number, and ten times as many.
+var backlogs = []backlog{{plain: 2, bounded: 1, gangs: 66}, {plain: 19, bounded: 19, gangs: 36}, {plain: 190, bounded: 190, gangs: 360}}
+
+// hold fills every worker of a large fleet and hands in the backlog.
+func (b backlog) hold(tb testing.TB) *site {
+	tb.Helper()
+	s := newSite(tb, largeRacks, largeRack)
+	s.submit("filler", planQueue, "beta", work.Step{
+		Count: largeRacks * largeRack, MilliCores: 30000, MemoryMB: 100000, Accelerators: 8, Estimate: time.Hour, Lasts: true,
+	})
+	s.step()
+	task := work.Step{Count: tasksPerJob, MilliCores: 2800, MemoryMB: 7400, Accelerators: 1, Estimate: 8 * time.Second}
+	for i := range b.plain {
+		s.submit(fmt.Sprintf("plain-%d", i), batchQueue, "beta", task)
+	}
+	task.Accelerators, task.MaxPerWorker = 2, 1
+	for i := range b.bounded {
+		s.submit(fmt.Sprintf("bounded-%d", i), batchQueue, "beta", task)
+	}
+	for i := range b.gangs {
+		s.submit(fmt.Sprintf("gang-%d", i), planQueue, "beta", gang(26, 8))
+	}
+	s.engine.Decide(true, s.now)
+	s.engine.Actions()
+	return s
+}
+
+// BenchmarkDecideBacklog measures one decision on a large fleet without room, by how much waits.
+func BenchmarkDecideBacklog(b *testing.B) {
+	for _, size := range backlogs {
+		b.Run(fmt.Sprintf("waiting=%d", size.waiting()), func(b *testing.B) {
+			s := size.hold(b)
+			b.ResetTimer()
+			for range b.N {
+				s.now = s.now.Add(time.Millisecond)
+				s.engine.Decide(true, s.now)
+			}
+		})
+	}
+}
+
+// BenchmarkDecideDrain measures the decisions that place a backlog which fits, on a large fleet that is free.
+func BenchmarkDecideDrain(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		s := newSite(b, largeRacks, largeRack)
+		for i := range 40 {
+			step := work.Step{Count: tasksPerJob, MilliCores: 2800, MemoryMB: 7400, Accelerators: 1 + i%2, Estimate: 8 * time.Second, MaxPerWorker: i % 2}
+			s.submit(fmt.Sprintf("job-%d", i), batchQueue, "beta", step)
+		}
+		b.StartTimer()
+		s.engine.Decide(true, s.now)
+		b.StopTimer()
+		placed := 0
+		for _, action := range s.engine.Actions() {
+			if note, ok := action.(sets.Note); ok && note.What == sets.RunPlaced {
+				placed++
+			}
+		}
+		b.ReportMetric(float64(placed), "placed")
+	}
+}
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -51,7 +51,7 @@
 
 // preempt stops cheaper work for the set and claims the room; it reports whether it did.
 func (e *Engine) preempt(s *Set, p *pass, now time.Time) bool {
-	o := e.offer(s, now)
+	o := e.offer(s, e.scope(s, p, now))
 	t := e.targets(s, p, now)
 	var best *eviction
 	if !o.inRack {
@@ -229,6 +229,7 @@
 
 func (e *Engine) claimRoom(s *Set, c *claim) {
 	s.claim = c
+	e.claimants = append(e.claimants, s)
 	for _, w := range c.workers {
 		w.shift(c.kept, s.room())
 	}
@@ -242,6 +243,7 @@
 		w.shift(s.claim.kept, s.room().Times(-1))
 	}
 	s.claim = nil
+	e.claimants = slices.DeleteFunc(e.claimants, func(o *Set) bool { return o == s })
 }
 
 // shift adds to the room that is kept or claimed on the worker.
@@ -251,16 +253,14 @@
 		return
 	}
 	w.claimed = w.claimed.Add(room)
+	w.restock()
 }
 
 // startClaims plans the sets whose claimed room is free, and gives up claims that came to nothing.
 //
 // A worker that is avoided for a moment keeps its claim: others have been stopped for it already.
-func (e *Engine) startClaims(ready []*Set, p *pass, now time.Time) {
-	for _, s := range ready {
-		if s.claim == nil {
-			continue
-		}
+func (e *Engine) startClaims(p *pass, now time.Time) {
+	for _, s := range slices.Clone(e.claimants) {
 		workers := s.claim.workers
 		switch {
 		case now.After(s.claim.until) || slices.ContainsFunc(workers, e.Closed):
@@ -281,7 +281,7 @@
 func (e *Engine) reconsider(s *Set, p *pass, now time.Time) {
 	c := s.claim
 	e.dropClaim(s)
-	if workers := e.find(s, now); workers != nil {
+	if workers := e.find(s, e.scope(s, p, now)); workers != nil {
 		e.plan(s, workers, "free room elsewhere", now)
 		return
 	}
--- a/internal/place/sets/rack.go
+++ b/internal/place/sets/rack.go
@@ -33,16 +33,26 @@
 		r.workers = append(r.workers, w)
 		w.rack = r
 	}
+	place := 0
+	for _, r := range e.racks {
+		for _, w := range r.workers {
+			w.place = place
+			place++
+		}
+	}
 	e.racksByName = slices.SortedFunc(slices.Values(e.racks), func(a, b *rack) int { return cmp.Compare(a.name, b.name) })
 }
 
 // survey settles for one decision which workers may get tasks, how full these are, and which racks are kept.
 func (e *Engine) survey(now time.Time) {
 	e.group()
+	e.visited = 0
+	e.stock.reset()
 	var whole, used int
 	for _, w := range e.order {
-		w.open = e.usable(w, now)
+		w.open, w.stock = e.usable(w, now), nil
 		if w.open {
+			e.stock.put(w)
 			whole += w.Capacity.Accelerators
 			used += w.Used.Accelerators
 		}
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -60,8 +60,13 @@
 	// speed is how fast the worker is against the others, one on average.
 	speed float64
 
-	// rack has the workers beside this one.
-	rack *rack
+	// rack has the workers beside this one; place is where the worker comes when all are listed rack by rack.
+	rack  *rack
+	place int
+	// stock lists the worker at level and index while it is open; nil if it is not.
+	stock *stock
+	level int
+	index int
 	// open is true if new tasks may be placed here in the decision that is under way.
 	open bool
 	// at is the worker's place in the search for room that is under way, one for the first; zero if it has none.
