Transactions of the owner leave side by side; ends are settled job by job

Cause: one group of changes was on its way at a time, in transactions of six jobs one after the other. Change: up to 16 full transactions of 15 jobs are on their way; a second one leaves only full, and none while the service fails. A job is on its way once at a time; records that a start or a caller waits for go first. What a worker may forget follows from the changes of the jobs of its ends, not from all writes of a decision. Sessions wait 300 ms for a record. A gang that fits nowhere looks for room to keep each 500 ms. A test handed out changes and dropped them, which the contract never allowed; it now reports them as durable.

--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
@@ -11,18 +12,36 @@
 	"github.com/lentildeck/lentildeck/internal/state/work"
 )
 
-// entriesPerUpdate is the most entries that one job takes in a transaction: expectation, record and the pending key, or
-// expectation and four keys to delete.
-const entriesPerUpdate = 5
+const (
+	// updatesPerCommit is how many changes go into one transaction: each takes an expectation and a record, and one entry of
+	// the transaction is the owner's key.
+	updatesPerCommit = (store.MaxEntries - 1) / 2
+	// commitsMost bounds the transactions on their way at a time. Where a third of the answers is lost, each for a second, a
+	// dozen others must go on.
+	commitsMost = 16
+)
 
-// updatesPerCommit keeps a transaction within the service's bound, with one entry for the owner's key.
-const updatesPerCommit = (store.MaxEntries - 1) / entriesPerUpdate
+// takeUpdates returns the changes of one transaction, or nothing if these should wait for more. A second transaction
+// leaves before the first has come to an end only if it is full, and none does while the service fails. The caller holds
+// the state.
+func (t *term) takeUpdates(now time.Time) []sets.Update {
+	switch {
+	case t.commits == 0:
+	case t.commits >= commitsMost || t.commitFailed || t.engine.Changed() < updatesPerCommit:
+		return nil
+	}
+	updates := t.engine.Updates(updatesPerCommit, now)
+	if len(updates) > 0 {
+		t.commits++
+	}
+	return updates
+}
 
 // commit makes updates durable, then releases what they allow and raises what workers may forget.
-func (t *term) commit(ctx context.Context, updates []sets.Update, acknowledge map[string]int64) {
+func (t *term) commit(ctx context.Context, updates []sets.Update) {
 	failed := false
 	for len(updates) > 0 {
-		group := updates[:min(len(updates), updatesPerCommit)]
+		group := updates[:fitting(updates)]
 		updates = updates[len(group):]
 		if err := t.commitGroup(ctx, group); err != nil {
 			failed = true
@@ -33,19 +52,43 @@
 		pause.For(ctx, jitter(retryPause/2))
 	}
 	t.state.Lock()
-	t.committing = false
-	if !failed {
-		t.acknowledge(acknowledge)
-	}
+	t.commits--
+	t.commitFailed = failed
+	t.acknowledge()
 	actions := t.engine.Actions()
 	t.state.Unlock()
 	t.dispatch(ctx, actions)
 	t.wake()
 }
 
+// fitting is how many of the updates fit into one transaction.
+func fitting(updates []sets.Update) int {
+	left := store.MaxEntries - 1
+	for i := range updates {
+		left -= entries(&updates[i])
+		if left < 0 {
+			return i
+		}
+	}
+	return len(updates)
+}
+
+// entries is how many entries of a transaction the update takes.
+func entries(u *sets.Update) int {
+	switch {
+	case u.Forget:
+		// The expectation and four keys to delete.
+		return 5
+	case u.Begun:
+		return 3
+	default:
+		return 2
+	}
+}
+
 // acknowledge raises what workers may forget. The caller holds the state.
-func (t *term) acknowledge(numbers map[string]int64) {
-	for id, number := range numbers {
+func (t *term) acknowledge() {
+	for id, number := range t.engine.Settle() {
 		if s := t.sessions[id]; s != nil {
 			s.acknowledge(number)
 		}
@@ -63,6 +106,7 @@
 	now := t.Now()
 	t.state.Lock()
 	defer t.state.Unlock()
+	t.Meter.Group(len(group))
 	if err == nil {
 		for _, u := range group {
 			t.revisions[u.Job] = revision
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -25,8 +25,9 @@
 	silentAfter = 1200 * time.Millisecond
 	// lookPause is the wait after a failed look.
 	lookPause = 100 * time.Millisecond
-	// commitPause is how long a session waits for ends to be recorded before it looks again.
-	commitPause = 50 * time.Millisecond
+	// commitPause is how long a session waits for ends to be recorded before it looks again: a worker answers at once while
+	// it has ends to list, so a look each few milliseconds would only keep the owner from recording them.
+	commitPause = 300 * time.Millisecond
 )
 
 // session is the owner's exchange with one worker.
@@ -53,23 +54,12 @@
 		if t.sessions[w.ID] != nil || w.Address == "" {
 			continue
 		}
-		s := &session{term: t, id: w.ID, heard: t.Now(), wake: make(chan struct{}, 1)}
+		s := &session{term: t, id: w.ID, heard: t.Now(), acked: w.Settled(), wake: make(chan struct{}, 1)}
 		t.sessions[w.ID] = s
 		t.parts.Go(func() { s.run(ctx) })
 	}
 }
 
-// processed returns the numbers of the last ends taken in, by worker. The caller holds the state.
-func (t *term) processed() map[string]int64 {
-	numbers := make(map[string]int64)
-	for id, s := range t.sessions {
-		if w := t.engine.Worker(id); w != nil && w.Processed > s.acknowledged() {
-			numbers[id] = w.Processed
-		}
-	}
-	return numbers
-}
-
 // silent counts the listed workers that have not answered for a while. The caller holds the state.
 func (t *term) silent(now time.Time) (silent, all int) {
 	for _, w := range t.engine.Workers() {
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -81,7 +81,9 @@
 	stops      map[stopKey]bool
 	orphans    map[string]bool
 	revisions  map[string]int64
-	committing bool
+	// commits counts the transactions on their way, commitFailed is true after one that failed.
+	commits      int
+	commitFailed bool
 	// decided is when the last decision began and took how long it was, slowLogged when a slow one was last logged.
 	decided    time.Time
 	took       time.Duration
@@ -229,22 +231,17 @@
 	}
 	t.engine.Decide(t.mayStart(now), now)
 	t.timeDecision(now)
-	var updates []sets.Update
-	if !t.committing {
-		updates = t.engine.Updates(now)
-		t.committing = len(updates) > 0
-	}
-	acknowledge := t.processed()
-	if !t.committing {
-		// Nothing is left to be written, so all ends taken in are durable.
-		t.acknowledge(acknowledge)
+	var groups [][]sets.Update
+	for updates := t.takeUpdates(now); len(updates) > 0; updates = t.takeUpdates(now) {
+		groups = append(groups, updates)
 	}
+	t.acknowledge()
 	actions := t.engine.Actions()
 	silent, all := t.silent(now)
 	t.state.Unlock()
 	t.dispatch(ctx, actions)
-	if len(updates) > 0 {
-		t.parts.Go(func() { t.commit(ctx, updates, acknowledge) })
+	for _, updates := range groups {
+		t.parts.Go(func() { t.commit(ctx, updates) })
 	}
 	if 2*silent > all && now.Sub(t.began) > cutOffAfter {
 		t.end(&cutOffError{silent: silent, all: all})
@@ -262,7 +259,7 @@
 		return
 	}
 	t.slowLogged = now
-	t.Log.Emit(event.DecisionSlow, event.Fields{"took": took.String(), "waited": waited.String(), "workers": len(t.engine.Workers()), "open": t.engine.Open(), "waiting": t.engine.Waiting(), "token": t.token})
+	t.Log.Emit(event.DecisionSlow, event.Fields{"took": took.String(), "waited": waited.String(), "workers": len(t.engine.Workers()), "open": t.engine.Open(), "waiting": t.engine.Waiting(), "visited": t.engine.Visited(), "commits": t.commits, "token": t.token})
 }
 
 // dispatch sends orders on their way and logs decisions.
--- a/internal/place/sets/bench_test.go
+++ b/internal/place/sets/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -48,7 +49,7 @@
 	}
 	for range 3 {
 		e.Decide(true, now)
-		for _, u := range e.Updates(now) {
+		for _, u := range e.Updates(math.MaxInt, now) {
 			e.Committed(u, now)
 		}
 		e.Actions()
--- a/internal/place/sets/closed_test.go
+++ b/internal/place/sets/closed_test.go
@@ -1,6 +1,7 @@
 package sets_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/lentildeck/lentildeck/internal/place/sets"
@@ -36,7 +37,7 @@
 	s := newSite(t, 1, 2)
 	s.submit("late", planQueue, "beta", gang(1, 8))
 	s.engine.Decide(true, s.now)
-	for _, u := range s.engine.Updates(s.now) {
+	for _, u := range s.engine.Updates(math.MaxInt, s.now) {
 		s.engine.Committed(u, s.now)
 	}
 	var order sets.StartOrder
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -89,6 +89,8 @@
 	promised  map[string]int
 	evacuated map[string]bool
 	actions   []Action
+	// ending are the workers with ends that were not handed out as settled.
+	ending map[*Worker]bool
 	// use is the share of the usable workers' accelerators that is in use.
 	use float64
 	// reserved counts the sets that have claimed room.
@@ -110,6 +112,7 @@
 	return &Engine{
 		cfg: cfg, workers: make(map[string]*Worker), jobs: make(map[string]*Job),
 		queues: make(map[string]Queue), promised: make(map[string]int), evacuated: make(map[string]bool),
+		ending: make(map[*Worker]bool),
 	}
 }
 
@@ -165,26 +168,47 @@
 	Queue  string
 
 	planned []*Run
+	// changes is how many changes of the job the record holds.
+	changes int
 }
 
-// Updates returns what changed since the last call; Committed must follow for each once it is durable.
-func (e *Engine) Updates(now time.Time) []Update {
+// Updates hands out up to most changes that are not being made durable yet, those first that callers or workers wait for;
+// Committed or Uncommitted must follow for each.
+func (e *Engine) Updates(most int, now time.Time) []Update {
 	var list []Update
-	for _, j := range e.changed {
-		j.dirty = false
-		list = append(list, e.update(j))
+	for _, urgent := range []bool{true, false} {
+		e.changed = slices.DeleteFunc(e.changed, func(j *Job) bool {
+			if len(list) == most || j.inFlight || j.urgent() != urgent {
+				return false
+			}
+			j.dirty, j.inFlight = false, true
+			list = append(list, e.update(j))
+			return true
+		})
 	}
-	e.changed = e.changed[:0]
 	for _, j := range e.ended {
-		if !j.dirty && e.forgettable(j, now) {
+		if len(list) < most && !j.dirty && !j.inFlight && e.forgettable(j, now) {
+			j.inFlight = true
 			list = append(list, Update{Job: j.ID(), Queue: j.Spec.Queue, Forget: true})
 		}
 	}
 	return list
 }
 
+// Changed counts the jobs whose changes wait to be handed out, however many of them are on their way already.
+func (e *Engine) Changed() int { return len(e.changed) }
+
+// urgent reports whether somebody waits for the job's record: its caller for the end, or a worker for a task.
+func (j *Job) urgent() bool {
+	return j.Record.Phase.Final() || slices.ContainsFunc(j.sets, func(s *Set) bool { return s.planned() })
+}
+
+// planned reports whether the set's run waits for its intent to be durable.
+func (s *Set) planned() bool { return s.Run != nil && s.Run.Members[0].State == Planned }
+
 // touch notes that the job's record must be made durable.
 func (e *Engine) touch(j *Job) {
+	j.changes++
 	if !j.dirty {
 		j.dirty = true
 		e.changed = append(e.changed, j)
@@ -218,11 +242,11 @@
 
 func (e *Engine) update(j *Job) Update {
 	j.Record.Change++
-	u := Update{Job: j.ID(), Record: j.Record, Queue: j.Spec.Queue}
+	u := Update{Job: j.ID(), Record: j.Record, Queue: j.Spec.Queue, changes: j.changes}
 	u.Record.Sets = slices.Clone(j.Record.Sets)
 	u.Begun = j.waitKept && (j.begun || j.Record.Phase.Final())
 	for _, s := range j.sets {
-		if s.Run != nil && s.Run.Members[0].State == Planned {
+		if s.planned() {
 			u.planned = append(u.planned, s.Run)
 		}
 	}
@@ -240,6 +264,7 @@
 		e.ended = slices.DeleteFunc(e.ended, func(o *Job) bool { return o == j })
 		return
 	}
+	j.inFlight, j.durable = false, u.changes
 	if u.Begun {
 		j.waitKept = false
 	}
@@ -254,7 +279,12 @@
 
 // Uncommitted notes that an update did not become durable; it is handed out again.
 func (e *Engine) Uncommitted(u Update) {
-	if j := e.jobs[u.Job]; j != nil && !u.Forget {
+	j := e.jobs[u.Job]
+	if j == nil {
+		return
+	}
+	j.inFlight = false
+	if !u.Forget {
 		e.touch(j)
 	}
 }
--- a/internal/place/sets/engine_test.go
+++ b/internal/place/sets/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -99,7 +100,7 @@
 // step decides, commits and carries out the orders at once.
 func (s *site) step() {
 	s.engine.Decide(true, s.now)
-	for _, u := range s.engine.Updates(s.now) {
+	for _, u := range s.engine.Updates(math.MaxInt, s.now) {
 		s.engine.Committed(u, s.now)
 	}
 	for _, action := range s.engine.Actions() {
@@ -317,7 +318,9 @@
 	s.listAll()
 	s.submit("job-a", planQueue, "alpha", gang(1, 1))
 	s.engine.Decide(true, s.now)
-	assert.Equal(t, len(s.engine.Updates(s.now)), 1)
+	updates := s.engine.Updates(math.MaxInt, s.now)
+	assert.Equal(t, len(updates), 1)
+	s.engine.Committed(updates[0], s.now)
 	s.step()
 	assert.Equal(t, len(s.stops), 1)
 	s.step()
@@ -357,7 +360,7 @@
 	s := newSite(t, 2, 1)
 	s.submit("job-a", planQueue, "alpha", gang(1, 8))
 	s.engine.Decide(true, s.now)
-	for _, u := range s.engine.Updates(s.now) {
+	for _, u := range s.engine.Updates(math.MaxInt, s.now) {
 		s.engine.Committed(u, s.now)
 	}
 	started := s.now
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -58,7 +58,10 @@
 		delete(w.strangers, runKey{entry.Task, entry.Run})
 		if m := w.members[runKey{entry.Task, entry.Run}]; m != nil {
 			e.endMember(m, entry.How, entry.Saved, now)
+			j := m.Run.Set.Job
+			w.unsettled = append(w.unsettled, settling{number: entry.Number, job: j, changes: j.changes})
 		}
+		e.ending[w] = true
 	}
 	for key := range w.voids {
 		e.act(StopOrder{Worker: w.ID, Task: key.task, Run: key.run})
--- a/internal/place/sets/job.go
+++ b/internal/place/sets/job.go
@@ -40,8 +40,13 @@
 	waitKept bool
 	// endedAt is when the job became final.
 	endedAt time.Time
-	// dirty is true from a change of the record until it is handed out to be made durable.
-	dirty bool
+	// dirty is true from a change of the record until it is handed out to be made durable, inFlight from then on until that
+	// has come to an end.
+	dirty    bool
+	inFlight bool
+	// changes counts the changes of the record, durable those of them that are.
+	changes int
+	durable int
 	// rules is what the configuration said about the job's queue at the last decision, chain the job's longest chain of work.
 	rules Queue
 	chain time.Duration
@@ -91,10 +96,11 @@
 	// readyAt is when the set last became ready to run.
 	readyAt time.Time
 	claim   *claim
-	// claimAgain is when the set may claim room again after a claim came to nothing, and evictAgain when it is worth looking
-	// again for others to stop.
-	claimAgain time.Time
-	evictAgain time.Time
+	// claimAgain is when the set may claim room again after a claim came to nothing, evictAgain when it is worth looking
+	// again for others to stop, and reserveAgain for room that becomes free.
+	claimAgain   time.Time
+	evictAgain   time.Time
+	reserveAgain time.Time
 	// moves counts how often a run was given up since a worker had become slow.
 	moves int
 	// soured are workers that a run of the set failed on.
--- a/internal/place/sets/reserve.go
+++ b/internal/place/sets/reserve.go
@@ -15,6 +15,8 @@
 	reservesFew  = 1
 	reservesMany = 2
 	amplyFree    = 0.6
+	// reservePause keeps a gang that fits nowhere, whatever ends, from being searched for in each decision.
+	reservePause = 500 * time.Millisecond
 	// reserveFor is how long room is kept before the choice is made anew.
 	reserveFor = 12 * time.Second
 )
@@ -27,7 +29,7 @@
 
 // reserve keeps the room for a gang that will be free first, without stopping anyone; it reports whether it did.
 func (e *Engine) reserve(s *Set, p *pass, now time.Time) bool {
-	if s.Count == 1 || e.reserved >= e.reservesMost() || now.Sub(s.readyAt) < reserveAfter || now.Before(s.claimAgain) {
+	if s.Count == 1 || e.reserved >= e.reservesMost() || now.Sub(s.readyAt) < reserveAfter || now.Before(s.claimAgain) || now.Before(s.reserveAgain) {
 		return false
 	}
 	var best []opening
@@ -47,6 +49,7 @@
 		}
 	}
 	if best == nil {
+		s.reserveAgain = now.Add(reservePause)
 		return false
 	}
 	workers := make([]*Worker, len(best))
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -45,6 +45,10 @@
 	AvoidUntil time.Time
 	// Processed is the number of the last end that was taken in.
 	Processed int64
+	// unsettled are the ends taken in whose records may not be durable yet, in their order; settled is the last number that
+	// was handed out as settled.
+	unsettled []settling
+	settled   int64
 
 	members map[runKey]*Member
 	// strangers are runs that the worker listed and the ledger does not know as alive.
@@ -188,6 +192,7 @@
 // reborn ends all that ran in the worker's earlier life.
 func (e *Engine) reborn(w *Worker, born int64, now time.Time) {
 	w.Born, w.Processed, w.speed = born, 0, 1
+	w.unsettled, w.settled = nil, 0
 	clear(w.strangers)
 	clear(w.voids)
 	for _, m := range w.sorted() {
