Work on workers that leave too soon begins anew at once

Change: what a draining worker says of its remaining time is read; a member whose rest takes a second longer is stopped and its run starts elsewhere. The time runs on between the worker's reports.

--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -54,6 +54,8 @@
 		e.stopRun(run, "a start had no answer", now)
 	case m.State == Started && m.Worker.Draining && m.goesOn():
 		e.stopRun(run, "its worker leaves, and it can go on elsewhere", now)
+	case m.State == Started && m.outlasts(now):
+		e.stopRun(run, "its worker leaves before it can end", now)
 	case m.State == Started && e.hangs(m, now):
 		m.Worker.avoid(now.Add(e.cfg.FaultPause))
 		e.act(Note{What: WorkerAvoided, Worker: m.Worker.ID, Job: run.Set.Job.ID(), Task: m.task, Text: "a task made no progress"})
@@ -70,6 +72,16 @@
 	return step.Lasts || step.Checkpoints && m.rest() > leaveMargin
 }
 
+// leaveSlack is how much longer than its worker stays a member's work must take for the run to begin anew elsewhere at once:
+// what a worker says is the least, and estimates are rough.
+const leaveSlack = time.Second
+
+// outlasts reports whether the member's worker will have left well before its work is done.
+func (m *Member) outlasts(now time.Time) bool {
+	at := m.Worker.leavesAt
+	return !at.IsZero() && now.Add(m.rest()).After(at.Add(leaveSlack))
+}
+
 // rest is the time that the member's work will still take as far as its progress shows, or its step's estimate.
 func (m *Member) rest() time.Duration {
 	left := float64(100-m.Percent) / 100
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -16,6 +16,8 @@
 	Capacity   Room
 	// Draining means that the worker leaves; nothing new may start on it.
 	Draining bool
+	// LeavesIn is the least time until a draining worker ends what runs on it; zero if it is not known.
+	LeavesIn time.Duration
 	// Born is when this life of the worker began, in milliseconds of Unix time; zero if it is not known.
 	Born int64
 }
@@ -43,6 +45,8 @@
 	prolonged prolonged
 	// AvoidUntil is when the worker gets new work again after trouble.
 	AvoidUntil time.Time
+	// leavesAt is when a draining worker will soonest end what runs on it; zero if that is not known.
+	leavesAt time.Time
 	// Processed is the number of the last end that was taken in.
 	Processed int64
 	// unsettled are the ends taken in whose records may not be durable yet, in their order; settled is the last number that
@@ -148,7 +152,9 @@
 		listed[info.ID] = true
 		w := e.workers[info.ID]
 		if w == nil {
-			e.addWorker(newWorker(info, now.Add(e.cfg.InheritedLease)))
+			w = newWorker(info, now.Add(e.cfg.InheritedLease))
+			w.noteLeaving(now)
+			e.addWorker(w)
 			continue
 		}
 		if info.Born != 0 && w.Born != 0 && info.Born != w.Born {
@@ -159,6 +165,7 @@
 		}
 		e.regroup = e.regroup || w.Rack != info.Rack
 		w.WorkerInfo, w.Present = info, true
+		w.noteLeaving(now)
 	}
 	for id, w := range e.workers {
 		if listed[id] {
@@ -173,6 +180,18 @@
 	}
 }
 
+// noteLeaving works out when the worker ends. An entry of the list may be older than the one before would say by now, so the
+// earliest time counts.
+func (w *Worker) noteLeaving(now time.Time) {
+	if !w.Draining || w.LeavesIn == 0 {
+		w.leavesAt = time.Time{}
+		return
+	}
+	if at := now.Add(w.LeavesIn); w.leavesAt.IsZero() || at.Before(w.leavesAt) {
+		w.leavesAt = at
+	}
+}
+
 func (e *Engine) addWorker(w *Worker) {
 	e.workers[w.ID] = w
 	e.regroup = true
