Gangs that wait stop less urgent work that saves its progress

Change: a gang that has waited for a second and still gains by it may stop single tasks of a higher priority number that keep their progress; searched for each 250 ms, as the running work changes little in that time.

--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -292,7 +292,7 @@
 		if e.preempt(s, p, now) {
 			return true
 		}
-		s.evictAgain = now.Add(evictionPause)
+		s.evictAgain = now.Add(s.evictionPause())
 	}
 	if e.reserve(s, p, now) {
 		return true
@@ -301,9 +301,16 @@
 	return false
 }
 
-// evictionPause keeps a set that no stop would help from being searched for in each decision.
+// evictionPause keeps a quick set that no stop would help from being searched for in each decision.
 const evictionPause = 50 * time.Millisecond
 
+func (s *Set) evictionPause() time.Duration {
+	if s.Job.rules.Priority == 0 {
+		return evictionPause
+	}
+	return gangEvictionPause
+}
+
 // waits records why the set found no room, and logs it once for each wait.
 func (e *Engine) waits(s *Set, now time.Time) {
 	if s.Job.Waiting != "" {
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -28,6 +28,10 @@
 	scatteredAfter = time.Second
 )
 
+// gangEvictionPause is the same as evictionPause for a set that is not quick: the time in which a thirtieth of the running work
+// ends, and with it what a search would find.
+const gangEvictionPause = 250 * time.Millisecond
+
 // wasteMost is how much work, against its own, a set may throw away to start at once if no guarantee asks for it.
 const wasteMost = 1.0
 
@@ -41,7 +45,10 @@
 }
 
 // beneficiary is all of a set that decides which runs may be stopped for it, but for those of its own job.
-type beneficiary struct{ quick, entitled bool }
+type beneficiary struct {
+	priority int
+	entitled bool
+}
 
 // targets are the runs that may be stopped: batch work first, then the cheapest for what it frees.
 type targets struct {
@@ -75,14 +82,18 @@
 }
 
 // mayStopOthers reports whether the set may have room made: quick jobs that still gain by it, and any gang that waits
-// although much is free, since what is stopped for it finds room elsewhere.
+// although much is free, since what is stopped for it finds room elsewhere, or that still gains by it.
 func (e *Engine) mayStopOthers(s *Set, now time.Time) bool {
-	if s.Job.rules.Priority == 0 && (s.turn.lateness != hopeless || s.Job.entitled) {
+	inTime := s.turn.lateness != hopeless
+	if s.Job.rules.Priority == 0 && (inTime || s.Job.entitled) {
 		return true
 	}
-	return s.Count > 1 && e.use < scatteredUse && now.Sub(s.readyAt) > scatteredAfter
+	return s.Count > 1 && (inTime || e.scattered()) && now.Sub(s.readyAt) > scatteredAfter
 }
 
+// scattered reports whether a gang that finds no room lacks order rather than room.
+func (e *Engine) scattered() bool { return e.use < scatteredUse }
+
 // eviction is a way to make room: the runs to stop, and what there will be room on.
 type eviction struct {
 	offer
@@ -163,7 +174,7 @@
 
 // targets lists the runs that may be stopped for the set; the list is worked out once in a pass.
 func (e *Engine) targets(s *Set, p *pass, now time.Time) *targets {
-	key := beneficiary{quick: s.Job.rules.Priority == 0, entitled: s.Job.entitled}
+	key := beneficiary{priority: s.Job.rules.Priority, entitled: s.Job.entitled}
 	if t := p.targets[key]; t != nil {
 		return t
 	}
@@ -189,7 +200,7 @@
 		}
 		allowed := j.allowances()
 		for _, other := range j.sets {
-			if s.Job.rules.Priority != 0 && other.Count > 1 || !allowed.take(other) {
+			if s.Job.rules.Priority != 0 && !e.cheapToMove(other, s) || !allowed.take(other) {
 				continue
 			}
 			if run := other.Run; run != nil && run.stopping == "" && run.broken.IsZero() && run.whole() {
@@ -204,6 +215,15 @@
 	return list
 }
 
+// cheapToMove reports whether a set may be stopped for a gang that is not quick: a single task that finds room elsewhere, or
+// one that is less urgent and goes on where it was.
+func (e *Engine) cheapToMove(other, s *Set) bool {
+	if other.Count > 1 {
+		return false
+	}
+	return e.scattered() || other.step().Checkpoints && other.Job.rules.Priority > s.Job.rules.Priority
+}
+
 // yields reports whether a job's runs may be stopped for another job.
 func yields(j, to *Job) bool {
 	if j.entitled || j.Record.Phase.Final() {
@@ -289,7 +309,7 @@
 		if e.preempt(s, p, now) {
 			return
 		}
-		s.evictAgain = now.Add(evictionPause)
+		s.evictAgain = now.Add(s.evictionPause())
 	}
 	e.claimRoom(s, c)
 }
