Room is kept for more gangs on a large fleet, by what lies idle for them

Change: on a fleet that is more than six tenths full, room is kept for one more gang as long as a twentieth of the accelerators at most lies idle for it; a gang that fits nowhere is searched for each 500 ms.

--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -253,12 +253,7 @@
 
 // placeAll plans runs in order.
 func (e *Engine) placeAll(ready []waitingStep, p *pass, now time.Time) {
-	e.reserved = 0
-	for _, s := range e.claimants {
-		if s.claim.kept {
-			e.reserved++
-		}
-	}
+	e.countKept()
 	e.waiting = 0
 	for _, step := range ready {
 		if first := step.sets()[0]; first.Count > 1 {
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -91,10 +91,12 @@
 	actions   []Action
 	// ending are the workers with ends that were not handed out as settled.
 	ending map[*Worker]bool
-	// use is the share of the usable workers' accelerators that is in use.
-	use float64
-	// reserved counts the sets that have claimed room.
+	// whole is the usable workers' accelerators, use the share of them that is in use.
+	whole int
+	use   float64
+	// reserved counts the gangs that have room kept for them, keptIdle the accelerators that lie idle for that.
 	reserved int
+	keptIdle int
 	// waiting counts the sets without a place.
 	waiting int
 	// claimants are the sets that have claimed room, the first first.
--- a/internal/place/sets/rack.go
+++ b/internal/place/sets/rack.go
@@ -48,16 +48,17 @@
 	e.group()
 	e.visited = 0
 	e.stock.reset()
-	var whole, used int
+	e.whole = 0
+	used := 0
 	for _, w := range e.order {
 		w.open, w.stock = e.usable(w, now), nil
 		if w.open {
 			e.stock.put(w)
-			whole += w.Capacity.Accelerators
+			e.whole += w.Capacity.Accelerators
 			used += w.Used.Accelerators
 		}
 	}
-	e.use = float64(used) / float64(max(whole, 1))
+	e.use = float64(used) / float64(max(e.whole, 1))
 	e.chooseQuickRacks()
 }
 
--- a/internal/place/sets/reserve.go
+++ b/internal/place/sets/reserve.go
@@ -10,11 +10,12 @@
 	// reserveAfter is how long a set waits before room is kept for it as it becomes free: small work would take every gap
 	// that a large gang needs.
 	reserveAfter = 4 * time.Second
-	// reservesFew bounds how many gangs have room kept for them at a time, as kept room lies idle; reservesMany is the bound
-	// while less than amplyFree of the accelerators is in use, when little is lost by it.
+	// reservesFew gangs may always have room kept for them, reservesMany while less than amplyFree of the accelerators is in
+	// use. More may on a fleet that is fuller, as long as no more than idleMost of it lies idle for them.
 	reservesFew  = 1
 	reservesMany = 2
 	amplyFree    = 0.6
+	idleMost     = 0.05
 	// reservePause keeps a gang that fits nowhere, whatever ends, from being searched for in each decision.
 	reservePause = 500 * time.Millisecond
 	// reserveFor is how long room is kept before the choice is made anew.
@@ -29,7 +30,7 @@
 
 // reserve keeps the room for a gang that will be free first, without stopping anyone; it reports whether it did.
 func (e *Engine) reserve(s *Set, p *pass, now time.Time) bool {
-	if s.Count == 1 || e.reserved >= e.reservesMost() || now.Sub(s.readyAt) < reserveAfter || now.Before(s.claimAgain) || now.Before(s.reserveAgain) {
+	if s.Count == 1 || !e.mayKeepMore() || now.Sub(s.readyAt) < reserveAfter || now.Before(s.claimAgain) || now.Before(s.reserveAgain) {
 		return false
 	}
 	var best []opening
@@ -57,17 +58,34 @@
 		workers[i] = o.worker
 	}
 	e.claimRoom(s, &claim{workers: workers, until: now.Add(reserveFor), kept: true})
-	e.reserved++
+	e.countKept()
 	s.Job.Waiting = "room is kept as it becomes free; the last part in about " + best[len(best)-1].in.Round(time.Second).String()
 	e.act(Note{What: JobWaits, Job: s.Job.ID(), Text: s.Job.Waiting})
 	return true
 }
 
-func (e *Engine) reservesMost() int {
+// mayKeepMore reports whether room may be kept for one more gang.
+func (e *Engine) mayKeepMore() bool {
 	if e.use < amplyFree {
-		return reservesMany
+		return e.reserved < reservesMany
+	}
+	return e.reserved < reservesFew || float64(e.keptIdle) < idleMost*float64(e.whole)
+}
+
+// countKept counts the gangs that have room kept for them, and the accelerators that lie idle for that.
+func (e *Engine) countKept() {
+	e.reserved, e.keptIdle = 0, 0
+	for _, s := range e.claimants {
+		if s.claim.kept {
+			e.reserved++
+		}
+	}
+	if e.reserved == 0 {
+		return
+	}
+	for _, w := range e.order {
+		e.keptIdle += min(w.kept.Accelerators, w.freeLevel())
 	}
-	return reservesFew
 }
 
 // openings lists the room for tasks of the set in the group, the earliest first.
--- a/internal/place/sets/reserve_test.go
+++ b/internal/place/sets/reserve_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/place/sets"
+	"github.com/lentildeck/lentildeck/internal/state/work"
 	"gotest.tools/v3/assert"
 )
 
@@ -47,3 +48,18 @@
 func TestOneGangHasRoomKeptWhileTheFleetIsFull(t *testing.T) {
 	assert.Equal(t, scattered(t, 6).keptFor(), 1)
 }
+
+// The pattern: on a large fleet that is full of tasks which begin anew, gangs of whole workers wait one behind the other
+// while one at a time has room kept for it.
+func TestMoreGangsHaveRoomKeptOnALargeFleet(t *testing.T) {
+	s := newSite(t, 16, 8)
+	s.submit("plain", batchQueue, "beta", work.Step{Count: 16 * 8 * 8, MilliCores: 1000, MemoryMB: 1000, Accelerators: 1, Estimate: time.Hour})
+	s.step()
+	s.submit("filler", quickQueue, "beta", work.Step{Count: 16 * 8 * 8, MilliCores: 1000, MemoryMB: 1000, Accelerators: 1, Estimate: time.Hour})
+	s.step()
+	for i := range 6 {
+		s.submit(fmt.Sprintf("wide-%d", i), planQueue, "beta", gang(12, 8))
+	}
+	s.pass(6 * time.Second)
+	assert.Equal(t, s.keptFor(), 6)
+}
