Two orders a worker at a time; longer pauses between calls to silent workers

Change: at most two orders are on their way to a worker; stops without an answer are repeated after 60 ms to 500 ms, looks after 100 to 400 ms.

--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -17,25 +17,34 @@
 	// firstLease is the lease of the first tasks on a worker: if it can't be reached they end soon, so that they can start
 	// elsewhere, and if it can the next look makes it longer.
 	firstLease = 2500 * time.Millisecond
-	// orderPause is the wait before an order without an answer is sent again.
-	orderPause = 30 * time.Millisecond
+	// orderPause is the wait before an order without an answer is sent again. For stops it doubles up to stopPauseMost, as
+	// hundreds of workers may be gone at once while what ran on them still counts.
+	orderPause    = 30 * time.Millisecond
+	stopPauseMost = 500 * time.Millisecond
+	// ordersMost is how many orders are on their way to one worker at a time, each on a channel of its own: with its look a
+	// worker takes three of the owner's descriptors, and eight tasks start within four answers.
+	ordersMost = 2
 )
 
 // start sends the start of one task until it has an answer or is no longer wanted.
 func (t *term) start(ctx context.Context, order sets.StartOrder) {
 	mayBeSent := false
 	for ctx.Err() == nil {
+		release := t.turnAt(ctx, order.Worker)
 		to, start, ok := t.prepare(order)
 		if !ok {
+			release()
 			return
 		}
 		if to.Address == "" {
+			release()
 			pause.For(ctx, orderPause)
 			continue
 		}
 		call, done := context.WithTimeout(ctx, orderTimeout)
 		err := t.Agent.Start(call, to, start)
 		done()
+		release()
 		var lost *agent.LostError
 		if errors.As(err, &lost) {
 			t.doubt(ctx, order.Worker)
@@ -49,6 +58,22 @@
 	}
 }
 
+// turnAt waits until an order may leave for the worker; the returned function must follow the order's end.
+func (t *term) turnAt(ctx context.Context, worker string) (release func()) {
+	t.state.Lock()
+	s := t.sessions[worker]
+	t.state.Unlock()
+	if s == nil {
+		return func() {}
+	}
+	select {
+	case <-ctx.Done():
+		return func() {}
+	case s.orders <- struct{}{}:
+		return func() { <-s.orders }
+	}
+}
+
 // prepare fills in the order as of now; an empty address means that nothing may be sent yet.
 func (t *term) prepare(order sets.StartOrder) (agent.Target, agent.Start, bool) {
 	now := t.Now()
@@ -141,7 +166,8 @@
 }
 
 func (t *term) sendStop(ctx context.Context, order sets.StopOrder) {
-	for ctx.Err() == nil {
+	for wait := 2 * orderPause; ctx.Err() == nil; wait = min(2*wait, stopPauseMost) {
+		release := t.turnAt(ctx, order.Worker)
 		t.state.Lock()
 		w := t.engine.Worker(order.Worker)
 		wanted := w != nil && w.NeedsStop(order.Task, order.Run)
@@ -151,11 +177,13 @@
 		}
 		t.state.Unlock()
 		if !wanted || to.Address == "" {
+			release()
 			return
 		}
 		call, done := context.WithTimeout(ctx, orderTimeout)
 		err := t.Agent.Stop(call, to, agent.Stop{Task: order.Task, Run: order.Run, Token: t.token})
 		done()
+		release()
 		outcome := "acknowledged"
 		if err != nil {
 			outcome = err.Error()
@@ -172,6 +200,6 @@
 			t.state.Unlock()
 			return
 		}
-		pause.For(ctx, 2*orderPause)
+		pause.For(ctx, wait)
 	}
 }
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -23,8 +23,10 @@
 	leavingLease = 2500 * time.Millisecond
 	// silentAfter is how long a worker is silent before its lease is no longer renewed, so that it ends for certain.
 	silentAfter = 1200 * time.Millisecond
-	// lookPause is the wait after a failed look.
-	lookPause = 100 * time.Millisecond
+	// lookPause is the wait after a failed look, lookPauseMost that after several: workers that come back have seconds of their
+	// leases left.
+	lookPause     = 100 * time.Millisecond
+	lookPauseMost = 400 * time.Millisecond
 	// commitPause is how long a session waits for ends to be recorded before it looks again: a worker answers at once while
 	// it has ends to list, so a look each few milliseconds would only keep the owner from recording them.
 	commitPause = 300 * time.Millisecond
@@ -34,6 +36,8 @@
 type session struct {
 	term *term
 	id   string
+	// orders has an entry for each order on its way.
+	orders chan struct{}
 
 	mu sync.Mutex
 	// clock is the worker's own clock as it was when clockAt had come.
@@ -41,9 +45,11 @@
 	clockAt time.Time
 	acked   int64
 	silent  bool
-	heard   time.Time
-	born    int64
-	wake    chan struct{}
+	// misses counts the looks since the last answer.
+	misses int
+	heard  time.Time
+	born   int64
+	wake   chan struct{}
 }
 
 // openSessions starts a session with each worker that has none.
@@ -54,7 +60,7 @@
 		if t.sessions[w.ID] != nil || w.Address == "" {
 			continue
 		}
-		s := &session{term: t, id: w.ID, heard: t.Now(), acked: w.Settled(), wake: make(chan struct{}, 1)}
+		s := &session{term: t, id: w.ID, orders: make(chan struct{}, ordersMost), heard: t.Now(), acked: w.Settled(), wake: make(chan struct{}, 1)}
 		t.sessions[w.ID] = s
 		t.parts.Go(func() { s.run(ctx) })
 	}
@@ -210,7 +216,7 @@
 	}
 	s.mu.Lock()
 	back := s.silent
-	s.clock, s.clockAt, s.heard, s.silent = answer.Clock, now, now, false
+	s.clock, s.clockAt, s.heard, s.silent, s.misses = answer.Clock, now, now, false, 0
 	s.mu.Unlock()
 	if back {
 		t.Log.Emit(event.WorkerAnswers, event.Fields{"worker": s.id, "born": answer.Born})
@@ -231,6 +237,8 @@
 		return
 	}
 	s.mu.Lock()
+	s.misses++
+	wait := min(time.Duration(s.misses)*lookPause, lookPauseMost)
 	first := !s.silent && now.Sub(s.heard) > silentAfter
 	if first {
 		s.silent = true
@@ -239,5 +247,5 @@
 	if first && ctx.Err() == nil {
 		t.Log.Emit(event.WorkerSilent, event.Fields{"worker": s.id, "error": err.Error()})
 	}
-	pause.For(ctx, lookPause)
+	pause.For(ctx, wait)
 }
