Instances read the list of workers each minute; the largest instance of a data centre prolongs leases

Cause: each of 147 instances read the list of 1,100 workers (three pages, 0.4 MB) each 5 s, only to know the largest sizes: 88 of some 940 store calls a second. The instance that prolongs the leases of 220 workers was the first that was listed, whatever its size; nine of ten instances have 0.19 of a core. Change: the list is read each minute, and again before a job is refused by one that is older than 5 s. Instances of a data centre are taken the largest first. Permissions are compared by a set, not by all pairs of workers.

--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -97,7 +97,7 @@
 	n.Jobs = &admit.Service{
 		Store: parts.Store, Policy: n.policy, MaxAge: parts.KeyAge, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
 	}
-	n.fleet = &fleet{lister: parts.Lister, log: log}
+	n.fleet = &fleet{lister: parts.Lister, log: log, now: clock.Now}
 	n.Jobs.Servable = n.fleet.servable
 	n.peers = &relay.Peers{Store: parts.Store, Self: relay.Peer{Name: parts.Instance, Address: parts.PeerAddress, DataCentre: parts.DataCentre, Cores: parts.Cores}, Log: log}
 	client := link.NewClient(nil)
--- a/internal/node/deck/fleet_test.go
+++ b/internal/node/deck/fleet_test.go
@@ -1,22 +1,55 @@
 package deck
 
 import (
+	"context"
 	"testing"
+	"time"
 
+	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/place/sets"
 	"github.com/lentildeck/lentildeck/internal/state/work"
 	"gotest.tools/v3/assert"
 )
 
+// lister has a list of workers that may change, and counts the reads.
+type lister struct {
+	workers []sets.WorkerInfo
+	reads   int
+}
+
+func (l *lister) Workers(context.Context) ([]sets.WorkerInfo, error) {
+	l.reads++
+	return l.workers, nil
+}
+
+func sized(accelerators int) []sets.WorkerInfo {
+	return []sets.WorkerInfo{{Service: "main", Capacity: sets.Room{MilliCores: 32000, MemoryMB: 1000, Accelerators: accelerators}}}
+}
+
+func needing(accelerators int) *work.Spec {
+	return &work.Spec{Steps: []work.Step{{Count: 1, MilliCores: 1000, Accelerators: accelerators}}}
+}
+
 func TestTaskLargerThanAnyWorkerIsUnservable(t *testing.T) {
-	f := &fleet{}
-	spec := func(accelerators int) *work.Spec {
-		return &work.Spec{Steps: []work.Step{{Count: 1, MilliCores: 1000, Accelerators: accelerators}}}
-	}
-	assert.Equal(t, f.servable("main", spec(16)), "", "nothing is known yet")
-	f.see([]sets.WorkerInfo{{Service: "main", Capacity: sets.Room{MilliCores: 32000, MemoryMB: 1000, Accelerators: 8}}})
-	f.see(nil)
-	assert.Equal(t, f.servable("main", spec(8)), "")
-	assert.Assert(t, f.servable("main", spec(9)) != "")
-	assert.Equal(t, f.servable("other", spec(9)), "")
+	now := time.Unix(1000, 0)
+	f := &fleet{lister: &lister{}, log: event.Discard(), now: func() time.Time { return now }}
+	assert.Equal(t, f.servable(t.Context(), "main", needing(16)), "", "nothing is known yet")
+	f.see(sized(8), now)
+	f.see(nil, now)
+	assert.Equal(t, f.servable(t.Context(), "main", needing(8)), "")
+	assert.Assert(t, f.servable(t.Context(), "main", needing(9)) != "")
+	assert.Equal(t, f.servable(t.Context(), "other", needing(9)), "")
+}
+
+// The pattern: larger workers have joined since the list was read, which is once a minute.
+func TestNoJobIsRefusedByAnOldList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	listed := &lister{workers: sized(8)}
+	f := &fleet{lister: listed, log: event.Discard(), now: func() time.Time { return now }}
+	assert.Assert(t, f.read(t.Context()))
+	now = now.Add(fleetAge + time.Second)
+	listed.workers = sized(16)
+	assert.Equal(t, f.servable(t.Context(), "main", needing(16)), "")
+	assert.Assert(t, f.servable(t.Context(), "main", needing(17)) != "")
+	assert.Equal(t, listed.reads, 2, "a list that was just read counts")
 }
--- a/internal/node/term/substitute.go
+++ b/internal/node/term/substitute.go
@@ -136,11 +136,14 @@
 // released notes that the instance, which has the request, prolongs the leases of no other workers; what it has prolonged
 // lives for MaxHold from then on.
 func (t *term) released(centre string, s *substitution, request *renew.Request, reply *renew.Reply, now time.Time) {
+	allowed := make(map[string]bool, len(request.Workers))
+	for _, to := range request.Workers {
+		allowed[to.Worker] = true
+	}
 	t.state.Lock()
 	defer t.state.Unlock()
 	for _, w := range t.engine.Workers() {
-		allowed := slices.ContainsFunc(request.Workers, func(to agent.Target) bool { return to.Worker == w.ID })
-		if w.DataCentre != centre || allowed {
+		if w.DataCentre != centre || allowed[w.ID] {
 			continue
 		}
 		ends := time.Time{}
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -63,16 +64,21 @@
 	return p.Self.Cores > 0 && slices.ContainsFunc(p.others, func(o Peer) bool { return o.Cores >= outclassedBy*p.Self.Cores })
 }
 
-// In returns the addresses of the other instances that were last listed in the data centre.
+// In returns the addresses of the other instances that were last listed in the data centre, the largest first.
 func (p *Peers) In(dataCentre string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var addresses []string
+	var there []Peer
 	for _, o := range p.others {
 		if o.DataCentre == dataCentre {
-			addresses = append(addresses, o.Address)
+			there = append(there, o)
 		}
 	}
+	slices.SortStableFunc(there, func(a, b Peer) int { return cmp.Compare(b.Cores, a.Cores) })
+	addresses := make([]string, len(there))
+	for i, o := range there {
+		addresses[i] = o.Address
+	}
 	return addresses
 }
 
--- a/internal/peer/relay/peers_test.go
+++ b/internal/peer/relay/peers_test.go
@@ -25,3 +25,13 @@
 		assert.DeepEqual(t, one.Others(), []Peer{{Name: "two", Address: "b:1", Cores: c.other}})
 	}
 }
+
+// The pattern: of 29 instances in a data centre three are four times as large, and one prolongs the leases of 220 workers.
+func TestLargestInstancesOfADataCentreComeFirst(t *testing.T) {
+	p := &Peers{others: []Peer{
+		{Address: "small", DataCentre: "dc", Cores: 0.2}, {Address: "large", DataCentre: "dc", Cores: 0.8},
+		{Address: "elsewhere", DataCentre: "other", Cores: 1}, {Address: "second", DataCentre: "dc", Cores: 0.8},
+	}}
+	assert.DeepEqual(t, p.In("dc"), []string{"large", "second", "small"})
+	assert.Equal(t, len(p.In("none")), 0)
+}
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -67,7 +67,7 @@
 	// MaxAge is the oldest proof of the policy under which a key is accepted.
 	MaxAge time.Duration
 	// Servable returns why no worker of the service could ever run the job, or nothing; nil if that is not known.
-	Servable func(service string, spec *work.Spec) string
+	Servable func(ctx context.Context, service string, spec *work.Spec) string
 	// Relay reaches other instances, or is nil.
 	Relay Relay
 	Log   *event.Log
@@ -163,7 +163,7 @@
 				return Reply{Result: BadRequest, Why: err.Error()}
 			}
 			if s.Servable != nil && !mayBeDone {
-				if why := s.Servable(t.queue.Service, spec); why != "" {
+				if why := s.Servable(ctx, t.queue.Service, spec); why != "" {
 					return Reply{Result: BadRequest, Why: why}
 				}
 			}
