The owner is told of accepted jobs; a slow store is not asked before each job

Four answers in a row lie in a job's way besides its own: one that the store is alive, the create, the owner's watch, the intent. Change: the instance that created a job sends it to the owner over drpc (peer/tell), which takes in what is newer than its term; a lost message costs the time of the watch. A store that has answered slowly within the last second is not asked whether it is alive.

--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -22,6 +22,7 @@
 	"github.com/lentildeck/lentildeck/internal/peer/link"
 	"github.com/lentildeck/lentildeck/internal/peer/relay"
 	"github.com/lentildeck/lentildeck/internal/peer/renew"
+	"github.com/lentildeck/lentildeck/internal/peer/tell"
 	"github.com/lentildeck/lentildeck/internal/route/admit"
 	"github.com/lentildeck/lentildeck/internal/state/policy"
 	"github.com/lentildeck/lentildeck/internal/state/store"
@@ -83,6 +84,8 @@
 	peers   *relay.Peers
 	fleet   *fleet
 	elector *term.Elector
+	// teller tells the owner of accepted jobs; nil where instances don't reach each other.
+	teller *tell.Teller
 	// substitute prolongs leases for an owner elsewhere.
 	substitute *renew.Substitute
 	stopping   atomic.Bool
@@ -110,6 +113,12 @@
 		DataCentre: parts.DataCentre, Substitutes: &renew.Client{Link: client},
 		Bounds: parts.Bounds, Peers: n.peers, Log: log, Meter: n.Meter, Now: clock.Now, WallNow: time.Now,
 	}
+	if parts.PeerAddress != "" {
+		n.teller = tell.New(n.elector, func() string { return n.peers.Address(n.elector.Known()) }, client, log, n.Meter)
+		n.Jobs.Accepted = func(job string, spec []byte, revision int64) {
+			n.teller.Tell(&tell.Job{ID: job, Spec: spec, Revision: revision})
+		}
+	}
 	n.Meter.Publish("owner", func() any { return n.elector.Owns() })
 	return n
 }
@@ -154,6 +163,7 @@
 		parts.Go(func() { n.peers.Run(ctx) })
 		parts.Go(func() { n.servePeers(ctx) })
 		parts.Go(func() { n.substitute.Run(ctx) })
+		parts.Go(func() { n.teller.Run(ctx) })
 	}
 	parts.Go(func() { served <- n.Serve(n, stop) })
 	n.Log.Emit(event.Started, event.Fields{"instance": n.Instance, "version": build.Version()})
@@ -184,7 +194,8 @@
 
 // servePeers carries out requests of instances that are cut off from the key-value service, and of the owner.
 func (n *Node) servePeers(ctx context.Context) {
-	server, err := link.Serve(link.Service{Handler: n.Jobs, Methods: relay.Description{}}, link.Service{Handler: n.substitute, Methods: renew.Description{}})
+	server, err := link.Serve(link.Service{Handler: n.Jobs, Methods: relay.Description{}}, link.Service{Handler: n.substitute, Methods: renew.Description{}},
+		link.Service{Handler: n.elector, Methods: tell.Description{}})
 	if err == nil {
 		var listener net.Listener
 		if listener, err = net.Listen("tcp4", n.PeerAddress); err == nil {
--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -13,6 +13,7 @@
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/node/meter"
 	"github.com/lentildeck/lentildeck/internal/peer/renew"
+	"github.com/lentildeck/lentildeck/internal/peer/tell"
 	"github.com/lentildeck/lentildeck/internal/place/sets"
 	"github.com/lentildeck/lentildeck/internal/state/policy"
 	"github.com/lentildeck/lentildeck/internal/state/store"
@@ -104,6 +105,8 @@
 
 	mu      sync.Mutex
 	current *term
+	// known is the instance that decides, as the owner's key last said, or empty.
+	known string
 }
 
 // owner is the stored form of who decides.
@@ -160,6 +163,7 @@
 	if err != nil {
 		return 0, 0, sent, err
 	}
+	e.note(items)
 	if len(items) > 0 {
 		e.yielded = false
 		return 0, 0, sent, e.await(ctx, asOf)
@@ -190,6 +194,34 @@
 	return lease, token, sent, nil
 }
 
+// note keeps who decides.
+func (e *Elector) note(items []store.Item) {
+	var who owner
+	if len(items) > 0 {
+		if err := json.Unmarshal(items[0].Data, &who); err != nil {
+			e.Log.Emit(event.RecordBad, event.Fields{"key": work.OwnerKey, "error": err.Error()})
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.known = who.Instance
+}
+
+// Known returns the name of the instance that decides, as far as this one knows, or nothing.
+func (e *Elector) Known() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known
+}
+
+// Accepted takes in a job that an instance has accepted, if this one decides.
+func (e *Elector) Accepted(_ context.Context, job *tell.Job) (*tell.Reply, error) {
+	e.mu.Lock()
+	t := e.current
+	e.mu.Unlock()
+	return &tell.Reply{Taken: t != nil && t.told(job)}, nil
+}
+
 // yield leaves a free key to larger instances once, and reports whether it did.
 func (e *Elector) yield(ctx context.Context) bool {
 	e.yielded = !e.yielded && e.outclassed()
--- a/internal/node/term/elect_test.go
+++ b/internal/node/term/elect_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/place/sets"
 	"github.com/lentildeck/lentildeck/internal/proof/fake"
 	"github.com/lentildeck/lentildeck/internal/state/store"
@@ -70,7 +71,7 @@
 		calls <- operation
 		return fake.Delivered
 	})
-	e := &Elector{Store: kept, Now: time.Now, yielded: true}
+	e := &Elector{Log: event.Discard(), Store: kept, Now: time.Now, yielded: true}
 	_, token, _, err := e.take(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, token, int64(0))
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -7,6 +7,7 @@
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
+	"github.com/lentildeck/lentildeck/internal/peer/tell"
 	"github.com/lentildeck/lentildeck/internal/place/sets"
 	"github.com/lentildeck/lentildeck/internal/state/store"
 	"github.com/lentildeck/lentildeck/internal/state/work"
@@ -55,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	specs, _, err := t.Store.Range(call, work.SpecPrefix)
+	specs, asOf, err := t.Store.Range(call, work.SpecPrefix)
 	if err != nil {
 		return err
 	}
@@ -78,6 +79,7 @@
 		t.revisions[job] = item.Revision
 	}
 	t.takeIn(specs, known)
+	t.loadedAsOf = asOf
 	t.engine.Actions()
 	return nil
 }
@@ -110,6 +112,19 @@
 	}
 }
 
+// told takes in a job that an instance has just accepted, and reports whether it did. One that is older than the term was
+// loaded, or is over and forgotten.
+func (t *term) told(job *tell.Job) bool {
+	t.state.Lock()
+	defer t.state.Unlock()
+	if t.loadedAsOf == 0 || job.Revision <= t.loadedAsOf {
+		return false
+	}
+	t.takeIn([]store.Item{{Key: work.SpecKey(job.ID), Data: job.Spec, Revision: job.Revision}}, nil)
+	t.wake()
+	return true
+}
+
 func (t *term) cancelJob(job string, now time.Time) {
 	if t.engine.Job(job) == nil {
 		t.orphans[job] = true
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -81,6 +81,8 @@
 	stops      map[stopKey]bool
 	orphans    map[string]bool
 	revisions  map[string]int64
+	// loadedAsOf is the revision up to which all jobs were loaded when the term began, zero before.
+	loadedAsOf int64
 	// commits counts the transactions on their way, commitFailed is true after one that failed.
 	commits      int
 	commitFailed bool
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -82,6 +82,18 @@
 	return addresses
 }
 
+// Address returns where the other instance of that name was last listed, or nothing.
+func (p *Peers) Address(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.others {
+		if o.Name == name {
+			return o.Address
+		}
+	}
+	return ""
+}
+
 // Run keeps the entry until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -58,6 +58,10 @@
 	// firstTry is how long the key-value service is tried before a peer is asked: a store that is slow by a hundred times
 	// answers in it.
 	firstTry = 450 * time.Millisecond
+	// slowAnswer is how long the service takes to answer when it counts as slow, ten times the usual; answeredLately is how
+	// recent that answer must be, two reads of the configuration.
+	slowAnswer     = 40 * time.Millisecond
+	answeredLately = time.Second
 )
 
 // Service answers callers.
@@ -70,8 +74,10 @@
 	Servable func(ctx context.Context, service string, spec *work.Spec) string
 	// Relay reaches other instances, or is nil.
 	Relay Relay
-	Log   *event.Log
-	Meter *meter.Set
+	// Accepted is told of each job that was created, with its stored spec and its revision; it must not wait. It may be nil.
+	Accepted func(job string, spec []byte, revision int64)
+	Log      *event.Log
+	Meter    *meter.Set
 	// Now is the steady clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
@@ -207,7 +213,12 @@
 
 // alive makes sure that the key-value service answers before a write is sent to it: a job that was never sent can be
 // refused at once, while one whose answer is lost holds its caller until the time is over.
+//
+// A service that was slow and has just answered is not asked again, as each answer takes most of what a quick job has.
 func (s *Service) alive(ctx context.Context) error {
+	if answered, took := s.Policy.Answered(); took > slowAnswer && s.Now().Sub(answered) < answeredLately {
+		return nil
+	}
 	call, cancel := context.WithTimeout(ctx, firstTry)
 	defer cancel()
 	_, err := s.Store.Item(call, work.OwnerKey)
@@ -221,10 +232,13 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = s.Store.Commit(call, store.Transaction{
+	revision, err := s.Store.Commit(call, store.Transaction{
 		Expected: []store.Expectation{{Key: work.SpecKey(spec.Job)}, t.guard},
 		Writes:   []store.Write{{Key: work.SpecKey(spec.Job), Data: data}, {Key: work.WaitKey(spec.Queue, spec.Job)}},
 	})
+	if err == nil && s.Accepted != nil {
+		s.Accepted(spec.Job, data, revision)
+	}
 	return err
 }
 
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -26,9 +26,14 @@
 	store *fake.Transactor
 	keys  []string
 	down  bool
+	// wait is called before each answer, if it is set.
+	wait func()
 }
 
 func (w *wishes) Read(ctx context.Context) (policy.Snapshot, error) {
+	if w.wait != nil {
+		w.wait()
+	}
 	if w.down {
 		return policy.Snapshot{}, &store.UnavailableError{Cause: "down"}
 	}
@@ -238,3 +243,48 @@
 		})
 	}
 }
+
+// countItems counts the reads of single keys.
+func (b *bench) countItems(n *int) {
+	b.store.SetFates(func(operation string) fake.Fate {
+		if operation == "item" {
+			*n++
+		}
+		return fake.Delivered
+	})
+}
+
+// The pattern: each answer of the store takes a third of a second, which is most of what a quick job has.
+func TestSlowStoreThatAnswersIsNotAskedBeforeAJobIsSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		took, ago time.Duration
+		asked     int
+	}{
+		"usual":           {took: 4 * time.Millisecond, asked: 1},
+		"slow":            {took: 360 * time.Millisecond, asked: 0},
+		"slow, then mute": {took: 360 * time.Millisecond, ago: 1100 * time.Millisecond, asked: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.wishes.wait = func() { b.now = b.now.Add(c.took) }
+			assert.NilError(t, b.service.Policy.Refresh(t.Context()))
+			b.now = b.now.Add(c.ago)
+			asked := 0
+			b.countItems(&asked)
+			assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.OK)
+			assert.Equal(t, asked, c.asked)
+		})
+	}
+}
+
+func TestOnlyACreatedJobIsAnnounced(t *testing.T) {
+	b := newBench(t)
+	var announced []string
+	b.service.Accepted = func(job string, _ []byte, revision int64) {
+		assert.Assert(t, revision > 0)
+		announced = append(announced, job)
+	}
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.OK)
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.OK)
+	assert.DeepEqual(t, announced, []string{job})
+}
--- a/internal/state/policy/holder.go
+++ b/internal/state/policy/holder.go
@@ -13,6 +13,9 @@
 	now      func() time.Time
 	snapshot Snapshot
 	proved   time.Time
+	// answered is when the source last answered, took how long that took.
+	answered time.Time
+	took     time.Duration
 	changed  func(Snapshot)
 }
 
@@ -29,6 +32,8 @@
 		return err
 	}
 	h.mu.Lock()
+	h.answered = h.now()
+	h.took = h.answered.Sub(sent)
 	if sent.Before(h.proved) {
 		h.mu.Unlock()
 		return nil
@@ -51,3 +56,10 @@
 	defer h.mu.Unlock()
 	return h.snapshot, h.proved
 }
+
+// Answered returns when the source last answered and how long that took.
+func (h *Holder) Answered() (at time.Time, took time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.answered, h.took
+}
