A worker that is no longer listed leaves the stock; a part that panics ends the process

The panic was kept by the group of goroutines, with the owner's state locked for good, and the instance could never decide again. Change: a dropped worker leaves the lists. Parts run under kern/abort: a panic is logged with its stack and the process ends, so that it starts again.

--- /dev/null
+++ b/internal/kern/abort/parts_test.go
@@ -0,0 +1,23 @@
+package abort
+
+import (
+	"testing"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"gotest.tools/v3/assert"
+)
+
+// The pattern: the owner's loop panics while it holds the state, and the instance goes on for good without deciding anything.
+func TestPanicOfAPartEndsTheProcess(t *testing.T) {
+	codes := make(chan int, 1)
+	exit = func(code int) { codes <- code }
+	parts := Parts{Log: event.Discard()}
+	parts.Go("loop", func() { panic("index out of range") })
+	parts.Wait()
+	assert.Equal(t, <-codes, exitCode)
+	ran := false
+	parts.Go("loop", func() { ran = true })
+	parts.Wait()
+	assert.Assert(t, ran)
+	assert.Equal(t, len(codes), 0)
+}
--- a/internal/node/deck/deck.go
+++ b/internal/node/deck/deck.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/edge/agent"
+	"github.com/lentildeck/lentildeck/internal/kern/abort"
 	"github.com/lentildeck/lentildeck/internal/kern/build"
 	"github.com/lentildeck/lentildeck/internal/kern/clock"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
@@ -26,7 +27,6 @@
 	"github.com/lentildeck/lentildeck/internal/route/admit"
 	"github.com/lentildeck/lentildeck/internal/state/policy"
 	"github.com/lentildeck/lentildeck/internal/state/store"
-	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -155,17 +155,17 @@
 	served := make(chan error, 1)
 	owning, resign := context.WithCancel(ctx)
 	defer resign()
-	var parts conc.WaitGroup
-	parts.Go(func() { n.refresh(ctx) })
-	parts.Go(func() { n.fleet.run(ctx) })
-	parts.Go(func() { n.elector.Run(owning, elected) })
+	parts := abort.Parts{Log: n.Log}
+	parts.Go("configuration", func() { n.refresh(ctx) })
+	parts.Go("workers", func() { n.fleet.run(ctx) })
+	parts.Go("owner", func() { n.elector.Run(owning, elected) })
 	if n.PeerAddress != "" {
-		parts.Go(func() { n.peers.Run(ctx) })
-		parts.Go(func() { n.servePeers(ctx) })
-		parts.Go(func() { n.substitute.Run(ctx) })
-		parts.Go(func() { n.teller.Run(ctx) })
+		parts.Go("instances", func() { n.peers.Run(ctx) })
+		parts.Go("peers", func() { n.servePeers(ctx) })
+		parts.Go("substitute", func() { n.substitute.Run(ctx) })
+		parts.Go("teller", func() { n.teller.Run(ctx) })
 	}
-	parts.Go(func() { served <- n.Serve(n, stop) })
+	parts.Go("front", func() { served <- n.Serve(n, stop) })
 	n.Log.Emit(event.Started, event.Fields{"instance": n.Instance, "version": build.Version()})
 	for {
 		select {
--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -157,7 +157,7 @@
 	if known {
 		return
 	}
-	t.parts.Go(func() {
+	t.parts.Go("stop", func() {
 		t.sendStop(ctx, order)
 		t.state.Lock()
 		delete(t.stops, key)
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -62,7 +62,7 @@
 		}
 		s := &session{term: t, id: w.ID, orders: make(chan struct{}, ordersMost), heard: t.Now(), acked: w.Settled(), wake: make(chan struct{}, 1)}
 		t.sessions[w.ID] = s
-		t.parts.Go(func() { s.run(ctx) })
+		t.parts.Go("session", func() { s.run(ctx) })
 	}
 }
 
@@ -173,7 +173,7 @@
 		if s, w := t.sessions[other], t.engine.Worker(other); s != nil {
 			to := agent.Target{Worker: w.ID, Address: w.Address}
 			look := agent.Look{Token: t.token, Acknowledged: s.acknowledged()}
-			t.parts.Go(func() { s.call(ctx, to, look) })
+			t.parts.Go("session", func() { s.call(ctx, to, look) })
 		}
 	}
 }
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/kern/abort"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/place/sets"
 	"github.com/lentildeck/lentildeck/internal/state/store"
-	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -94,7 +94,7 @@
 
 	kick   chan struct{}
 	cancel context.CancelFunc
-	parts  conc.WaitGroup
+	parts  abort.Parts
 }
 
 type stopKey struct {
@@ -113,7 +113,7 @@
 	return &term{
 		Elector: e, lease: lease, token: token, began: e.Now(), engine: sets.New(cfg), validUntil: sent.Add(leaseTTL - leaseMargin),
 		sessions: make(map[string]*session), stops: make(map[stopKey]bool), orphans: make(map[string]bool),
-		revisions: make(map[string]int64), kick: make(chan struct{}, 1),
+		revisions: make(map[string]int64), kick: make(chan struct{}, 1), parts: abort.Parts{Log: e.Log},
 	}
 }
 
@@ -127,12 +127,12 @@
 	ctx, t.cancel = context.WithCancel(ctx)
 	defer t.cancel()
 	t.Log.Emit(event.TermBegan, event.Fields{"token": t.token, "lease": t.lease})
-	t.parts.Go(func() { t.renew(ctx) })
+	t.parts.Go("renewal", func() { t.renew(ctx) })
 	if t.load(ctx) {
-		t.parts.Go(func() { t.list(ctx) })
-		t.parts.Go(func() { t.watch(ctx) })
-		t.parts.Go(func() { t.pending(ctx) })
-		t.parts.Go(func() { t.substitute(ctx) })
+		t.parts.Go("workers", func() { t.list(ctx) })
+		t.parts.Go("watch", func() { t.watch(ctx) })
+		t.parts.Go("pending", func() { t.pending(ctx) })
+		t.parts.Go("substitutes", func() { t.substitute(ctx) })
 		t.loop(ctx)
 	}
 	t.cancel()
@@ -243,7 +243,7 @@
 	t.state.Unlock()
 	t.dispatch(ctx, actions)
 	for _, updates := range groups {
-		t.parts.Go(func() { t.commit(ctx, updates) })
+		t.parts.Go("commit", func() { t.commit(ctx, updates) })
 	}
 	if 2*silent > all && now.Sub(t.began) > cutOffAfter {
 		t.end(&cutOffError{silent: silent, all: all})
@@ -269,7 +269,7 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case sets.StartOrder:
-			t.parts.Go(func() { t.start(ctx, a) })
+			t.parts.Go("start", func() { t.start(ctx, a) })
 		case sets.StopOrder:
 			t.stop(ctx, a)
 		case sets.Note:
--- a/internal/peer/tell/tell.go
+++ b/internal/peer/tell/tell.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/kern/abort"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/node/meter"
 	"github.com/lentildeck/lentildeck/internal/peer/link"
-	"github.com/sourcegraph/conc"
 	"storj.io/drpc"
 )
 
@@ -81,10 +81,10 @@
 
 // Run sends messages until ctx ends.
 func (t *Teller) Run(ctx context.Context) {
-	var parts conc.WaitGroup
+	parts := abort.Parts{Log: t.Log}
 	defer parts.Wait()
 	for range senders {
-		parts.Go(func() { t.send(ctx) })
+		parts.Go("teller", func() { t.send(ctx) })
 	}
 }
 
--- a/internal/place/sets/worker.go
+++ b/internal/place/sets/worker.go
@@ -174,6 +174,8 @@
 		w.Present = false
 		if !w.Busy() {
 			delete(e.workers, id)
+			// Claims on it are given up with the next decision.
+			w.open, w.stock = false, nil
 			e.regroup = true
 			e.order = slices.DeleteFunc(e.order, func(o *Worker) bool { return o == w })
 		}
