An instance that knows it is cut off from the store asks a peer first

Callers keep their channels and ask how their jobs are; such an instance tried the store each 20 ms for 450 ms before it asked a peer, and a peer that was cut off, too, tried for 900 ms. Change: while its last read of the configuration has failed, an instance asks peers first, and refuses peers at once, which is true, as it has tried nothing.

--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -131,8 +131,16 @@
 	return reply
 }
 
-// submit tries here, then through a peer, and then here until the time is over if the job may have been created.
+// submit tries here, unless the last read failed, then through a peer, and then here until the time is over if the job may
+// have been created.
 func (s *Service) submit(ctx context.Context, caller Caller, spec *work.Spec) Reply {
+	if s.Policy.Failing() && s.Relay != nil {
+		relayed, tried := s.forward(ctx, &Call{Kind: Submit, Caller: caller, Spec: spec})
+		if relayed != nil {
+			return *relayed
+		}
+		return s.submitHere(ctx, caller, spec, tried)
+	}
 	first, done := context.WithTimeout(ctx, 2*firstTry)
 	reply := s.submitHere(first, caller, spec, false)
 	done()
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -288,3 +288,49 @@
 	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.OK)
 	assert.DeepEqual(t, announced, []string{job})
 }
+
+// The pattern: the store refuses a third of the instances for seconds, and callers keep asking them how their jobs are. Each
+// answer took the time of a first try before a peer was asked.
+func TestInstanceThatKnowsItIsCutOffAsksAPeerFirst(t *testing.T) {
+	b := newBench(t)
+	b.wishes.down = true
+	assert.Assert(t, b.service.Policy.Refresh(t.Context()) != nil)
+	calls := 0
+	b.store.SetFates(func(string) fake.Fate {
+		calls++
+		return fake.Down
+	})
+	helper := &peer{reply: &admit.Reply{Result: admit.OK}, tried: true}
+	b.service.Relay = helper
+	assert.Equal(t, b.service.State(brief(t), caller()).Result, admit.OK)
+	assert.Equal(t, b.service.Cancel(brief(t), caller()).Result, admit.OK)
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.OK)
+	assert.Equal(t, calls, 0, "the store was not tried")
+	assert.Equal(t, helper.calls, 3)
+	b.wishes.down = false
+	b.store.SetFates(nil)
+	assert.NilError(t, b.service.Policy.Refresh(t.Context()))
+	assert.Equal(t, b.service.State(brief(t), caller()).Result, admit.Gone)
+	assert.Equal(t, helper.calls, 3)
+}
+
+// The pattern: the peer that is asked is cut off as well; it says so at once, and truthfully, as it has tried nothing.
+func TestPeerThatIsCutOffRefusesAtOnce(t *testing.T) {
+	b := newBench(t)
+	b.wishes.down = true
+	assert.Assert(t, b.service.Policy.Refresh(t.Context()) != nil)
+	reply, err := b.service.Admit(brief(t), &admit.Call{Kind: admit.Submit, Caller: caller(), Spec: spec()})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Result, admit.Refused)
+	assert.Assert(t, !b.created(t))
+}
+
+// The pattern: the peers may have created the job, and their answers are lost; it is never called refused.
+func TestRelayedFirstSubmitWithoutAnswerIsNeverCalledRefused(t *testing.T) {
+	b := newBench(t)
+	b.wishes.down = true
+	assert.Assert(t, b.service.Policy.Refresh(t.Context()) != nil)
+	b.store.SetFates(func(string) fake.Fate { return fake.Down })
+	b.service.Relay = &peer{tried: true}
+	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.Unknown)
+}
--- a/internal/route/admit/call.go
+++ b/internal/route/admit/call.go
@@ -41,8 +41,12 @@
 	return s.Relay.Forward(ctx, call)
 }
 
-// Admit carries out a peer's request here, within the time of a first try.
+// Admit carries out a peer's request here, within the time of a first try; it refuses at once while this instance is as badly
+// placed as the peer.
 func (s *Service) Admit(ctx context.Context, call *Call) (*Reply, error) {
+	if s.Policy.Failing() {
+		return &Reply{Result: Refused, Why: "this instance is cut off, too", RetryAfter: retryAfter}, nil
+	}
 	first, done := context.WithTimeout(ctx, 2*firstTry)
 	defer done()
 	reply := s.here(first, call)
@@ -65,11 +69,13 @@
 
 // hereOrThere carries out a request that may be repeated: here, then through a peer, then here until the time is over.
 func (s *Service) hereOrThere(ctx context.Context, call *Call) Reply {
-	first, done := context.WithTimeout(ctx, firstTry)
-	reply := s.here(first, call)
-	done()
-	if !reply.local() {
-		return reply
+	if !s.Policy.Failing() {
+		first, done := context.WithTimeout(ctx, firstTry)
+		reply := s.here(first, call)
+		done()
+		if !reply.local() {
+			return reply
+		}
 	}
 	if relayed, _ := s.forward(ctx, call); relayed != nil {
 		return *relayed
--- a/internal/state/policy/holder.go
+++ b/internal/state/policy/holder.go
@@ -16,7 +16,9 @@
 	// answered is when the source last answered, took how long that took.
 	answered time.Time
 	took     time.Duration
-	changed  func(Snapshot)
+	// failing is true from a read that failed until one that succeeds.
+	failing bool
+	changed func(Snapshot)
 }
 
 // NewHolder returns a holder without a policy; changed is called for each new version.
@@ -28,6 +30,9 @@
 func (h *Holder) Refresh(ctx context.Context) error {
 	sent := h.now()
 	snapshot, err := h.source.Read(ctx)
+	h.mu.Lock()
+	h.failing = err != nil
+	h.mu.Unlock()
 	if err != nil {
 		return err
 	}
@@ -63,3 +68,10 @@
 	defer h.mu.Unlock()
 	return h.answered, h.took
 }
+
+// Failing reports whether the last read of the source failed, so that others may be better placed to answer.
+func (h *Holder) Failing() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failing
+}
