--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test ci local bench-capacity
+.PHONY: build test ci local bench-capacity regress
 
 build:
 	go build -o bin/ ./cmd/...
@@ -14,3 +14,7 @@
 
 bench-capacity:
 	go test -run '^$$' -bench . -benchtime 1s -timeout 20m ./internal/proof/slope
+
+# Plays the large site, the grown one of Junior Savers and both standard ones against the figures that landed last.
+regress:
+	tools/regress.sh
