Tasks of a step that look in different places count each other's; gangs leave work that lasts alone

Cause: since the tasks of a step share searches, those that may only go near their data and those that have waited for long enough to go anywhere had a list of places each, with room counted twice: LIMIT. Waiting gangs also stopped work that lasts, as it keeps its progress, though it earns only while it runs. Change: a place is checked against the worker's room when it is taken. Gangs on a full fleet stop no work that lasts.

--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -221,7 +221,8 @@
 	if other.Count > 1 {
 		return false
 	}
-	return e.scattered() || other.step().Checkpoints && other.Job.rules.Priority > s.Job.rules.Priority
+	step := other.step()
+	return e.scattered() || step.Checkpoints && !step.Lasts && other.Job.rules.Priority > s.Job.rules.Priority
 }
 
 // yields reports whether a job's runs may be stopped for another job.
--- a/internal/place/sets/tasks.go
+++ b/internal/place/sets/tasks.go
@@ -59,8 +59,8 @@
 // large tasks, but for quick jobs the fast ones before all others.
 func (e *Engine) places(s *Set, sc scope) *places {
 	// What one of the tasks has failed on may do for the others.
-	any := &Set{Job: s.Job, Step: s.Step, turn: s.turn, Count: s.Count, index: s.index}
-	o := e.roomy(any, sc)
+	sibling := &Set{Job: s.Job, Step: s.Step, turn: s.turn, Count: s.Count, index: s.index}
+	o := e.roomy(sibling, sc)
 	slots := slices.Clone(o.slots)
 	quick := s.Job.rules.Priority == 0
 	slices.SortStableFunc(slots, func(a, b slot) int {
@@ -75,16 +75,23 @@
 	return &places{slots: slots, room: o.room}
 }
 
-// take uses the first place on a worker that no run of the set has failed on, or returns nil.
+// take uses the first place on a worker that no run of the set has failed on, or returns nil. What other tasks of the step
+// have taken since, from places of another scope, counts.
 func (at *places) take(s *Set) *Worker {
 	for at.next < len(at.slots) && at.slots[at.next].fits == 0 {
 		at.next++
 	}
 	for i := at.next; i < len(at.slots); i++ {
-		if sl := &at.slots[i]; sl.fits > 0 && !slices.Contains(s.soured, sl.worker) {
-			sl.fits--
-			return sl.worker
+		sl := &at.slots[i]
+		if sl.fits == 0 || slices.Contains(s.soured, sl.worker) {
+			continue
+		}
+		if sl.worker.slotFor(s).fits == 0 {
+			sl.fits = 0
+			continue
 		}
+		sl.fits--
+		return sl.worker
 	}
 	return nil
 }
