Whether a record is urgent is noted when it becomes so; small clean-ups of the search for room

Cause: each of up to 16 calls a decision for changes looked through all sets of all changed jobs, some 23,000 in a rush of 300 jobs, under the owner's state lock. Found in reading. Change: planning a run and ending a job mark the record as urgent; a record that was not written becomes urgent again if it was. A result that nobody used is gone, constants of one kind stand together. Conclusion: no change of what is decided.

--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -267,17 +267,17 @@
 	}
 }
 
-// place reports whether the set is on its way: planned, or with room that is being made.
-func (e *Engine) place(s *Set, p *pass, now time.Time) bool {
+// place plans a run of the gang if there is room, and tries to make some if there is not.
+func (e *Engine) place(s *Set, p *pass, now time.Time) {
 	sc := e.scope(s, p, now)
 	if p.mayFit(s, sc) {
 		if workers := e.find(s, sc); workers != nil {
 			e.plan(s, workers, "free room", now)
-			return true
+			return
 		}
 		p.missed(s, sc)
 	}
-	return e.makeRoom(s, p, now)
+	e.makeRoom(s, p, now)
 }
 
 // makeRoom reports whether room for the set, which found none, is on its way; if not, it says why the job waits.
@@ -296,16 +296,6 @@
 	return false
 }
 
-// evictionPause keeps a quick set that no stop would help from being searched for in each decision.
-const evictionPause = 50 * time.Millisecond
-
-func (s *Set) evictionPause() time.Duration {
-	if s.Job.rules.Priority == 0 {
-		return evictionPause
-	}
-	return gangEvictionPause
-}
-
 // waits records why the set found no room, and logs it once for each wait.
 func (e *Engine) waits(s *Set, now time.Time) {
 	if s.Job.Waiting != "" {
@@ -332,6 +322,7 @@
 		run.Members = append(run.Members, m)
 		w.attach(m)
 	}
+	s.Job.urgent = true
 	e.touch(s.Job)
 	s.Job.Waiting = ""
 	e.act(Note{What: RunPlaced, Job: s.Job.ID(), Task: s.taskName(0), Run: run.Number, Worker: workers[0].ID,
--- a/internal/place/sets/engine.go
+++ b/internal/place/sets/engine.go
@@ -170,8 +170,9 @@
 	Queue  string
 
 	planned []*Run
-	// changes is how many changes of the job the record holds.
+	// changes is how many changes of the job the record holds, urgent is true if somebody waits for it.
 	changes int
+	urgent  bool
 }
 
 // Updates hands out up to most changes that are not being made durable yet, those first that callers or workers wait for;
@@ -180,11 +181,11 @@
 	var list []Update
 	for _, urgent := range []bool{true, false} {
 		e.changed = slices.DeleteFunc(e.changed, func(j *Job) bool {
-			if len(list) == most || j.inFlight || j.urgent() != urgent {
+			if len(list) == most || j.inFlight || j.urgent != urgent {
 				return false
 			}
-			j.dirty, j.inFlight = false, true
 			list = append(list, e.update(j))
+			j.dirty, j.inFlight, j.urgent = false, true, false
 			return true
 		})
 	}
@@ -200,14 +201,6 @@
 // Changed counts the jobs whose changes wait to be handed out, however many of them are on their way already.
 func (e *Engine) Changed() int { return len(e.changed) }
 
-// urgent reports whether somebody waits for the job's record: its caller for the end, or a worker for a task.
-func (j *Job) urgent() bool {
-	return j.Record.Phase.Final() || slices.ContainsFunc(j.sets, func(s *Set) bool { return s.planned() })
-}
-
-// planned reports whether the set's run waits for its intent to be durable.
-func (s *Set) planned() bool { return s.Run != nil && s.Run.Members[0].State == Planned }
-
 // touch notes that the job's record must be made durable.
 func (e *Engine) touch(j *Job) {
 	j.changes++
@@ -244,11 +237,11 @@
 
 func (e *Engine) update(j *Job) Update {
 	j.Record.Change++
-	u := Update{Job: j.ID(), Record: j.Record, Queue: j.Spec.Queue, changes: j.changes}
+	u := Update{Job: j.ID(), Record: j.Record, Queue: j.Spec.Queue, changes: j.changes, urgent: j.urgent}
 	u.Record.Sets = slices.Clone(j.Record.Sets)
 	u.Begun = j.waitKept && (j.begun || j.Record.Phase.Final())
 	for _, s := range j.sets {
-		if s.planned() {
+		if s.Run != nil && s.Run.Members[0].State == Planned {
 			u.planned = append(u.planned, s.Run)
 		}
 	}
@@ -286,6 +279,7 @@
 		return
 	}
 	j.inFlight = false
+	j.urgent = j.urgent || u.urgent
 	if !u.Forget {
 		e.touch(j)
 	}
--- a/internal/place/sets/events.go
+++ b/internal/place/sets/events.go
@@ -234,7 +234,7 @@
 
 // finish makes the job final and stops what runs of it.
 func (e *Engine) finish(j *Job, phase work.Phase, why string, now time.Time) {
-	j.Record.Phase, j.endedAt = phase, now
+	j.Record.Phase, j.endedAt, j.urgent = phase, now, true
 	e.touch(j)
 	for _, s := range j.sets {
 		e.dropClaim(s)
--- a/internal/place/sets/job.go
+++ b/internal/place/sets/job.go
@@ -44,6 +44,8 @@
 	// has come to an end.
 	dirty    bool
 	inFlight bool
+	// urgent is true if somebody waits for the record: a caller for the job's end, or a worker for a task.
+	urgent bool
 	// changes counts the changes of the record, durable those of them that are.
 	changes int
 	durable int
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -28,9 +28,20 @@
 	scatteredAfter = time.Second
 )
 
-// gangEvictionPause is the same as evictionPause for a set that is not quick: the time in which a thirtieth of the running work
-// ends, and with it what a search would find.
-const gangEvictionPause = 250 * time.Millisecond
+const (
+	// evictionPause keeps a quick set that no stop would help from being searched for in each decision.
+	evictionPause = 50 * time.Millisecond
+	// gangEvictionPause is the same for a set that is not quick: the time in which a thirtieth of the running work ends, and
+	// with it what a search would find.
+	gangEvictionPause = 250 * time.Millisecond
+)
+
+func (s *Set) evictionPause() time.Duration {
+	if s.Job.rules.Priority == 0 {
+		return evictionPause
+	}
+	return gangEvictionPause
+}
 
 // wasteMost is how much work, against its own, a set may throw away to start at once if no guarantee asks for it.
 const wasteMost = 1.0
--- a/internal/place/sets/stock.go
+++ b/internal/place/sets/stock.go
@@ -5,28 +5,28 @@
 type stock struct{ levels [][]*Worker }
 
 // reset empties the lists.
-func (k *stock) reset() {
-	for i := range k.levels {
-		k.levels[i] = k.levels[i][:0]
+func (open *stock) reset() {
+	for i := range open.levels {
+		open.levels[i] = open.levels[i][:0]
 	}
 }
 
 // put lists the worker.
-func (k *stock) put(w *Worker) {
+func (open *stock) put(w *Worker) {
 	level := w.freeLevel()
-	for len(k.levels) <= level {
-		k.levels = append(k.levels, nil)
+	for len(open.levels) <= level {
+		open.levels = append(open.levels, nil)
 	}
-	w.stock, w.level, w.index = k, level, len(k.levels[level])
-	k.levels[level] = append(k.levels[level], w)
+	w.stock, w.level, w.index = open, level, len(open.levels[level])
+	open.levels[level] = append(open.levels[level], w)
 }
 
 // remove takes the worker off its list.
-func (k *stock) remove(w *Worker) {
-	list := k.levels[w.level]
+func (open *stock) remove(w *Worker) {
+	list := open.levels[w.level]
 	last := list[len(list)-1]
 	list[w.index], last.index = last, w.index
-	k.levels[w.level] = list[:len(list)-1]
+	open.levels[w.level] = list[:len(list)-1]
 }
 
 // restock lists the worker anew after its room has changed.
