--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -334,3 +335,39 @@
 	b.service.Relay = &peer{tried: true}
 	assert.Equal(t, b.service.Submit(brief(t), caller(), spec()).Result, admit.Unknown)
 }
+
+// The pattern: a hundred callers a second with wrong keys, and jobs far too large, beside callers of 24 workspaces. They are
+// refused for what they are, without a call to the store, and the others are served.
+func TestBadInputCostsTheStoreNothing(t *testing.T) {
+	b := newBench(t)
+	for i := range 24 {
+		b.wishes.keys = append(b.wishes.keys, fmt.Sprintf("key-%d", i))
+	}
+	b.store.Put(configKey, nil)
+	assert.NilError(t, b.service.Policy.Refresh(t.Context()))
+	calls := 0
+	b.store.SetFates(func(string) fake.Fate {
+		calls++
+		return fake.Delivered
+	})
+	b.service.Servable = func(_ context.Context, _ string, s *work.Spec) string {
+		if s.Steps[0].Accelerators > 8 {
+			return "too large"
+		}
+		return ""
+	}
+	for i := range 100 {
+		who := caller()
+		who.Key = fmt.Sprintf("wrong-%d", i)
+		assert.Equal(t, b.service.Submit(brief(t), who, spec()).Result, admit.BadKey)
+		assert.Equal(t, b.service.State(brief(t), who).Result, admit.BadKey)
+		assert.Equal(t, b.service.Cancel(brief(t), who).Result, admit.BadKey)
+	}
+	for _, step := range []work.Step{{Count: work.MaxTasks + 1}, {Count: 1, Accelerators: 9}, {Count: -1}} {
+		assert.Equal(t, b.service.Submit(brief(t), caller(), &work.Spec{Steps: []work.Step{step}}).Result, admit.BadRequest)
+	}
+	assert.Equal(t, calls, 0)
+	who := caller()
+	who.Key = "key-23"
+	assert.Equal(t, b.service.Submit(brief(t), who, spec()).Result, admit.OK)
+}
