Gangs use racks kept for quick jobs while much of the fleet is free

Gangs that leave much of each worker free hold the racks that are not kept for quick jobs; another gang waits for 20 s and more with less than half of the accelerators in use, as the room that is left lies in kept racks. Change: while less than half is in use, a set that has waited for two seconds may use kept racks; quick jobs may stop others, as ever. The test failed before.

--- a/internal/place/sets/gang_test.go
+++ b/internal/place/sets/gang_test.go
@@ -48,3 +48,19 @@
 	s.pass(3 * time.Second)
 	assert.Equal(t, len(s.stops), 0)
 }
+
+// The pattern: at the end of a day gangs that leave much of each worker free hold all racks but those kept for quick jobs, and
+// another gang waits although half of the fleet is free.
+func TestGangUsesKeptRacksWhileMuchIsFree(t *testing.T) {
+	s := newSite(t, 10, 2)
+	heavy := work.Step{Count: 14, MilliCores: 13000, MemoryMB: 70000, Accelerators: 1, Estimate: time.Minute, Gang: true}
+	s.submit("first", planQueue, "beta", heavy)
+	s.step()
+	assert.Equal(t, len(s.workersOf("first")), 14)
+	heavy.Count = 4
+	s.submit("second", planQueue, "beta", heavy)
+	s.pass(time.Second)
+	assert.Equal(t, len(s.workersOf("second")), 0, "three racks are kept for quick jobs")
+	s.pass(2 * time.Second)
+	assert.Equal(t, len(s.workersOf("second")), 4)
+}
--- a/internal/place/sets/scope.go
+++ b/internal/place/sets/scope.go
@@ -11,13 +11,18 @@
 type scope struct {
 	// near is true if only the rack that holds its data counts.
 	near bool
-	// keptToo is true if racks kept for others count, as the rest could not hold the set if it were empty.
+	// keptToo is true if racks kept for others count: the rest could not hold the set if it were empty, or much is free and
+	// the set has waited for it.
 	keptToo bool
 	// inRack is true if the set must stay within a rack, as one of them could hold it if it were empty. For a while, workers
 	// count for that which get no tasks only at the moment, as right after a change of owner.
 	inRack bool
 }
 
+// keptPatience is how long a set waits, while less than half of the fleet is in use, before it uses racks that are kept for
+// others: the users expect all work to run within three seconds then.
+const keptPatience = 2 * time.Second
+
 // span is how many tasks of one kind the workers could hold if they were empty.
 type span struct {
 	// outside counts the open workers of racks that are not kept for others.
@@ -49,7 +54,7 @@
 	if s.Count == 1 && step.MaxPerWorker > 0 {
 		taken = s.turn.left[s.Step] - s.turn.idle[s.Step]
 	}
-	sc.keptToo = sp.outside-taken < s.Count
+	sc.keptToo = sp.outside-taken < s.Count || e.scattered() && now.Sub(s.readyAt) > keptPatience
 	if sc.keptToo {
 		sp.most = max(sp.most, sp.mostKept)
 	}
