--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -21,9 +21,9 @@
 	commitsMost = 16
 )
 
-// takeUpdates returns the changes of one transaction, or nothing if these should wait for more. A second transaction
-// leaves before the first has come to an end only if it is full, and none does while the service fails. The caller holds
-// the state.
+// takeUpdates returns the changes of one transaction, or nothing if these should wait for more. While one is on its way,
+// another leaves only if the jobs that have changed since would fill it, and none does while the service fails. The caller
+// holds the state.
 func (t *term) takeUpdates(now time.Time) []sets.Update {
 	switch {
 	case t.commits == 0:
--- a/internal/place/sets/decide.go
+++ b/internal/place/sets/decide.go
@@ -277,19 +277,19 @@
 		}
 		p.missed(s, sc)
 	}
-	e.makeRoom(s, p, now)
+	e.makeRoom(s, sc, p, now)
 }
 
 // makeRoom reports whether room for the set, which found none, is on its way; if not, it says why the job waits.
-func (e *Engine) makeRoom(s *Set, p *pass, now time.Time) bool {
+func (e *Engine) makeRoom(s *Set, sc scope, p *pass, now time.Time) bool {
 	if p.evictions < evictionsPerPass && e.mayStopOthers(s, now) && !now.Before(s.claimAgain) && !now.Before(s.evictAgain) {
 		p.evictions++
-		if e.preempt(s, p, now) {
+		if e.preempt(s, sc, p, now) {
 			return true
 		}
 		s.evictAgain = now.Add(s.evictionPause())
 	}
-	if e.reserve(s, p, now) {
+	if e.reserve(s, sc, now) {
 		return true
 	}
 	e.waits(s, now)
--- a/internal/place/sets/preempt.go
+++ b/internal/place/sets/preempt.go
@@ -68,8 +68,8 @@
 }
 
 // preempt stops cheaper work for the set and claims the room; it reports whether it did.
-func (e *Engine) preempt(s *Set, p *pass, now time.Time) bool {
-	o := e.offer(s, e.scope(s, p, now))
+func (e *Engine) preempt(s *Set, sc scope, p *pass, now time.Time) bool {
+	o := e.offer(s, sc)
 	t := e.targets(s, p, now)
 	var best *eviction
 	if !o.inRack {
@@ -313,12 +313,13 @@
 func (e *Engine) reconsider(s *Set, p *pass, now time.Time) {
 	c := s.claim
 	e.dropClaim(s)
-	if workers := e.find(s, e.scope(s, p, now)); workers != nil {
+	sc := e.scope(s, p, now)
+	if workers := e.find(s, sc); workers != nil {
 		e.plan(s, workers, "free room elsewhere", now)
 		return
 	}
 	if c.kept && e.mayStopOthers(s, now) && !now.Before(s.evictAgain) {
-		if e.preempt(s, p, now) {
+		if e.preempt(s, sc, p, now) {
 			return
 		}
 		s.evictAgain = now.Add(s.evictionPause())
--- a/internal/place/sets/reserve.go
+++ b/internal/place/sets/reserve.go
@@ -29,12 +29,12 @@
 }
 
 // reserve keeps the room for a gang that will be free first, without stopping anyone; it reports whether it did.
-func (e *Engine) reserve(s *Set, p *pass, now time.Time) bool {
+func (e *Engine) reserve(s *Set, sc scope, now time.Time) bool {
 	if s.Count == 1 || !e.mayKeepMore() || now.Sub(s.readyAt) < reserveAfter || now.Before(s.claimAgain) || now.Before(s.reserveAgain) {
 		return false
 	}
 	var best []opening
-	o := e.offer(s, e.scope(s, p, now))
+	o := e.offer(s, sc)
 	groups := [][]slot{o.slots}
 	if o.inRack {
 		groups = byRack(o.slots)
--- a/internal/place/sets/tasks.go
+++ b/internal/place/sets/tasks.go
@@ -20,10 +20,14 @@
 	found := make(map[scope]*places, 1)
 	alike := step.turn.job.rules.Priority != 0 && step.turn.job.Spec.Steps[step.step].Affinity == ""
 	for _, s := range step.sets() {
-		if s.Run != nil || s.claim != nil || s.record().Done || e.placeTask(s, found, p, now) {
+		if s.Run != nil || s.claim != nil || s.record().Done {
 			continue
 		}
-		if e.makeRoom(s, p, now) {
+		sc := e.scope(s, p, now)
+		if e.placeTask(s, sc, found, p, now) {
+			continue
+		}
+		if e.makeRoom(s, sc, p, now) {
 			// Room was claimed that the searches had found.
 			clear(found)
 			continue
@@ -35,8 +39,7 @@
 }
 
 // placeTask plans a run of the set, a single task, if there is room.
-func (e *Engine) placeTask(s *Set, found map[scope]*places, p *pass, now time.Time) bool {
-	sc := e.scope(s, p, now)
+func (e *Engine) placeTask(s *Set, sc scope, found map[scope]*places, p *pass, now time.Time) bool {
 	if !p.mayFit(s, sc) {
 		return false
 	}
--- a/internal/state/policy/holder.go
+++ b/internal/state/policy/holder.go
@@ -32,11 +32,10 @@
 	snapshot, err := h.source.Read(ctx)
 	h.mu.Lock()
 	h.failing = err != nil
-	h.mu.Unlock()
 	if err != nil {
+		h.mu.Unlock()
 		return err
 	}
-	h.mu.Lock()
 	h.answered = h.now()
 	h.took = h.answered.Sub(sent)
 	if sent.Before(h.proved) {
