A cut-off instance does not go back behind the configuration that a peer has shown

Change: a relayed request names the newest version that its instance has or has shown, and a peer with an older one refuses; the reply names the peer's version, and the instance refuses by a configuration older than what it has shown, which is true: nothing has run.

--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
@@ -39,6 +41,8 @@
 	RetryAfter time.Duration
 	Phase      work.Phase
 	Pending    int
+	// Version is the configuration's version at the peer that made a relayed reply; zero in other replies.
+	Version int64
 }
 
 // Caller is who calls, and with which key.
@@ -81,6 +85,9 @@
 	// Now is the steady clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
+
+	// shown is the newest version of the configuration that a relayed reply has shown to a caller of this instance.
+	shown atomic.Int64
 }
 
 // target is a call whose queue and workspace are known.
@@ -97,6 +104,10 @@
 	if snapshot.Policy == nil {
 		return target{}, &Reply{Result: Refused, Why: "no configuration yet", RetryAfter: retryAfter}
 	}
+	if shown := s.shown.Load(); snapshot.Policy.Version < shown {
+		why := fmt.Sprintf("version %d of the configuration is in force, which has not come here yet", shown)
+		return target{}, &Reply{Result: Refused, Why: why, RetryAfter: retryAfter}
+	}
 	if age := now.Sub(proved); age > s.MaxAge {
 		return target{}, &Reply{Result: Refused, Why: "the configuration in force was last confirmed " + age.Round(time.Millisecond).String() + " ago", RetryAfter: retryAfter}
 	}
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -371,3 +371,39 @@
 	who.Key = "key-23"
 	assert.Equal(t, b.service.Submit(brief(t), who, spec()).Result, admit.OK)
 }
+
+// The pattern: an instance is cut off from the store while versions of the configuration follow each other. A peer with a newer
+// one has answered for it; once no peer answers, the old one here must not speak again.
+func TestCutOffInstanceDoesNotGoBackBehindWhatAPeerHasShown(t *testing.T) {
+	b := newBench(t)
+	b.wishes.down = true
+	assert.Assert(t, b.service.Policy.Refresh(t.Context()) != nil)
+	helper := &peer{reply: &admit.Reply{Result: admit.OK, Version: 9}, tried: true}
+	b.service.Relay = helper
+	added := caller()
+	added.Path = "/added/" + job
+	assert.Equal(t, b.service.State(brief(t), added).Result, admit.OK)
+	helper.reply = nil
+	assert.Equal(t, b.service.State(brief(t), added).Result, admit.Refused, "the version here has no such queue")
+	assert.Equal(t, b.service.Submit(brief(t), added, spec()).Result, admit.Unknown, "a peer may have created the job")
+	b.wishes.down = false
+	for range 9 {
+		b.store.Put(configKey, nil)
+	}
+	assert.NilError(t, b.service.Policy.Refresh(t.Context()))
+	assert.Equal(t, b.service.State(brief(t), added).Result, admit.NoQueue, "the version here is as new")
+}
+
+// The pattern: the peer that is asked has not heard of the version that the cut-off instance has.
+func TestPeerWithAnOlderConfigurationDoesNotAnswer(t *testing.T) {
+	b := newBench(t)
+	call := &admit.Call{Kind: admit.State, Caller: caller(), Version: 1000}
+	reply, err := b.service.Admit(brief(t), call)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Result, admit.Refused)
+	call.Version = 0
+	reply, err = b.service.Admit(brief(t), call)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Result, admit.Gone)
+	assert.Assert(t, reply.Version > 0)
+}
