admit: a submit or cancel that may have taken effect is never refused

Cause: at the end of the loop of submitLocally, a deadline that passed while the pause before a retry returned normally led to "refused: no time left", although an earlier commit without a response may have created the job. cancelLocally refused after a lost commit if the configuration could not be read again, and localOrRelayed refused a cancellation that a peer may have recorded.

Change: such calls end as unknown. Tests without a clock: a context that ends with the commit, and a configuration that changes and can't be read after a lost commit. All three failed before ("refused" for "unknown").

--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -216,7 +216,10 @@
 		case !mayBeCreated:
 			return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}
 		}
-		if mayBeCreated && !pause.For(ctx, retryPause) {
+		if mayBeCreated {
+			pause.For(ctx, retryPause)
+		}
+		if ctx.Err() != nil && mayBeCreated {
 			return Reply{Result: Unknown, Why: err.Error()}
 		}
 		if ctx.Err() != nil {
@@ -270,6 +273,7 @@
 	return reply
 }
 
+// cancelLocally records the cancellation in the key-value store. It refuses only while no attempt can have been recorded.
 func (s *Service) cancelLocally(ctx context.Context, caller Caller) Reply {
 	t, refusal := s.resolve(caller, s.Now())
 	if refusal != nil {
@@ -278,6 +282,7 @@
 	if !work.ValidID(t.jobID) {
 		return Reply{Result: Gone}
 	}
+	mayBeRecorded := false
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		_, err := s.Store.Commit(callCtx, store.Transaction{
@@ -286,11 +291,14 @@
 		})
 		cancel()
 		var refusedErr *store.RefusedError
+		var lostErr *store.LostError
 		switch {
 		case err == nil:
 			return Reply{Result: OK}
+		case errors.As(err, &lostErr):
+			mayBeRecorded = true
 		case errors.As(err, &refusedErr):
-			if err := s.Policy.Refresh(ctx); err != nil {
+			if err := s.Policy.Refresh(ctx); err != nil && !mayBeRecorded {
 				return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}
 			}
 			snapshot, _ := s.Policy.Current()
--- a/internal/route/admit/call.go
+++ b/internal/route/admit/call.go
@@ -99,8 +99,10 @@
 }
 
 // localOrRelayed executes a request that may be repeated: on this instance, unless its last read of the configuration
-// failed, then through a peer, and then on this instance until ctx ends.
+// failed, then through a peer, and then on this instance until ctx ends. A cancellation that an earlier attempt may have
+// recorded is not refused.
 func (s *Service) localOrRelayed(ctx context.Context, call *Call) Reply {
+	mayHaveRun := false
 	if !s.Policy.Failing() {
 		firstCtx, cancel := context.WithTimeout(ctx, firstTryTimeout)
 		reply := s.runLocally(firstCtx, call)
@@ -108,9 +110,15 @@
 		if !reply.worthRelaying() {
 			return reply
 		}
+		mayHaveRun = reply.Result == Unknown
 	}
-	if relayed, _ := s.forward(ctx, call); relayed != nil {
+	relayed, tried := s.forward(ctx, call)
+	if relayed != nil {
 		return *relayed
 	}
-	return s.runLocally(ctx, call)
+	reply := s.runLocally(ctx, call)
+	if reply.Result == Refused && call.Kind == Cancel && (mayHaveRun || tried) {
+		return Reply{Result: Unknown, Why: reply.Why}
+	}
+	return reply
 }
