store: a write confirmed late does not hide later writes

Cause of two instances getting one claim: after a lost response, Swap found its write ID by reading back and returned the version that it read, which may be that of another instance's later write. The table kept its own older records under that version, so its next write passed the version check and undid the other's claims. Beside it, a value keeps 16 write IDs; a write that took effect before 16 others was called a conflict, that is, certainly without effect.

Change: Swap returns the later value and marks it as superseded, and the table reads it again. A conflict is certain only if the IDs since the entry are all known; otherwise the outcome is unknown.

Tests without clock or network, failing before: TestClaimsMadeDuringALostResponseAreSeen (order-13 claimed twice), TestSupersededWriteReturnsTheLaterValue, TestWriteFollowedByManyOthersIsUnknown (a conflict with 16 and with 40 later writes).

--- a/internal/route/claim/claim_test.go
+++ b/internal/route/claim/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -21,7 +22,7 @@
 
 var ids atomic.Int64
 
-func newClaims(t *testing.T, kv *fake.KV, name string) *claim.Claims {
+func newClaims(t *testing.T, kv store.Driver, name string) *claim.Claims {
 	t.Helper()
 	client := store.NewClient(kv, store.NewBudget(1e6, 1e6), fixedNow, func() string { return fmt.Sprint(name, ids.Add(1)) })
 	client.Pause = func(ctx context.Context, _ time.Duration) bool { return ctx.Err() == nil }
@@ -58,6 +59,48 @@
 	})
 }
 
+// lostResponseDriver calls onLost after each write whose response is lost.
+type lostResponseDriver struct {
+	store.Driver
+	onLost func()
+}
+
+func (d *lostResponseDriver) Swap(ctx context.Context, key string, data []byte, version, lease int64) (int64, error) {
+	written, err := d.Driver.Swap(ctx, key, data, version, lease)
+	var lost *store.LostError
+	if errors.As(err, &lost) {
+		d.onLost()
+	}
+	return written, err
+}
+
+// One instance's claim takes effect but its response is lost, and another instance claims more keys of the same shard before
+// the first one has found out. The first must then see these claims, and not take its own older copy for the latest.
+func TestClaimsMadeDuringALostResponseAreSeen(t *testing.T) {
+	kv := fake.NewKV(fixedNow)
+	keys := make([]string, 40)
+	for k := range keys {
+		keys[k] = fmt.Sprint("order-", k)
+	}
+	other := newClaims(t, kv, "b")
+	c := newClaims(t, &lostResponseDriver{Driver: kv, onLost: func() {
+		for _, key := range keys[1:] {
+			_, ok, err := other.Acquire(ctx, key, fixedNow())
+			assert.NilError(t, err)
+			assert.Equal(t, ok, true, key)
+		}
+	}}, "a")
+	kv.SetFault(fake.Fault{LoseResponses: 1})
+	_, ok, err := c.Acquire(ctx, keys[0], fixedNow())
+	assert.NilError(t, err)
+	assert.Equal(t, ok, true)
+	for _, key := range keys[1:] {
+		_, ok, err := c.Acquire(ctx, key, fixedNow())
+		assert.NilError(t, err)
+		assert.Equal(t, ok, false, key)
+	}
+}
+
 func TestRepeatGetsTheRecordedAnswer(t *testing.T) {
 	kv := fake.NewKV(fixedNow)
 	a, b := newClaims(t, kv, "a"), newClaims(t, kv, "b")
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -33,10 +33,21 @@
 
 // Entry is a decoded value with the version and write IDs that are needed to replace it.
 type Entry struct {
-	Key      string
-	Data     json.RawMessage
-	Version  int64
-	writeIDs []string
+	Key     string
+	Data    json.RawMessage
+	Version int64
+	// Superseded is true for the result of a Swap whose value was replaced before it was confirmed; Data and Version are then
+	// those of the later value.
+	Superseded bool
+	writeIDs   []string
+}
+
+// hasEarlierWrites reports whether the key's history since the other entry is complete in the write IDs of this one.
+func (e Entry) hasEarlierWrites(other Entry) bool {
+	if len(other.writeIDs) == 0 {
+		return len(e.writeIDs) < maxWriteIDs
+	}
+	return slices.Contains(e.writeIDs, other.writeIDs[len(other.writeIDs)-1])
 }
 
 // Client makes calls within the budget and resolves lost responses.
@@ -96,7 +107,8 @@
 // Swap replaces the entry's data if the key still has the entry's version; otherwise it returns a ConflictError.
 //
 // After a lost response the write is repeated with the same version. On a conflict it then reads back: the write has taken
-// effect if its ID is found, and has not if the version changed without it. If ctx ends first, it returns an UnknownError.
+// effect if its ID is found, and has not if the IDs of all writes since the entry are known and do not include it. Otherwise,
+// or if ctx ends first, it returns an UnknownError.
 func (c *Client) Swap(ctx context.Context, class Class, old Entry, data any, lease int64) (Entry, error) {
 	raw, err := json.Marshal(data)
 	if err != nil {
@@ -112,19 +124,20 @@
 		return Entry{}, fmt.Errorf("store: encode %s: %w", old.Key, err)
 	}
 	next := Entry{Key: old.Key, Data: raw, writeIDs: writeIDs}
-	next.Version, err = c.writeUntilResolved(ctx, class, old, body, id, lease)
-	return next, err
+	return c.writeUntilResolved(ctx, class, old, next, body, lease)
 }
 
-// writeUntilResolved repeats the write until it is known whether it took effect.
-func (c *Client) writeUntilResolved(ctx context.Context, class Class, old Entry, body []byte, id string, lease int64) (int64, error) {
+// writeUntilResolved repeats the write until it is known whether it took effect, and returns next with its version, or the
+// value that has replaced it.
+func (c *Client) writeUntilResolved(ctx context.Context, class Class, old, next Entry, body []byte, lease int64) (Entry, error) {
 	retry := backoff.NewExponentialBackOff(backoff.WithInitialInterval(resolveInitialInterval),
 		backoff.WithMaxInterval(resolveMaxInterval), backoff.WithMaxElapsedTime(0), backoff.WithRandomizationFactor(0.9))
 	mayHaveWritten := false
 	for {
 		version, err := c.attempt(ctx, class, old, body, lease)
 		if err == nil {
-			return version, nil
+			next.Version = version
+			return next, nil
 		}
 		var lost *LostError
 		var conflict *ConflictError
@@ -132,16 +145,16 @@
 		case errors.As(err, &lost):
 			mayHaveWritten = true
 		case errors.As(err, &conflict) && !mayHaveWritten:
-			return 0, err
+			return Entry{}, err
 		case errors.As(err, &conflict):
-			if version, resolved, readErr := c.readBack(ctx, class, old.Key, id); resolved {
-				return version, readErr
+			if written, resolved, readErr := c.readBack(ctx, class, old, next); resolved {
+				return written, readErr
 			}
 		case !mayHaveWritten:
-			return 0, err
+			return Entry{}, err
 		}
 		if !c.Pause(ctx, retry.NextBackOff()) {
-			return 0, &UnknownError{Key: old.Key, Cause: err}
+			return Entry{}, &UnknownError{Key: old.Key, Cause: err}
 		}
 	}
 }
@@ -155,16 +168,31 @@
 	return c.driver.Swap(callCtx, old.Key, body, old.Version, lease)
 }
 
-// readBack looks for the write ID after a conflict; resolved is false if the read failed.
-func (c *Client) readBack(ctx context.Context, class Class, key, id string) (version int64, resolved bool, err error) {
-	entry, err := c.Get(ctx, class, key)
+// readBack looks for the ID of the write of next, its last one, after a conflict; resolved is false if the read failed.
+func (c *Client) readBack(ctx context.Context, class Class, old, next Entry) (written Entry, resolved bool, err error) {
+	current, err := c.Get(ctx, class, old.Key)
 	if err != nil {
-		return 0, false, err
+		return Entry{}, false, err
 	}
-	if slices.Contains(entry.writeIDs, id) {
-		return entry.Version, true, nil
+	id := next.writeIDs[len(next.writeIDs)-1]
+	at := slices.Index(current.writeIDs, id)
+	switch {
+	case at >= 0:
+		current.Superseded = at < len(current.writeIDs)-1
+		return current, true, nil
+	case current.hasEarlierWrites(old):
+		return Entry{}, true, &ConflictError{Key: old.Key, Current: current.Version}
+	default:
+		return Entry{}, true, &UnknownError{Key: old.Key, Cause: &ForgottenWriteError{}}
 	}
-	return 0, true, &ConflictError{Key: key, Current: entry.Version}
+}
+
+// ForgottenWriteError means that the value has been written too often since to tell whether one of the writes was this one.
+type ForgottenWriteError struct{}
+
+// Error includes the number of write IDs that are kept.
+func (*ForgottenWriteError) Error() string {
+	return fmt.Sprintf("only the last %d writes of a value are known", maxWriteIDs)
 }
 
 // Grant creates a lease and returns its ID.
--- a/internal/state/store/store_test.go
+++ b/internal/state/store/store_test.go
@@ -147,6 +147,78 @@
 	assert.NilError(t, err, "the write took effect before that of the other client")
 }
 
+// A client whose write is confirmed only after a later one must not use its own data with the later version: its next write
+// would then undo the other client's.
+func TestSupersededWriteReturnsTheLaterValue(t *testing.T) {
+	c := clientAndOthersWrites(t, 1)
+	written, err := c.Swap(ctx, store.Jobs, store.Entry{Key: "k"}, 1, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, written.Superseded, true)
+	assert.Equal(t, string(written.Data), "100")
+}
+
+// A value keeps the IDs of its last writes only; a write that took effect before them must not be reported as a conflict.
+func TestWriteFollowedByManyOthersIsUnknown(t *testing.T) {
+	for name, writes := range map[string]int{"exactly as many as are kept": 16, "more": 40} {
+		t.Run(name, func(t *testing.T) {
+			c := clientAndOthersWrites(t, writes)
+			_, err := c.Swap(ctx, store.Jobs, store.Entry{Key: "k"}, 1, 0)
+			var unknown *store.UnknownError
+			assert.Equal(t, errors.As(err, &unknown), true, "%v", err)
+		})
+	}
+}
+
+// A write that never arrived is a conflict for certain as long as the write before it is still known.
+func TestWriteThatNeverArrivedIsAConflict(t *testing.T) {
+	clock := &manualClock{at: time.Unix(1000, 0)}
+	kv := fake.NewKV(clock.now)
+	other := newClient(kv, "b", clock)
+	first, err := other.Swap(ctx, store.Jobs, store.Entry{Key: "k"}, 0, 0)
+	assert.NilError(t, err)
+	c := newClient(&lostRequestDriver{Driver: kv, onLost: func() { writeMany(t, other, 3) }}, "a", clock)
+	_, err = c.Swap(ctx, store.Jobs, first, 1, 0)
+	var conflict *store.ConflictError
+	assert.Equal(t, errors.As(err, &conflict), true, "%v", err)
+}
+
+// lostRequestDriver loses the first request to write, and calls onLost.
+type lostRequestDriver struct {
+	store.Driver
+	onLost func()
+	lost   bool
+}
+
+func (d *lostRequestDriver) Swap(ctx context.Context, key string, data []byte, version, lease int64) (int64, error) {
+	if !d.lost {
+		d.lost = true
+		d.onLost()
+		return 0, &store.LostError{Cause: "the request is lost"}
+	}
+	return d.Driver.Swap(ctx, key, data, version, lease)
+}
+
+// clientAndOthersWrites returns a client whose first write takes effect, loses its response and is followed by the given
+// number of writes of another client.
+func clientAndOthersWrites(t *testing.T, writes int) *store.Client {
+	t.Helper()
+	clock := &manualClock{at: time.Unix(1000, 0)}
+	kv := fake.NewKV(clock.now)
+	other := newClient(kv, "b", clock)
+	kv.SetFault(fake.Fault{LoseResponses: 1})
+	return newClient(&interferingDriver{Driver: kv, onLostResponse: func() { writeMany(t, other, writes) }}, "a", clock)
+}
+
+func writeMany(t *testing.T, c *store.Client, writes int) {
+	t.Helper()
+	for i := range writes {
+		entry, err := c.Get(ctx, store.Jobs, "k")
+		assert.NilError(t, err)
+		_, err = c.Swap(ctx, store.Jobs, entry, 100+i, 0)
+		assert.NilError(t, err)
+	}
+}
+
 func TestOutageAfterALostAnswerIsUnknown(t *testing.T) {
 	clock := &manualClock{at: time.Unix(1000, 0)}
 	kv := fake.NewKV(clock.now)
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -194,6 +194,9 @@
 		written, err := t.client.Swap(ctx, t.cfg.Class, entry, shardContent[T]{Records: next}, 0)
 		var conflict *store.ConflictError
 		switch {
+		case err == nil && written.Superseded:
+			s.invalidate()
+			return results, nil
 		case err == nil:
 			s.set(written, next)
 			t.generation.Add(1)
