term: a refused repetition of a start is not "never ran"

Cause: when the response to a start was lost and its repetition refused, the refusal counted as certain: the run ended as void and the task could start elsewhere, although the first order may have been carried out, or may still arrive.

Change: such a start is unconfirmed: its run is stopped, and the member stays until the worker lists the exit or has acknowledged the stop. A worker that has restarted is the exception, as the earlier incarnation runs nothing any more.

Tests without network, failing before with a second run: TestTaskThatEndedBeforeItsStartWasConfirmedDoesNotRunAgain, TestTaskRunsAgainOnceAnUnconfirmedStartIsStopped; TestRefusalAfterALostStartIsNotDefinite lists the cases.

--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -117,30 +117,37 @@
 	agent.Invalid:      group.Refused,
 }
 
-// applyStartAnswer applies the answer to a start; it reports false if there was none and the order must be sent again. An
-// order that has certainly not been sent is abandoned, so that the run can start elsewhere at once.
-func (t *term) applyStartAnswer(order group.StartOrder, err error, mayHaveArrived bool) bool {
-	result := group.Accepted
-	outcome := "started"
+// startResult returns the result of a start whose last order ended with err; resolved is false if the order must be sent
+// again. mayHaveArrived is true if an order without a response may have reached the worker. A start that certainly had no
+// effect is abandoned, so that the run can start elsewhere at once.
+func startResult(err error, mayHaveArrived bool) (result group.StartResult, resolved bool) {
 	var refused *agent.RefusedError
 	switch {
 	case err == nil:
-	case errors.As(err, &refused) && refused.Refusal == agent.OldToken:
+		return group.Accepted, true
+	case !errors.As(err, &refused):
+		return group.Unreached, !mayHaveArrived
+	case mayHaveArrived && refused.Refusal != agent.Restarted:
+		return group.Unconfirmed, true
+	default:
+		return startResults[refused.Refusal], true
+	}
+}
+
+// applyStartAnswer applies the answer to a start; it reports false if the order must be sent again.
+func (t *term) applyStartAnswer(order group.StartOrder, err error, mayHaveArrived bool) bool {
+	var refused *agent.RefusedError
+	if errors.As(err, &refused) && refused.Refusal == agent.OldToken {
 		t.end(&fencedError{by: "by worker " + order.Worker})
 		return true
-	case errors.As(err, &refused):
-		result = startResults[refused.Refusal]
-		outcome = refused.Refusal.String()
-	default:
-		outcome = err.Error()
 	}
-	t.Log.Emit(event.StartSent, event.Fields{"worker": order.Worker, "task": order.Task, "run": order.Run, "token": t.token, "outcome": outcome})
+	t.Log.Emit(event.StartSent, event.Fields{
+		"worker": order.Worker, "task": order.Task, "run": order.Run, "token": t.token, "outcome": startOutcome(err), "mayHaveArrived": mayHaveArrived,
+	})
 	t.Meter.Count("worker.starts")
-	if err != nil && refused == nil {
-		if mayHaveArrived {
-			return false
-		}
-		result = group.Unreached
+	result, resolved := startResult(err, mayHaveArrived)
+	if !resolved {
+		return false
 	}
 	t.state.Lock()
 	t.engine.ApplyStartResult(order.Member, result, t.Now())
@@ -148,6 +155,19 @@
 	return true
 }
 
+// startOutcome describes the answer to a start in the log.
+func startOutcome(err error) string {
+	var refused *agent.RefusedError
+	switch {
+	case err == nil:
+		return "started"
+	case errors.As(err, &refused):
+		return refused.Refusal.String()
+	default:
+		return err.Error()
+	}
+}
+
 // requestStop sends a stop in the background until it is acknowledged, unless one for the same task and run is in progress.
 func (t *term) requestStop(ctx context.Context, order group.StopOrder) {
 	key := stopKey{order.Worker, order.Task, order.Run}
--- a/internal/node/term/order_test.go
+++ b/internal/node/term/order_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/edge/agent"
+	"github.com/lentildeck/lentildeck/internal/place/group"
 	"gotest.tools/v3/assert"
 )
 
@@ -27,3 +29,37 @@
 	assert.Equal(t, len(s.orderSlots), maxOrdersPerWorker)
 	term.acquireOrderSlot(t.Context(), "unknown")()
 }
+
+// The response to a start is lost, and its repetition is refused: the run may have ended on the worker in between, or the
+// first order may still arrive, so only a worker that has restarted rules both out.
+func TestRefusalAfterALostStartIsNotDefinite(t *testing.T) {
+	refused := func(refusal agent.Refusal) error { return &agent.RefusedError{Worker: "w", Refusal: refusal} }
+	lost := &agent.LostError{Worker: "w"}
+	for name, c := range map[string]struct {
+		err            error
+		mayHaveArrived bool
+		want           group.StartResult
+		resolved       bool
+	}{
+		"started":                   {nil, false, group.Accepted, true},
+		"started at the second try": {nil, true, group.Accepted, true},
+		"never sent":                {lost, false, group.Unreached, true},
+		"lost":                      {lost, true, group.Unreached, false},
+		"refused":                   {refused(agent.NoRoom), false, group.NoRoom, true},
+		"old run":                   {refused(agent.OldRun), false, group.Outdated, true},
+		"lost, then old run":        {refused(agent.OldRun), true, group.Unconfirmed, true},
+		"lost, then no room":        {refused(agent.NoRoom), true, group.Unconfirmed, true},
+		"lost, then past deadline":  {refused(agent.PastDeadline), true, group.Unconfirmed, true},
+		"lost, then unhealthy":      {refused(agent.Unhealthy), true, group.Unconfirmed, true},
+		"lost, then invalid":        {refused(agent.Invalid), true, group.Unconfirmed, true},
+		"lost, then restarted":      {refused(agent.Restarted), true, group.Refused, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			result, resolved := startResult(c.err, c.mayHaveArrived)
+			assert.Equal(t, resolved, c.resolved)
+			if resolved {
+				assert.Equal(t, result, c.want)
+			}
+		})
+	}
+}
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -183,10 +183,13 @@
 	Refused
 	// Unreached means that the order was never sent, because the worker is unreachable.
 	Unreached
+	// Unconfirmed means that the worker refused a repeated order, but an earlier one without a response may have arrived.
+	Unconfirmed
 )
 
 // ApplyStartResult applies the result of a start order; after a refusal the worker gets no new tasks for
-// Config.RefusalPause.
+// Config.RefusalPause. An unconfirmed start may run, have ended or still arrive, so its run is stopped and the member stays
+// until the worker lists its exit or has acknowledged the stop.
 func (e *Engine) ApplyStartResult(m *Member, result StartResult, now time.Time) {
 	if m.State == Ended {
 		return
@@ -198,7 +201,11 @@
 		}
 		return
 	}
-	if result == Outdated && m.State == Started {
+	if m.State == Started && (result == Outdated || result == Unconfirmed) {
+		return
+	}
+	if result == Unconfirmed {
+		e.stopRun(m.Run, "a start was refused after an order without a response", now)
 		return
 	}
 	if pause := e.cfg.RefusalPause[result]; pause > 0 {
--- /dev/null
+++ b/internal/place/group/unconfirmed_start_test.go
@@ -0,0 +1,56 @@
+package group_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"gotest.tools/v3/assert"
+)
+
+// orderUnconfirmed submits a job of one task, loses the response to its start and lets the worker refuse the repeated order.
+func orderUnconfirmed(t *testing.T) (*cluster, *group.Job, group.StartOrder) {
+	t.Helper()
+	c := newCluster(t, 1, 2)
+	job := c.submit("short", planQueue, "beta", gang(1, 8))
+	c.engine.Decide(true, c.now)
+	for _, u := range c.engine.Updates(math.MaxInt, c.now) {
+		c.engine.Committed(u, c.now)
+	}
+	var order group.StartOrder
+	for _, action := range c.engine.Actions() {
+		if a, ok := action.(group.StartOrder); ok {
+			order = a
+		}
+	}
+	order.Member.MarkSent()
+	c.now = c.now.Add(400 * time.Millisecond)
+	c.engine.ApplyStartResult(order.Member, group.Unconfirmed, c.now)
+	return c, job, order
+}
+
+// A short task has ended on its worker before the start is repeated; the refusal must not make it start elsewhere.
+func TestTaskThatEndedBeforeItsStartWasConfirmedDoesNotRunAgain(t *testing.T) {
+	c, job, order := orderUnconfirmed(t)
+	c.step()
+	assert.Equal(t, len(c.workersOf("short")), 0)
+	assert.DeepEqual(t, c.stops, []group.StopOrder{{Worker: order.Worker, Task: order.Task, Run: order.Run}})
+	c.poll(order.Worker, group.ExitEntry{Number: 1, Task: order.Task, Run: order.Run, Status: group.Done})
+	c.step()
+	assert.Equal(t, job.Record.Phase, work.Completed)
+	assert.Equal(t, len(c.workersOf("short")), 0)
+}
+
+// The first order never arrived: after the acknowledged stop it can't start there any more, so the task runs again.
+func TestTaskRunsAgainOnceAnUnconfirmedStartIsStopped(t *testing.T) {
+	c, _, order := orderUnconfirmed(t)
+	c.step()
+	assert.Equal(t, len(c.workersOf("short")), 0)
+	c.engine.StopAcknowledged(order.Worker, order.Task, order.Run, c.now)
+	c.now = c.now.Add(time.Millisecond)
+	c.pollAll()
+	c.step()
+	assert.Equal(t, len(c.workersOf("short")), 1)
+}
