owner: a gang whose worker is removed from the configuration ends before it runs again

Cause: on a new revision, a running gang with a worker that is no longer configured went straight back to the queue in the new engine, and the worker's session was dropped. Nothing stopped the members there or waited for their lease, so the next attempt started beside them, or the gang never ended as its members could not be heard of.

Change: such a job keeps its remaining workers as stopping, and the session of a removed worker stays while a gang uses it, so that the stop is delivered or the lease expires first.

Test: TestGangOnAWorkerThatIsNoLongerConfiguredRunsAgainElsewhere; before, with the workers down, the second attempt began within the lease of the first.

--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -255,6 +257,39 @@
 	env.assertStartedOnce()
 }
 
+// A revision of the configuration removes the rack that a gang runs in, while its workers answer or are down already. The gang
+// runs again elsewhere, but not before it has certainly ended there.
+func TestGangOnAWorkerThatIsNoLongerConfiguredRunsAgainElsewhere(t *testing.T) {
+	for name, down := range map[string]bool{"workers answer": false, "workers are down": true} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			size := shape.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128}
+			racks := []fleet.RackSpec{{Name: "plv-1", Workers: 2, Resources: size}, {Name: "plv-2", Workers: 2, Resources: size}}
+			env.doc.DataCentres[0].Racks = racks
+			a := env.instance("a")
+			a.submit(job("j", 2, "8s"))
+			env.waitFor("running", func() bool { return len(env.startCounts()) == 2 }, a)
+			first := a.record("j").Workers
+			next := *env.doc
+			next.Revision++
+			next.DataCentres = []fleet.DataCentreSpec{env.doc.DataCentres[0]}
+			next.DataCentres[0].Racks = slices.DeleteFunc(slices.Clone(racks), func(r fleet.RackSpec) bool { return strings.HasPrefix(first[0], r.Name) })
+			for _, worker := range first {
+				env.workers.SetDown(worker, down)
+			}
+			a.conf.Offer(&next, config.FromStore, env.clock.now())
+			began := env.clock.now()
+			env.waitFor("started again", func() bool { return len(env.startCounts()) == 4 }, a)
+			if down {
+				assert.Assert(t, env.clock.now().Sub(began) > 4*time.Second, "the lease of the first attempt may not have expired")
+			}
+			env.waitFor("finished", func() bool { return a.record("j").Outcome == queue.Finished }, a)
+			assert.Equal(t, a.record("j").Attempt, 2)
+			env.assertStartedOnce()
+		})
+	}
+}
+
 func TestNonIdempotentGangIsInterruptedNotRepeated(t *testing.T) {
 	env := newTestEnv(t)
 	a := env.instance("a")
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -10,6 +10,7 @@
 
 // pollWorkers polls every worker that is due and marks those lost whose lease has expired without an answer.
 func (o *Owner) pollWorkers(t *term, now time.Time) {
+	t.dropUnconfigured()
 	for _, s := range t.sessions {
 		if !s.lost && now.Sub(s.lastSeen) > o.cfg.WorkerLease+workerLostMargin {
 			o.workerLost(t, s, now)
@@ -71,7 +72,9 @@
 	}
 	if s.lost {
 		s.lost = false
-		t.engine.WorkerBack(s.index)
+		if s.index != unconfigured {
+			t.engine.WorkerBack(s.index)
+		}
 		t.pendingDecision = true
 		o.cfg.Log.Emit(event.WorkerBack, event.Fields{"worker": s.name})
 	}
@@ -137,7 +140,9 @@
 	s.lost = true
 	t.pendingDecision = true
 	o.cfg.Log.Emit(event.WorkerLost, event.Fields{"worker": s.name})
-	t.engine.WorkerDown(s.index, now)
+	if s.index != unconfigured {
+		t.engine.WorkerDown(s.index, now)
+	}
 	for _, g := range t.gangs {
 		if g.stage == recording || !g.usesWorker(s.name) {
 			continue
--- a/internal/node/owner/term.go
+++ b/internal/node/owner/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/edge/worker"
@@ -13,9 +14,13 @@
 	"github.com/lentildeck/lentildeck/internal/state/ledger"
 )
 
+// unconfigured is the index of a session whose worker is no longer configured.
+const unconfigured = -1
+
 // session is the owner's state of one worker.
 type session struct {
-	name         string
+	name string
+	// index is the worker's index in the engine's fleet, or unconfigured.
 	index        int
 	lastSeen     time.Time
 	lastPoll     time.Time
@@ -74,7 +79,8 @@
 	return t, nil
 }
 
-// setSessions creates a session for each worker of the engine and keeps the existing ones.
+// setSessions creates a session for each worker of the engine and keeps the existing ones. That of a worker that is no longer
+// configured is kept while a gang uses it, so that its tasks are stopped, or counted as lost once their lease has expired.
 func (t *term) setSessions(now time.Time) {
 	existing := t.byName
 	t.sessions, t.byName = nil, make(map[string]*session)
@@ -88,6 +94,35 @@
 		t.sessions = append(t.sessions, s)
 		t.byName[name] = s
 	}
+	for name, s := range existing {
+		if t.byName[name] == nil && t.used(name) {
+			s.index = unconfigured
+			t.sessions = append(t.sessions, s)
+			t.byName[name] = s
+		}
+	}
+}
+
+// used reports whether a gang has a member on the worker.
+func (t *term) used(name string) bool {
+	for _, g := range t.gangs {
+		if g.usesWorker(name) {
+			return true
+		}
+	}
+	return false
+}
+
+// dropUnconfigured ends the sessions of workers that are no longer configured, whose gangs have ended and whose last orders
+// are delivered.
+func (t *term) dropUnconfigured() {
+	t.sessions = slices.DeleteFunc(t.sessions, func(s *session) bool {
+		if s.index != unconfigured || t.used(s.name) || s.hasOrders() && !s.lost {
+			return false
+		}
+		delete(t.byName, s.name)
+		return true
+	})
 }
 
 // restoreGang adds a job to the engine that runs here according to the ledger; reports of the workers correct it later.
--- a/internal/place/engine/adopt.go
+++ b/internal/place/engine/adopt.go
@@ -8,7 +8,8 @@
 
 // Adopt takes over the jobs, estimates and worker health from an engine of an earlier configuration.
 //
-// Running jobs continue. Jobs that hold no capacity and do not fit the new configuration are left out.
+// Running jobs continue, but one with a worker that is no longer configured is stopped; it keeps its other workers until the
+// stop is confirmed. Jobs that hold no capacity and do not fit the new configuration are left out.
 func (e *Engine) Adopt(old *Engine) {
 	e.estimator = old.estimator
 	e.actions = append(e.actions, old.takeActions()...)
@@ -49,9 +50,10 @@
 	j.FailedOn = e.mapWorkers(old, prev.FailedOn)
 	holds := prev.Phase == queue.Running || prev.Phase == queue.Stopping
 	workers := e.mapWorkers(old, prev.Workers)
-	if holds && len(workers) != len(prev.Workers) {
+	complete := len(workers) == len(prev.Workers)
+	if holds && !complete {
 		e.emit(Stop{Job: j.Job, Attempt: j.Attempt, Why: "its worker is no longer configured"})
-		holds = false
+		j.Phase = queue.Stopping
 	}
 	if !holds && e.Check(&j.Spec) != nil {
 		return
@@ -61,7 +63,9 @@
 	e.assignSlot(&j)
 	if holds {
 		e.occupy(&j, workers)
-		e.moveHomeToJob(&j)
+		if complete {
+			e.moveHomeToJob(&j)
+		}
 		return
 	}
 	j.Phase = queue.Waiting
