daemon: strings of a request may be kept after it

Cause: fiber hands out strings that share the request's memory; as keys of claims and job names they changed with the next request on the connection, so a repeated order ran again or got another request's answer.

Change: the app copies what it hands out (fiber's Immutable).

--- a/internal/node/daemon/callers.go
+++ b/internal/node/daemon/callers.go
@@ -42,9 +42,10 @@
 	NotRun bool `json:"notRun"`
 }
 
+// newApp returns an app whose handlers may keep the strings of a request, as claims and job names outlive it.
 func newApp(bodyLimit int) *fiber.App {
 	return fiber.New(fiber.Config{
-		DisableStartupMessage: true, BodyLimit: bodyLimit, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Immutable: true, DisableStartupMessage: true, BodyLimit: bodyLimit, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		Concurrency: maxConnections, ReadBufferSize: maxHeaderBytes, ErrorHandler: handleError,
 	})
 }
