bench: BenchmarkOwnerLoss waits for the instance that decides

Cause of waiting for ever in half of the runs: an instance lists itself as the owner with its lease, some milliseconds before it decides. The benchmark looked once for an instance in Plovdiv that decides, often found none, removed none, and waited for the removal. The benchmark was wrong, not the owner.

Change: it waits until an instance of Plovdiv decides, and removes that one.

--- a/internal/proof/bench/faults_test.go
+++ b/internal/proof/bench/faults_test.go
@@ -139,6 +139,19 @@
 	}
 }
 
+// waitForOwnerOf returns the instance that decides for the data centre. An instance lists itself as the owner when it has the
+// lease, which is before it decides.
+func waitForOwnerOf(c *local.Cluster, dataCentre string) *local.Instance {
+	for {
+		for _, node := range c.Instances() {
+			if node.DataCentre == dataCentre && node.Daemon.IsOwner() {
+				return node
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // BenchmarkOwnerLoss measures the time from the death of the only owner that may run a job until the job's first task
 // starts under the next owner.
 func BenchmarkOwnerLoss(b *testing.B) {
@@ -152,15 +165,11 @@
 			_, err := c.Instances()[0].Client.Execute("drain " + centre)
 			failOn(b, err)
 		}
-		for _, node := range c.Instances() {
-			if node.DataCentre == "plovdiv" && node.Daemon.IsOwner() {
-				go func() {
-					defer close(removed)
-					c.Remove(node, true)
-				}()
-				break
-			}
-		}
+		owner := waitForOwnerOf(c, "plovdiv")
+		go func() {
+			defer close(removed)
+			c.Remove(owner, true)
+		}()
 		began := time.Now()
 		_, err = c.Instances()[6-1].Client.Submit(queue.Spec{
 			Job: fmt.Sprint("j", n), Workspace: "lab", Class: queue.Urgent, Idempotent: true, Declared: span.Of(time.Second), Payload: "1s",
