--- a/internal/oper/cmds/commands.go
+++ b/internal/oper/cmds/commands.go
@@ -106,15 +106,23 @@
 		// The lookup cannot fail, as the names come from the registry.
 		newCommand, _ := Commands.Lookup(name)
 		command := newCommand(env)
-		if command.FlagSet != nil {
-			command.FlagSet.SetOutput(env.Err)
-		}
+		printFlagsTo(env.Err, command)
 		command.Options = envOptions
 		root.Subcommands = append(root.Subcommands, command)
 	}
 	return root
 }
 
+// printFlagsTo makes the command and its subcommands print errors of their flags to out.
+func printFlagsTo(out io.Writer, command *ffcli.Command) {
+	if command.FlagSet != nil {
+		command.FlagSet.SetOutput(out)
+	}
+	for _, subcommand := range command.Subcommands {
+		printFlagsTo(out, subcommand)
+	}
+}
+
 // UsageError reports an invalid command line or input file.
 type UsageError struct{ Problem string }
 
--- a/internal/oper/cmds/print.go
+++ b/internal/oper/cmds/print.go
@@ -25,6 +25,15 @@
 	return printTable(out, answer)
 }
 
+// printMessage prints a message in the given format: as an object if it is "json", or as text for any other.
+func printMessage(out io.Writer, format, message string) error {
+	if format == "json" {
+		return json.NewEncoder(out).Encode(map[string]string{"message": message})
+	}
+	_, err := fmt.Fprintln(out, message)
+	return err
+}
+
 // rawRows keeps each row as raw JSON, as a decoded map loses the order of the columns.
 type rawRows struct {
 	Rows []json.RawMessage `json:"rows"`
--- a/internal/oper/cmds/run.go
+++ b/internal/oper/cmds/run.go
@@ -19,7 +19,19 @@
 	if err := checkCommandName(env.Args); err != nil {
 		return reportError(env, err)
 	}
-	return reportError(env, Root(env).ParseAndRun(ctx, env.Args))
+	root := Root(env)
+	if err := root.Parse(env.Args); err != nil {
+		return reportError(env, parseError(err))
+	}
+	return reportError(env, root.Run(ctx))
+}
+
+// parseError makes an error of the flags a UsageError, except for a request for help.
+func parseError(err error) error {
+	if errors.Is(err, flag.ErrHelp) {
+		return err
+	}
+	return &UsageError{Problem: err.Error()}
 }
 
 // checkCommandName returns a UsageError that suggests the nearest command if the first argument is not a command.
--- a/internal/oper/cmds/statements.go
+++ b/internal/oper/cmds/statements.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 
@@ -13,6 +14,9 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
+// maxStatementBytes is the size of the longest statement that the prompt reads.
+const maxStatementBytes = 1 << 20
+
 func init() {
 	Commands.Register("query", queryCommand)
 	Commands.Register("prompt", promptCommand)
@@ -97,6 +101,7 @@
 // Prompt reads statements and prints their answers until end of input, quit or exit.
 func Prompt(ctx context.Context, env *Env, c *client.Client, format string) error {
 	lines := bufio.NewScanner(env.In)
+	lines.Buffer(nil, maxStatementBytes)
 	for ctx.Err() == nil {
 		_, _ = fmt.Fprint(env.Out, "lentildeck> ")
 		if !lines.Scan() {
@@ -164,12 +169,7 @@
 		return nil, &UsageError{Problem: "exactly one file is required; - reads standard input"}
 	}
 	if args[0] == "-" {
-		var text strings.Builder
-		lines := bufio.NewScanner(env.In)
-		for lines.Scan() {
-			text.WriteString(lines.Text() + "\n")
-		}
-		return []byte(text.String()), lines.Err()
+		return io.ReadAll(env.In)
 	}
 	source, err := os.ReadFile(args[0])
 	if err != nil {
@@ -209,8 +209,7 @@
 			if err != nil {
 				return err
 			}
-			_, err = fmt.Fprintln(env.Out, message)
-			return err
+			return printMessage(env.Out, r.format, message)
 		},
 	}
 }
