Log the inputs of decisions as fields, and when the end of a job is recorded and shown

Cause: why a job was late could be read from sentences only, and neither the record of its end nor the reply that shows it left a line.

Change: runChanged carries cause, waits, core-seconds discarded and for whom; a wait says whether the fleet is full, the room reserved or scattered. New lines: jobRecorded, jobShown, rackListed (one a rack and term). jobSeen has the steps and the objective's factors. No decision changes; fields that don't apply are left out.

--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -114,6 +114,9 @@
 				delete(t.revisions, u.Job)
 			}
 			t.engine.Committed(u, now)
+			if u.Record.Phase.Final() && !u.Delete {
+				t.Log.Emit(event.JobRecorded, event.Fields{"job": u.Job, "phase": u.Record.Phase.String(), "token": t.token})
+			}
 		}
 		return nil
 	}
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -66,6 +66,7 @@
 	if snapshot, _ := t.Policy.Current(); snapshot.Policy != nil {
 		t.engine.SetPolicy(snapshot.Policy.PlacementQueues(), snapshot.Policy.Guarantees(), snapshot.Evacuated)
 	}
+	t.logRacks(workers)
 	t.engine.SetWorkers(workers, t.Now())
 	t.listedAt = sent
 	known := make(map[string]*work.Record, len(records))
@@ -105,8 +106,11 @@
 		spec.Job = job
 		wall := t.WallNow()
 		age := min(max(wall.Sub(spec.Accepted), 0), maxJobAge)
-		t.engine.Load(spec, known[job], age, now, wall)
-		t.Log.Emit(event.JobSeen, event.Fields{"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "steps": len(spec.Steps), "turns": spec.Occurrences(), "tasks": spec.Steps[0].Count, "accelerators": spec.Steps[0].Accelerators, "estimate": spec.Steps[0].Estimate.String()})
+		queue := t.engine.Load(spec, known[job], age, now, wall).Queue()
+		t.Log.Emit(event.JobSeen, event.Fields{
+			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "steps": spec.Steps,
+			"repeat": spec.Repeat, "priority": queue.Priority, "stretch": queue.Stretch, "target": queue.Target.String(), "token": t.token,
+		})
 		if t.earlyCancels[job] {
 			t.cancelJob(job, now)
 		}
@@ -264,6 +268,23 @@
 	}
 }
 
+// logRacks logs the workers that a term begins with, one line a rack and service.
+func (t *term) logRacks(workers []group.WorkerInfo) {
+	type key struct{ dataCentre, rack, service string }
+	racks := make(map[key][]group.WorkerInfo)
+	for _, w := range workers {
+		k := key{w.DataCentre, w.Rack, w.Service}
+		racks[k] = append(racks[k], w)
+	}
+	for k, list := range racks {
+		ids := make([]string, len(list))
+		for i, w := range list {
+			ids[i] = w.ID
+		}
+		t.Log.Emit(event.RackListed, event.Fields{"dataCentre": k.dataCentre, "rack": k.rack, "service": k.service, "workers": ids, "capacity": list[0].Capacity, "token": t.token})
+	}
+}
+
 // logListChanges logs the differences between the last list of workers and this one. The caller holds t.state.
 func (t *term) logListChanges(workers []group.WorkerInfo) {
 	listed := make(map[string]bool, len(workers))
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -277,8 +277,38 @@
 		case group.StopOrder:
 			t.requestStop(ctx, a)
 		case group.Decision:
-			t.Log.Emit(event.RunChanged, event.Fields{"what": a.Kind.String(), "job": a.Job, "worker": a.Worker, "task": a.Task, "run": a.Run, "why": a.Text, "token": t.token})
+			t.Log.Emit(event.RunChanged, t.decisionFields(a))
 			t.Meter.Count("run." + a.Kind.String())
 		}
 	}
 }
+
+// decisionFields returns the fields of a decision's log line; those that don't apply are left out.
+func (t *term) decisionFields(d group.Decision) event.Fields {
+	fields := event.Fields{"what": d.Kind.String(), "job": d.Job, "token": t.token}
+	for name, text := range map[string]string{"worker": d.Worker, "task": d.Task, "for": d.For, "why": d.Text} {
+		if text != "" {
+			fields[name] = text
+		}
+	}
+	for name, duration := range map[string]time.Duration{"waited": d.Waited, "took": d.Took, "estimate": d.Estimate} {
+		if duration != 0 {
+			fields[name] = duration.String()
+		}
+	}
+	for name, number := range map[string]int{"run": d.Run, "tasks": d.Tasks} {
+		if number != 0 {
+			fields[name] = number
+		}
+	}
+	if d.Cause != group.NoCause {
+		fields["cause"] = d.Cause.String()
+	}
+	if d.CoreSeconds != 0 {
+		fields["coreSeconds"] = d.CoreSeconds
+	}
+	if d.Kind == group.RunPlaced {
+		fields["tier"], fields["lateness"] = d.Tier, d.Lateness
+	}
+	return fields
+}
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -1,5 +1,7 @@
 package group
 
+import "time"
+
 // Action is an order or a log entry that the caller must carry out.
 type Action interface{ action() }
 
@@ -37,14 +39,58 @@
 	WorkerLapsed
 )
 
-// Decision is a decision log entry.
+//go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Cause -transform=title-lower
+
+// Cause is why a run was placed or stopped, or why a job waits.
+type Cause int
+
+// The causes. FreeRoom and ReservedRoom are those of placements, FleetFull to StopAwaited those of waits, and the others those
+// of stops.
+const (
+	NoCause Cause = iota
+	FreeRoom
+	ReservedRoom
+	// FleetFull means that fewer accelerators are free than the task group needs.
+	FleetFull
+	// RoomReserved means that the free room is reserved for others or set aside for quick jobs.
+	RoomReserved
+	// Scattered means that enough accelerators are free, but not where all tasks fit.
+	Scattered
+	// StopAwaited means that other runs were stopped and still hold the room.
+	StopAwaited
+	Preempted
+	Cancel
+	JobFinished
+	MemberEnded
+	StartUnanswered
+	WorkerLeaving
+	// OutlastsWorker means that the worker leaves before the estimated end of the task.
+	OutlastsWorker
+	NoProgress
+	SlowWorker
+)
+
+// Decision is a decision log entry; fields that don't apply are zero.
 type Decision struct {
 	Kind   DecisionKind
 	Job    string
 	Worker string
 	Task   string
 	Run    int
-	Text   string
+	Cause  Cause
+	// For is the job that the room is for.
+	For string
+	// Tasks is the number of tasks placed, Tier and Lateness are the inputs of their order.
+	Tasks    int
+	Tier     int
+	Lateness int
+	// Waited is how long the task group had been ready, Took how long the run took, Estimate how long it was to take.
+	Waited   time.Duration
+	Took     time.Duration
+	Estimate time.Duration
+	// CoreSeconds is the work that was discarded.
+	CoreSeconds float64
+	Text        string
 }
 
 func (StartOrder) action() {}
--- a/internal/place/group/backfill.go
+++ b/internal/place/group/backfill.go
@@ -60,7 +60,7 @@
 	e.addReservation(g, &reservation{workers: workers, until: now.Add(backfillDuration), backfill: true})
 	e.countBackfills()
 	g.Job.Waiting = "backfill reservation; all of its room is expected to be free in about " + best[len(best)-1].freeIn.Round(time.Second).String()
-	e.emit(Decision{Kind: JobWaits, Job: g.Job.ID(), Text: g.Job.Waiting})
+	e.emit(Decision{Kind: JobWaits, Job: g.Job.ID(), Task: g.taskName(0), Cause: e.waitCause(g, f), Text: g.Job.Waiting})
 	return true
 }
 
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -51,18 +51,18 @@
 	switch {
 	case m.stopSent || m.State == Ended:
 	case !run.brokenAt.IsZero():
-		e.stopRun(run, "another member ended without success", now)
+		e.stopRun(run, MemberEnded, "another member ended without success", now)
 	case m.State == Ordered && now.Sub(m.orderedAt) > e.startTimeout(m):
 		m.Worker.avoid(now.Add(e.cfg.RefusalPause[Refused]))
-		e.stopRun(run, "a start was not answered in time", now)
+		e.stopRun(run, StartUnanswered, "a start was not answered in time", now)
 	case m.State == Started && m.Worker.Draining && m.shouldResumeElsewhere():
-		e.stopRun(run, "its worker is leaving, and the task can resume elsewhere", now)
+		e.stopRun(run, WorkerLeaving, "its worker is leaving, and the task can resume elsewhere", now)
 	case m.State == Started && m.outlastsWorker(now):
-		e.stopRun(run, "its worker will leave before the task can finish", now)
+		e.stopRun(run, OutlastsWorker, "its worker will leave before the task can finish", now)
 	case m.State == Started && e.hangs(m, now):
 		m.Worker.avoid(now.Add(e.cfg.RepeatedFailurePause))
 		e.emit(Decision{Kind: WorkerAvoided, Worker: m.Worker.ID, Job: run.Group.Job.ID(), Task: m.task, Text: "a task made no progress"})
-		e.stopRun(run, "no progress", now)
+		e.stopRun(run, NoProgress, "no progress", now)
 	}
 }
 
@@ -277,7 +277,7 @@
 	f := e.newFilter(g, p, now)
 	if p.mayFit(g, f) {
 		if workers := e.findWorkers(g, f); workers != nil {
-			e.planRun(g, workers, "free room", now)
+			e.planRun(g, workers, FreeRoom, "free room", now)
 			return
 		}
 		p.missed(g, f)
@@ -298,23 +298,44 @@
 	if e.reserveBackfill(g, f, now) {
 		return true
 	}
-	e.recordWaiting(g, now)
+	e.recordWaiting(g, f, now)
 	return false
 }
 
 // recordWaiting records why the group found no room, and logs it once for each wait.
-func (e *Engine) recordWaiting(g *Group, now time.Time) {
+func (e *Engine) recordWaiting(g *Group, f filter, now time.Time) {
 	if g.Job.Waiting != "" {
 		return
 	}
 	step := g.step()
 	g.Job.Waiting = fmt.Sprintf("step %d: no room for %d tasks of %d accelerators, %d millicores and %d MB; in one rack: %t, only in rack %q: %t, label %q",
 		g.Step, g.Count, step.Accelerators, step.MilliCores, step.MemoryMB, step.SameRack, step.Affinity, e.dataRackOnly(g, now), step.Requires)
-	e.emit(Decision{Kind: JobWaits, Job: g.Job.ID(), Text: g.Job.Waiting})
+	e.emit(Decision{Kind: JobWaits, Job: g.Job.ID(), Task: g.taskName(0), Cause: e.waitCause(g, f), Text: g.Job.Waiting})
+}
+
+// waitCause returns why a group that found no room has none.
+func (e *Engine) waitCause(g *Group, f filter) Cause {
+	fits, accelerators := 0, 0
+	for _, w := range e.sortedWorkers {
+		if !w.open || !w.eligible(g) {
+			continue
+		}
+		free := w.Capacity.Sub(w.Used)
+		fits += g.taskNeed().Count(free, g.Count)
+		accelerators += max(free.Accelerators, 0)
+	}
+	switch {
+	case fits >= g.Count && !f.sameRack && !f.dataRackOnly:
+		return RoomReserved
+	case accelerators >= g.totalNeed().Accelerators:
+		return Scattered
+	default:
+		return FleetFull
+	}
 }
 
 // planRun plans a run of the group on the workers; the run starts once its intent record is durable.
-func (e *Engine) planRun(g *Group, workers []*Worker, why string, now time.Time) {
+func (e *Engine) planRun(g *Group, workers []*Worker, cause Cause, why string, now time.Time) {
 	rec := g.record()
 	rec.Run++
 	rec.StartedFrom = rec.Checkpoint
@@ -331,6 +352,8 @@
 	g.Job.urgent = true
 	e.markChanged(g.Job)
 	g.Job.Waiting = ""
-	e.emit(Decision{Kind: RunPlaced, Job: g.Job.ID(), Task: g.taskName(0), Run: run.Number, Worker: workers[0].ID,
-		Text: fmt.Sprintf("%s; %d tasks, tier %d, lateness %d, waited %s", why, len(workers), g.Job.tier, g.occ.lateness, now.Sub(g.readyAt).Round(time.Millisecond))})
+	e.emit(Decision{
+		Kind: RunPlaced, Job: g.Job.ID(), Task: g.taskName(0), Run: run.Number, Worker: workers[0].ID, Cause: cause, Tasks: len(workers),
+		Tier: g.Job.tier, Lateness: g.occ.lateness, Waited: now.Sub(g.readyAt), Estimate: g.step().Estimate, Text: why,
+	})
 }
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -205,7 +204,7 @@
 		return
 	}
 	if result == Unconfirmed {
-		e.stopRun(m.Run, "a start was refused after an order without a response", now)
+		e.stopRun(m.Run, StartUnanswered, "a start was refused after an order without a response", now)
 		return
 	}
 	if pause := e.cfg.RefusalPause[result]; pause > 0 {
@@ -248,10 +247,14 @@
 func (e *Engine) finishJob(j *Job, phase work.Phase, why string, now time.Time) {
 	j.Record.Phase, j.endedAt, j.urgent = phase, now, true
 	e.markChanged(j)
+	cause := JobFinished
+	if phase == work.Cancelled {
+		cause = Cancel
+	}
 	for _, g := range j.groups {
 		e.dropReservation(g)
 		if g.Run != nil {
-			e.stopRun(g.Run, why, now)
+			e.stopRun(g.Run, cause, why, now)
 		}
 	}
 	e.emit(Decision{Job: j.ID(), Kind: JobOver, Text: phase.String() + ": " + why})
@@ -266,6 +269,7 @@
 	if status == Lost && m.startAckedAt.IsZero() && m.State == Ordered && m.startSent {
 		m.Worker.abandoned[runKey{m.task, run.Number}] = true
 	}
+	discarded := m.unsavedCoreSeconds(now)
 	m.State = Ended
 	m.Worker.detach(m)
 	run.aliveMembers--
@@ -285,7 +289,10 @@
 		run.brokenAt = now
 	}
 	if status != Done && status != Stopped {
-		e.emit(Decision{Job: g.Job.ID(), Kind: RunBroken, Worker: m.Worker.ID, Task: m.task, Run: run.Number, Text: status.String()})
+		e.emit(Decision{
+			Kind: RunBroken, Job: g.Job.ID(), Worker: m.Worker.ID, Task: m.task, Run: run.Number, CoreSeconds: discarded,
+			Text: status.String(),
+		})
 	}
 	if run.aliveMembers == 0 {
 		e.endRun(run, now)
@@ -301,8 +308,9 @@
 	}
 	rec.Done = true
 	j := g.Job
-	e.emit(Decision{Kind: RunDone, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number,
-		Text: fmt.Sprintf("took %s, estimated %s", now.Sub(m.Run.PlannedAt).Round(time.Millisecond), g.step().Estimate.Round(time.Millisecond))})
+	e.emit(Decision{
+		Kind: RunDone, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number, Took: now.Sub(m.Run.PlannedAt), Estimate: g.step().Estimate,
+	})
 	g.occ.unfinished[g.Step]--
 	if slices.ContainsFunc(j.occurrences, func(occ *occurrence) bool { return !occ.done() }) {
 		return
@@ -361,10 +369,21 @@
 }
 
 // stopRun orders all members to stop; members whose start was never sent end at once.
-func (e *Engine) stopRun(run *Run, why string, now time.Time) {
+func (e *Engine) stopRun(run *Run, cause Cause, why string, now time.Time) {
+	e.stopRunFor("", run, cause, why, now)
+}
+
+// stopRunFor is stopRun for a job that needs the room.
+func (e *Engine) stopRunFor(job string, run *Run, cause Cause, why string, now time.Time) {
 	if run.stopReason == "" {
 		run.stopReason = why
-		e.emit(Decision{Job: run.Group.Job.ID(), Kind: RunStopped, Run: run.Number, Text: why})
+		discarded := 0.0
+		for _, m := range run.Members {
+			discarded += m.unsavedCoreSeconds(now)
+		}
+		e.emit(Decision{
+			Kind: RunStopped, Job: run.Group.Job.ID(), Task: run.Group.taskName(0), Run: run.Number, Cause: cause, For: job, CoreSeconds: discarded, Text: why,
+		})
 	}
 	for _, m := range run.Members {
 		switch {
@@ -377,3 +396,15 @@
 		}
 	}
 }
+
+// unsavedCoreSeconds is the work of a started member that is discarded if it ends now without success.
+func (m *Member) unsavedCoreSeconds(now time.Time) float64 {
+	if m.startAckedAt.IsZero() || m.State == Ended {
+		return 0
+	}
+	unsaved := now.Sub(m.startAckedAt).Seconds()
+	if m.Run.Group.step().Checkpoints {
+		unsaved = min(unsaved, checkpointStopSeconds)
+	}
+	return unsaved * m.Run.Group.taskNeed().Cores()
+}
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -84,6 +84,9 @@
 	return !slices.ContainsFunc(occ.unfinished, func(unfinished int) bool { return unfinished > 0 })
 }
 
+// Queue returns the configuration of the job's queue as of the last decision.
+func (j *Job) Queue() Queue { return j.queue }
+
 // ID returns the job's ID.
 func (j *Job) ID() string { return j.Spec.Job }
 
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -86,10 +86,11 @@
 		return false
 	}
 	for _, v := range best.victims {
-		e.stopRun(v.run, "preempted by "+g.Job.ID(), now)
+		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID(), now)
 	}
 	e.addReservation(g, &reservation{workers: best.chooseWorkers(g), until: now.Add(e.cfg.StopTimeout + reservationSlack)})
 	g.Job.Waiting = "waits until preempted runs have stopped"
+	e.emit(Decision{Kind: JobWaits, Job: g.Job.ID(), Task: g.taskName(0), Cause: StopAwaited, CoreSeconds: best.wastedCoreSeconds, Text: g.Job.Waiting})
 	return true
 }
 
@@ -305,7 +306,7 @@
 			g.nextReservationAt = now.Add(reservationRetryDelay)
 		case e.allUsable(workers, now) && e.hasRoomFor(g, workers):
 			e.dropReservation(g)
-			e.planRun(g, workers, "reserved room is free", now)
+			e.planRun(g, workers, ReservedRoom, "reserved room is free", now)
 		default:
 			e.retryElsewhere(g, p, now)
 		}
@@ -320,7 +321,7 @@
 	e.dropReservation(g)
 	f := e.newFilter(g, p, now)
 	if workers := e.findWorkers(g, f); workers != nil {
-		e.planRun(g, workers, "free room outside its reservation", now)
+		e.planRun(g, workers, FreeRoom, "free room outside its reservation", now)
 		return
 	}
 	if r.backfill && e.mayPreempt(g, now) && !now.Before(g.nextPreemptionAt) {
--- a/internal/place/group/speed.go
+++ b/internal/place/group/speed.go
@@ -136,7 +136,7 @@
 	}
 	if remaining > minMoveGain*(restart+e.cfg.StopTimeout.Seconds()) {
 		g.slowWorkerMoves++
-		e.stopRun(run, "one of its workers has become slow", now)
+		e.stopRun(run, SlowWorker, "one of its workers has become slow", now)
 	}
 }
 
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -49,7 +49,7 @@
 		searches[f] = ts
 	}
 	if w := ts.take(g); w != nil {
-		e.planRun(g, []*Worker{w}, "free room", now)
+		e.planRun(g, []*Worker{w}, FreeRoom, "free room", now)
 		return true
 	}
 	if !ts.anyRoom || ts.next == len(ts.slots) && g.step().MaxPerWorker == 0 {
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -314,7 +314,7 @@
 // WithdrawStart ends a member whose start is no longer allowed, or stops its run if the start may have been sent already.
 func (e *Engine) WithdrawStart(m *Member, now time.Time) {
 	if m.startSent {
-		e.stopRun(m.Run, "the worker is closed to new tasks", now)
+		e.stopRun(m.Run, WorkerLeaving, "the worker is closed to new tasks", now)
 		return
 	}
 	e.endMember(m, Void, "", now)
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -316,6 +317,9 @@
 	started := s.Now()
 	reply := s.localOrRelayed(ctx, &Call{Kind: State, Caller: caller})
 	s.report(event.Asked, "state", caller.Path, started, reply)
+	if reply.Result == OK && reply.Phase.Final() {
+		s.Log.Emit(event.JobShown, event.Fields{"job": caller.Path[strings.LastIndexByte(caller.Path, '/')+1:], "phase": reply.Phase.String()})
+	}
 	return reply
 }
 
