--- a/internal/kern/event/event.go
+++ b/internal/kern/event/event.go
@@ -58,7 +58,7 @@
 	Cancelled        = define(311, "cancelled", log.InfoLevel, "A caller cancelled a job; `result` is the result returned to the caller.")
 	Asked            = define(312, "asked", log.DebugLevel, "A caller requested the state of a job or the number of pending jobs of a queue.")
 	JobSeen          = define(313, "jobSeen", log.InfoLevel, "The owner loaded a job, either a new one or one from an earlier owner's records; its objective is `stretch` times its longest chain of work, plus `target`.")
-	RunChanged       = define(314, "runChanged", log.InfoLevel, "The owner placed, stopped or lost a run, or a job waits or ended; `what`, `cause` and `why` give the decision, the other fields its inputs: `waited` since the task group was ready, `coreSeconds` of work that is discarded, `for` the job that gets the room.")
+	RunChanged       = define(314, "runChanged", log.InfoLevel, "The owner placed, stopped or lost a run, or a job waits or ended; `what`, `cause` and `why` give the decision, the other fields its inputs: `waited` since the task group was ready, `coreSeconds` of work that is discarded, `for` the job that gets the room, `overdue` how late the end was known because the worker was silent, `speed` that of the slowest worker.")
 	StartSent        = define(315, "startSent", log.InfoLevel, "An order to start a task was sent; `outcome` is the worker's answer or the error of the call, `mayHaveArrived` whether an order without an answer may have reached the worker.")
 	StopSent         = define(316, "stopSent", log.InfoLevel, "An order to stop a task was sent; `outcome` is the worker's answer or the error of the call.")
 	CommitFailed     = define(317, "commitFailed", log.WarnLevel, "The records of jobs could not be written; the write is retried.")
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -106,9 +106,10 @@
 		spec.Job = job
 		wall := t.WallNow()
 		age := min(max(wall.Sub(spec.Accepted), 0), maxJobAge)
-		queue := t.engine.Load(spec, known[job], age, now, wall).Queue()
+		loaded := t.engine.Load(spec, known[job], age, now, wall)
+		queue := loaded.Queue()
 		t.Log.Emit(event.JobSeen, event.Fields{
-			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "steps": spec.Steps,
+			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "phase": loaded.Record.Phase.String(), "steps": spec.Steps,
 			"repeat": spec.Repeat, "priority": queue.Priority, "stretch": queue.Stretch, "target": queue.Target.String(), "token": t.token,
 		})
 		if t.earlyCancels[job] {
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -291,7 +291,7 @@
 			fields[name] = text
 		}
 	}
-	for name, duration := range map[string]time.Duration{"waited": d.Waited, "took": d.Took, "estimate": d.Estimate} {
+	for name, duration := range map[string]time.Duration{"waited": d.Waited, "took": d.Took, "estimate": d.Estimate, "overdue": d.Overdue} {
 		if duration != 0 {
 			fields[name] = duration.String()
 		}
@@ -304,8 +304,10 @@
 	if d.Cause != group.NoCause {
 		fields["cause"] = d.Cause.String()
 	}
-	if d.CoreSeconds != 0 {
-		fields["coreSeconds"] = d.CoreSeconds
+	for name, number := range map[string]float64{"coreSeconds": d.CoreSeconds, "speed": d.Speed} {
+		if number != 0 {
+			fields[name] = number
+		}
 	}
 	if d.Kind == group.RunPlaced {
 		fields["tier"], fields["lateness"] = d.Tier, d.Lateness
--- a/internal/oper/cmds/explain.go
+++ b/internal/oper/cmds/explain.go
@@ -1,32 +1,21 @@
 package cmds
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"sort"
 	"strings"
-	"time"
 
+	"github.com/lentildeck/lentildeck/internal/oper/logs"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 func init() { Commands.Register("explain", explainCommand) }
 
-// maxLogLineBytes is the maximum length of one log line; reading fails on a longer one.
-const maxLogLineBytes = 1 << 20
-
-// logLine is one decoded log line of an instance and the text before its JSON object.
-type logLine struct {
-	Message string         `json:"message"`
-	Level   string         `json:"level"`
-	Time    time.Time      `json:"timestamp"`
-	Fields  map[string]any `json:"fields"`
-	prefix  string
-}
+// timelineFormat is how times are printed.
+const timelineFormat = "15:04:05.000"
 
 func explainCommand(env *Env) *ffcli.Command {
 	return &ffcli.Command{
@@ -46,11 +35,11 @@
 }
 
 // readLogs reads the files, or in if there are none, and returns the lines that contain the ID or report a change of owner.
-func readLogs(in io.Reader, files []string, id string) ([]logLine, error) {
+func readLogs(in io.Reader, files []string, id string) ([]logs.Line, error) {
 	if len(files) == 0 {
 		return scanLog(in, id)
 	}
-	var all []logLine
+	var all []logs.Line
 	for _, name := range files {
 		file, err := os.Open(name)
 		if err != nil {
@@ -68,35 +57,27 @@
 	return all, nil
 }
 
-func scanLog(in io.Reader, id string) ([]logLine, error) {
-	var lines []logLine
-	scanner := bufio.NewScanner(in)
-	scanner.Buffer(nil, maxLogLineBytes)
-	for scanner.Scan() {
-		text := scanner.Text()
-		mentionsID := strings.Contains(text, id)
-		if !mentionsID && !strings.Contains(text, `"term`) {
-			continue
-		}
-		// Text before the JSON object, such as the time and host that a log collector adds, is kept unchanged.
-		start := strings.IndexByte(text, '{')
-		if start < 0 {
-			continue
-		}
-		var line logLine
-		if err := json.Unmarshal([]byte(text[start:]), &line); err != nil {
-			continue
-		}
-		if !mentionsID && !strings.HasPrefix(line.Message, "term") {
-			continue
+// scanLog returns the lines that contain the ID or report a change of owner; lines that can't be decoded are left out.
+func scanLog(in io.Reader, id string) ([]logs.Line, error) {
+	var lines []logs.Line
+	wanted := func(text string) bool { return strings.Contains(text, id) || strings.Contains(text, `"term`) }
+	mentions := func(line *logs.Line) bool {
+		for _, value := range line.Fields {
+			if strings.Contains(fmt.Sprint(value), id) {
+				return true
+			}
 		}
-		line.prefix = strings.TrimSpace(text[:start])
-		lines = append(lines, line)
+		return strings.Contains(line.Prefix, id)
 	}
-	return lines, scanner.Err()
+	_, err := logs.Scan(in, wanted, func(line logs.Line) {
+		if strings.HasPrefix(line.Message, "term") || mentions(&line) {
+			lines = append(lines, line)
+		}
+	})
+	return lines, err
 }
 
-func printTimeline(out io.Writer, lines []logLine) error {
+func printTimeline(out io.Writer, lines []logs.Line) error {
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time.Before(lines[j].Time) })
 	for _, line := range lines {
 		names := make([]string, 0, len(line.Fields))
@@ -110,11 +91,11 @@
 		for i, name := range names {
 			parts[i] = fmt.Sprintf("%s=%v", name, line.Fields[name])
 		}
-		from := line.prefix
+		from := line.Prefix
 		if instance, ok := line.Fields["instance"].(string); ok && from == "" {
 			from = instance
 		}
-		if _, err := fmt.Fprintf(out, "%s  %-22s %-14s %s\n", line.Time.Format("15:04:05.000"), from, line.Message, strings.Join(parts, " ")); err != nil {
+		if _, err := fmt.Fprintf(out, "%s  %-22s %-14s %s\n", line.Time.Format(timelineFormat), from, line.Message, strings.Join(parts, " ")); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/oper/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs reads the structured log lines of instances.
+package logs
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -88,6 +88,10 @@
 	Waited   time.Duration
 	Took     time.Duration
 	Estimate time.Duration
+	// Overdue is how much later the end was known than expected, because the worker was silent; Speed is that of the slowest
+	// worker of the run, 1 for an average one.
+	Overdue time.Duration
+	Speed   float64
 	// CoreSeconds is the work that was discarded.
 	CoreSeconds float64
 	Text        string
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -47,7 +47,7 @@
 		w.Incarnation = list.Incarnation
 	}
 	if sentAt.After(w.LastSeen) {
-		w.LastSeen = sentAt
+		w.seenBefore, w.LastSeen = w.LastSeen, sentAt
 	}
 	for _, entry := range list.Exits {
 		if entry.Number <= w.LastExit {
@@ -310,6 +310,7 @@
 	j := g.Job
 	e.emit(Decision{
 		Kind: RunDone, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number, Took: now.Sub(m.Run.PlannedAt), Estimate: g.step().Estimate,
+		Overdue: m.overdue(now), Speed: m.Run.slowestSpeed(),
 	})
 	g.occ.unfinished[g.Step]--
 	if slices.ContainsFunc(j.occurrences, func(occ *occurrence) bool { return !occ.done() }) {
@@ -379,7 +380,9 @@
 		run.stopReason = why
 		discarded := 0.0
 		for _, m := range run.Members {
-			discarded += m.unsavedCoreSeconds(now)
+			if !run.Group.record().Done {
+				discarded += m.unsavedCoreSeconds(now)
+			}
 		}
 		e.emit(Decision{
 			Kind: RunStopped, Job: run.Group.Job.ID(), Task: run.Group.taskName(0), Run: run.Number, Cause: cause, For: job, CoreSeconds: discarded, Text: why,
@@ -408,3 +411,25 @@
 	}
 	return unsaved * m.Run.Group.taskNeed().Cores()
 }
+
+// silentAfter is the time between two answers of a worker from which it counts as silent; a poll of an idle one may wait 1.5 s.
+const silentAfter = 2500 * time.Millisecond
+
+// overdue returns how much later the member's end is known than expected at the worker's answer before; zero if the worker was
+// not silent in between.
+func (m *Member) overdue(now time.Time) time.Duration {
+	w := m.Worker
+	if w.seenBefore.IsZero() || now.Sub(w.seenBefore) < silentAfter {
+		return 0
+	}
+	return max(now.Sub(w.seenBefore)-m.remaining(), 0)
+}
+
+// slowestSpeed returns the speed of the slowest worker of the run.
+func (r *Run) slowestSpeed() float64 {
+	slowest := r.Members[0].Worker.speed
+	for _, m := range r.Members {
+		slowest = min(slowest, m.Worker.speed)
+	}
+	return slowest
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -37,6 +37,8 @@
 	Used Resources
 	// LastSeen is when the last poll that the worker answered was sent.
 	LastSeen time.Time
+	// seenBefore is LastSeen as of the answer before.
+	seenBefore time.Time
 	// suspectedAt is when an order to the worker, or to another one in its data centre, was left unanswered.
 	suspectedAt time.Time
 	// LeaseEnds is when everything on the worker has certainly been killed, unless its lease is renewed or extended.
