--- /dev/null
+++ b/internal/peer/relay/recent.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// recentFor is how long a peer's last reply tells whether another request to it is worthwhile; outages last seconds.
+const recentFor = time.Second
+
+// recent remembers which peers gave a conclusive reply lately and which did not.
+type recent struct {
+	mu      sync.Mutex
+	replies map[string]recentReply
+}
+
+// recentReply is when a peer replied or failed to, and whether the reply was conclusive.
+type recentReply struct {
+	at         time.Time
+	conclusive bool
+}
+
+// note records the result of a request to the peer.
+func (r *recent) note(peer string, conclusive bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.replies == nil {
+		r.replies = make(map[string]recentReply)
+	}
+	r.replies[peer] = recentReply{at: now, conclusive: conclusive}
+}
+
+// Ranks of peers, the most promising first.
+const (
+	rankConclusive = iota
+	rankUnknown
+	rankFailed
+)
+
+func (r *recent) rank(peer string, now time.Time) int {
+	last, known := r.replies[peer]
+	switch {
+	case !known || now.Sub(last.at) > recentFor:
+		return rankUnknown
+	case last.conclusive:
+		return rankConclusive
+	default:
+		return rankFailed
+	}
+}
+
+// choose returns the peers to ask in their order: at most limit that have not failed lately and, while these are fewer than
+// least, some that have. Peers of equal rank are in random order.
+func (r *recent) choose(peers []Peer, least, limit int, now time.Time) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	slices.SortStableFunc(peers, func(a, b Peer) int { return cmp.Compare(r.rank(a.Name, now), r.rank(b.Name, now)) })
+	promising := 0
+	for promising < len(peers) && r.rank(peers[promising].Name, now) != rankFailed {
+		promising++
+	}
+	return peers[:min(max(promising, least), limit, len(peers))]
+}
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"time"
 
@@ -16,8 +15,11 @@
 const (
 	// callTimeout limits one relayed request: the peer's own first attempts and the network round trip.
 	callTimeout = 1000 * time.Millisecond
-	// peersAsked is how many peers are asked concurrently, as some may be cut off too.
-	peersAsked = 2
+	// peersAsked is how many peers are asked concurrently, as some may be cut off too, and maxPeersAsked how many in all: a
+	// peer that refuses is replaced by the next one until askFor has passed.
+	peersAsked    = 2
+	maxPeersAsked = 6
+	askFor        = 500 * time.Millisecond
 	// methodAdmit is the method's name on the wire.
 	methodAdmit = "/lentildeck.Relay/Admit"
 )
@@ -47,28 +49,58 @@
 	Peers  *Peers
 	Client *link.Client
 	Log    *event.Log
+	// Now is a monotonic clock.
+	Now func() time.Time
+
+	recent recent
 }
 
 // Forward asks several peers concurrently and returns the first conclusive reply, or nil if there is none; tried is true if
 // any of them may have executed the request.
 func (r *Relay) Forward(ctx context.Context, call *admit.Call) (reply *admit.Reply, tried bool) {
-	peers := r.Peers.Others()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	peers = peers[:min(peersAsked, len(peers))]
+	return r.askPeers(ctx, r.Peers.Others(), func(peer Peer) *admit.Reply { return r.callPeer(ctx, peer, call) })
+}
+
+// askPeers calls ask for peersAsked peers at a time, those that gave a conclusive reply lately first.
+func (r *Relay) askPeers(ctx context.Context, peers []Peer, ask func(Peer) *admit.Reply) (reply *admit.Reply, tried bool) {
+	started := r.Now()
+	peers = r.recent.choose(peers, peersAsked, maxPeersAsked, started)
 	replies := make(chan *admit.Reply, len(peers))
-	for _, peer := range peers {
-		go func() { replies <- r.callPeer(ctx, peer, call) }()
+	next := func() {
+		peer := peers[0]
+		peers = peers[1:]
+		go func() {
+			answer := ask(peer)
+			// A call that was abandoned since another peer had replied says nothing about this peer.
+			if ctx.Err() == nil {
+				r.recent.note(peer.Name, conclusive(answer), r.Now())
+			}
+			replies <- answer
+		}()
+	}
+	pending := min(peersAsked, len(peers))
+	for range pending {
+		next()
 	}
-	for range peers {
+	for ; pending > 0; pending-- {
 		answer := <-replies
-		if answer != nil && answer.Result != admit.Refused && answer.Result != admit.Unknown {
+		if conclusive(answer) {
 			return answer, true
 		}
 		tried = tried || answer == nil || answer.Result == admit.Unknown
+		if len(peers) > 0 && ctx.Err() == nil && r.Now().Sub(started) < askFor {
+			next()
+			pending++
+		}
 	}
 	return nil, tried
 }
 
+// conclusive reports whether another peer could give no better reply.
+func conclusive(reply *admit.Reply) bool {
+	return reply != nil && reply.Result != admit.Refused && reply.Result != admit.Unknown
+}
+
 // callPeer returns the peer's reply, a refusal if the peer can't be reached, or nil if the call failed after it may have
 // been executed.
 func (r *Relay) callPeer(ctx context.Context, peer Peer, call *admit.Call) *admit.Reply {
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,3 +24,87 @@
 	assert.NilError(t, link.Codec{}.Unmarshal(data, &got))
 	assert.DeepEqual(t, got, call)
 }
+
+// outage is a partial outage of the store: the peers in cut refuse, the silent ones give no reply, and the others answer.
+type outage struct {
+	mu          sync.Mutex
+	cut, silent map[string]bool
+	asked       []string
+}
+
+func (o *outage) ask(peer Peer) *admit.Reply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.asked = append(o.asked, peer.Name)
+	switch {
+	case o.silent[peer.Name]:
+		return nil
+	case o.cut[peer.Name]:
+		return &admit.Reply{Result: admit.Refused}
+	default:
+		return &admit.Reply{Result: admit.OK}
+	}
+}
+
+func newRelay() (*Relay, *time.Time) {
+	now := time.Unix(1000, 0)
+	return &Relay{Now: func() time.Time { return now }}, &now
+}
+
+func peersNamed(n int) []Peer {
+	peers := make([]Peer, n)
+	for i := range peers {
+		peers[i] = Peer{Name: fmt.Sprint("p", i)}
+	}
+	return peers
+}
+
+// The store refuses a third of seven instances for seconds. A request at one of them must not be refused because the first two
+// peers that it asks are refused as well.
+func TestRequestDuringAPartialOutageFindsAPeerThatReachesTheStore(t *testing.T) {
+	for range 50 {
+		r, _ := newRelay()
+		o := &outage{cut: map[string]bool{"p0": true, "p1": true, "p2": true}}
+		reply, tried := r.askPeers(context.Background(), peersNamed(6), o.ask)
+		assert.Assert(t, reply != nil && reply.Result == admit.OK)
+		assert.Assert(t, tried)
+	}
+}
+
+// Once a peer has answered, the next request goes there at once, and peers that refused are left alone for a while.
+func TestPeersAreAskedByTheirLastReplies(t *testing.T) {
+	r, now := newRelay()
+	for i := range 5 {
+		r.recent.note(fmt.Sprint("p", i), false, *now)
+	}
+	r.recent.note("p5", true, *now)
+	chosen := r.recent.choose(peersNamed(7), peersAsked, maxPeersAsked, *now)
+	assert.Equal(t, len(chosen), 2)
+	assert.Equal(t, chosen[0].Name, "p5")
+	assert.Equal(t, chosen[1].Name, "p6")
+	chosen = r.recent.choose(peersNamed(7), peersAsked, maxPeersAsked, now.Add(2*recentFor))
+	assert.Equal(t, len(chosen), maxPeersAsked)
+}
+
+// While the store is away from all instances, each request must cost few calls to peers.
+func TestFullOutageCostsFewCallsToPeers(t *testing.T) {
+	r, _ := newRelay()
+	peers := peersNamed(40)
+	o := &outage{cut: make(map[string]bool)}
+	for _, peer := range peers {
+		o.cut[peer.Name] = true
+	}
+	const requests = 100
+	for range requests {
+		reply, tried := r.askPeers(context.Background(), append([]Peer(nil), peers...), o.ask)
+		assert.Assert(t, reply == nil && !tried, "no peer has tried anything, so the refusal is definite")
+	}
+	assert.Assert(t, len(o.asked) <= peersAsked*requests+len(peers), "%d calls", len(o.asked))
+}
+
+func TestSilentPeerMayHaveExecutedTheRequest(t *testing.T) {
+	r, _ := newRelay()
+	o := &outage{silent: map[string]bool{"p0": true}, cut: map[string]bool{"p1": true, "p2": true}}
+	reply, tried := r.askPeers(context.Background(), peersNamed(3), o.ask)
+	assert.Assert(t, reply == nil && tried)
+}
