--- a/internal/oper/losses/collector.go
+++ b/internal/oper/losses/collector.go
@@ -10,6 +10,12 @@
 	"github.com/lentildeck/lentildeck/internal/oper/logs"
 )
 
+// workerFault is a line about a worker that did not answer.
+type workerFault struct {
+	worker string
+	at     time.Time
+}
+
 // interval is a span of time.
 type interval struct{ from, to time.Time }
 
@@ -27,7 +33,7 @@
 	terms map[int64]*interval
 	// storeFaults are the times of lines about a store that did not answer, workerFaults those about silent workers.
 	storeFaults  []time.Time
-	workerFaults map[string][]time.Time
+	workerFaults []workerFault
 	// dataCentres are those of the workers.
 	dataCentres map[string]string
 	last        time.Time
@@ -37,7 +43,7 @@
 func NewCollector() *Collector {
 	return &Collector{
 		Trails: make(map[string]*Trail), instances: make(map[string]bool), mentioned: make(map[string]bool),
-		terms: make(map[int64]*interval), workerFaults: make(map[string][]time.Time), dataCentres: make(map[string]string),
+		terms: make(map[int64]*interval), dataCentres: make(map[string]string),
 	}
 }
 
@@ -138,7 +144,7 @@
 }
 
 func (c *Collector) workerFault(worker string, at time.Time) {
-	c.workerFaults[worker] = append(c.workerFaults[worker], at)
+	c.workerFaults = append(c.workerFaults, workerFault{worker: worker, at: at})
 }
 
 func (c *Collector) addToTrail(t *Trail, line *logs.Line) error {
--- a/internal/oper/losses/lateness.go
+++ b/internal/oper/losses/lateness.go
@@ -27,7 +27,27 @@
 type context struct {
 	ownerGaps   []interval
 	storeFaults []time.Time
-	end         time.Time
+	// dataCentres are those of the workers, workerFaults the faults in each.
+	dataCentres  map[string]string
+	workerFaults map[string][]workerFault
+	end          time.Time
+}
+
+// minCutOff is how many workers of a data centre must be silent at a time for the data centre to count as cut off.
+const minCutOff = 3
+
+// silence returns the cause of a delay by a silent worker: CutOff if others of its data centre were silent as well.
+func (c *context) silence(worker string, from, to time.Time) Cause {
+	silent := make(map[string]bool)
+	for _, fault := range c.workerFaults[c.dataCentres[worker]] {
+		if within([]time.Time{fault.at}, interval{from, to}) {
+			silent[fault.worker] = true
+		}
+	}
+	if len(silent) >= minCutOff {
+		return CutOff
+	}
+	return WorkerSilent
 }
 
 // add appends a segment; empty ones are left out.
@@ -57,6 +77,14 @@
 	w.add(from, to, false, cause)
 }
 
+// silenceOr returns the cause of the attempt's end, which is the silence of a worker or another one.
+func (c *context) silenceOr(a *attempt, from, to time.Time) Cause {
+	if a.cause == WorkerSilent {
+		return c.silence(a.worker, from, to)
+	}
+	return a.cause
+}
+
 // storeOr returns StoreAway if the store failed around the interval, and the other cause if not.
 func (c *context) storeOr(other Cause, from, to time.Time) Cause {
 	if within(c.storeFaults, interval{from, to}) {
@@ -133,7 +161,7 @@
 		return at
 	}
 	if t.Phase == "" {
-		w.addDelay(c, at, c.end, c.storeOr(t.waitAt(at), at, c.end))
+		w.addDelay(c, at, c.end, c.storeIfUnknown(t.waitAt(c.end), at, c.end))
 		return c.end
 	}
 	end := latest(at, t.Ended)
@@ -194,7 +222,7 @@
 		placed := latest(at, a.placed)
 		t.addWait(w, c, at, placed, cause)
 		started := latest(placed, a.started)
-		w.addDelay(c, placed, started, c.storeOr(WorkerSilent, placed, started))
+		w.addDelay(c, placed, started, c.storeOr(c.silence(a.worker, placed, started), placed, started))
 		last := i == len(g.attempts)-1
 		at = latest(started, a.lastMoment(t.end(c), last))
 		switch {
@@ -203,9 +231,9 @@
 		case a.failed || t.Steps[g.step].Checkpoints || last && a.open():
 			w.add(started, at, true, Unexplained)
 		default:
-			w.addDelay(c, started, at, a.cause)
+			w.addDelay(c, started, at, c.silenceOr(a, started, at))
 		}
-		cause = a.cause
+		cause = c.silenceOr(a, started, at)
 		if a.done {
 			break
 		}
@@ -221,7 +249,7 @@
 func (t *Trail) addWork(w *way, c *context, a *attempt, from, to time.Time) {
 	heard := to
 	to = latest(from, to.Add(-a.overdue))
-	cause := WorkerSilent
+	cause := c.silence(a.worker, to, heard)
 	for _, gap := range c.ownerGaps {
 		if gap.to.After(from) && !gap.to.After(heard) && heard.Sub(gap.to) < endHeardWithin && gap.from.Before(to) {
 			to, cause = latest(from, gap.from), OwnerChanging
@@ -270,7 +298,7 @@
 		if cause == Unexplained && !named.at.After(from) {
 			cause = named.cause
 		}
-		if named.at.After(from) && named.at.Before(to) && cause != Preempted && cause != RunFailed && cause != WorkerSilent {
+		if named.at.After(from) && named.at.Before(to) && !cause.afterRun() {
 			w.addDelay(c, from, named.at, cause)
 			from, cause = named.at, named.cause
 		}
@@ -278,6 +306,11 @@
 	w.addDelay(c, from, to, c.storeIfUnknown(cause, from, to))
 }
 
+// afterRun reports whether the cause is that of a run's end, which then also explains the wait for the next run.
+func (c Cause) afterRun() bool {
+	return c == Preempted || c == RunFailed || c == WorkerSilent || c == CutOff
+}
+
 // storeIfUnknown returns StoreAway for a delay without a cause around a fault of the store.
 func (c *context) storeIfUnknown(cause Cause, from, to time.Time) Cause {
 	if cause == Unexplained {
--- a/internal/oper/losses/report.go
+++ b/internal/oper/losses/report.go
@@ -92,7 +92,12 @@
 
 // context returns what explains delays of all jobs.
 func (c *Collector) context() *context {
-	return &context{ownerGaps: c.ownerGaps(), storeFaults: c.storeFaults, end: c.last}
+	faults := make(map[string][]workerFault)
+	for _, fault := range c.workerFaults {
+		dataCentre := c.dataCentres[fault.worker]
+		faults[dataCentre] = append(faults[dataCentre], fault)
+	}
+	return &context{ownerGaps: c.ownerGaps(), storeFaults: c.storeFaults, dataCentres: c.dataCentres, workerFaults: faults, end: c.last}
 }
 
 // add counts one job in the rows, and its lateness by cause.
--- a/internal/oper/losses/trail.go
+++ b/internal/oper/losses/trail.go
@@ -59,7 +59,9 @@
 
 // attempt is one run of a task group.
 type attempt struct {
-	run     int
+	run int
+	// worker is that of one of the members.
+	worker  string
 	placed  time.Time
 	started time.Time
 	// stopped is when the run was ordered to stop, and ended when it was known to have ended.
@@ -201,7 +203,8 @@
 		t.waits = append(t.waits, wait{at: line.Time, cause: waitCauses[cause]})
 	case g == nil:
 	case kind == group.RunPlaced:
-		g.attempt(run).placed = line.Time
+		a := g.attempt(run)
+		a.placed, a.worker = line.Time, line.Text("worker")
 	case kind == group.RunStopped:
 		a := g.attempt(run)
 		a.stopped, a.coreSeconds = line.Time, a.coreSeconds+discarded
@@ -209,7 +212,7 @@
 			a.cause = stopCauses[cause]
 		}
 	case kind == group.RunBroken:
-		g.attempt(run).broken(line.Text("why"), discarded, line.Time)
+		g.attempt(run).broken(line, discarded)
 	case kind == group.RunDone:
 		g.attempt(run).succeeded(line)
 	}
@@ -220,20 +223,20 @@
 	if a.done {
 		return
 	}
-	a.done, a.ended = true, line.Time
+	a.done, a.ended, a.worker = true, line.Time, line.Text("worker")
 	a.overdue, a.speed = line.Duration("overdue"), line.Number("speed")
 }
 
 // broken applies the end of a member without success; the first one gives the cause.
-func (a *attempt) broken(status string, coreSeconds float64, at time.Time) {
+func (a *attempt) broken(line *logs.Line, coreSeconds float64) {
 	if a.stopped.IsZero() {
 		a.coreSeconds += coreSeconds
 	}
 	if !a.ended.IsZero() || !a.stopped.IsZero() {
 		return
 	}
-	a.ended = at
-	switch status {
+	a.ended, a.worker = line.Time, line.Text("worker")
+	switch line.Text("why") {
 	case group.Failed.String(), group.Broken.String():
 		a.failed, a.cause = true, RunFailed
 	default:
