--- a/internal/peer/relay/recent.go
+++ b/internal/peer/relay/recent.go
@@ -17,20 +17,39 @@
 	replies map[string]recentReply
 }
 
-// recentReply is when a peer replied or failed to, and whether the reply was conclusive.
+// recentReply is when a peer replied or failed to, whether it replied at all and whether the reply was conclusive.
 type recentReply struct {
 	at         time.Time
+	reached    bool
 	conclusive bool
 }
 
 // note records the result of a request to the peer.
-func (r *recent) note(peer string, conclusive bool, now time.Time) {
+func (r *recent) note(peer string, reply recentReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.replies == nil {
 		r.replies = make(map[string]recentReply)
 	}
-	r.replies[peer] = recentReply{at: now, conclusive: conclusive}
+	r.replies[peer] = reply
+}
+
+// noneReached reports whether at least one of the peers was asked lately and none of them replied.
+func (r *recent) noneReached(peers []Peer, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	asked := false
+	for _, peer := range peers {
+		last, known := r.replies[peer.Name]
+		if !known || now.Sub(last.at) > recentFor {
+			continue
+		}
+		if last.reached {
+			return false
+		}
+		asked = true
+	}
+	return asked
 }
 
 // Ranks of peers, the most promising first.
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
@@ -58,11 +59,18 @@
 // Forward asks several peers concurrently and returns the first conclusive reply, or nil if there is none; tried is true if
 // any of them may have executed the request.
 func (r *Relay) Forward(ctx context.Context, call *admit.Call) (reply *admit.Reply, tried bool) {
-	return r.askPeers(ctx, r.Peers.Others(), func(peer Peer) *admit.Reply { return r.callPeer(ctx, peer, call) })
+	return r.askPeers(ctx, r.Peers.Others(), func(peer Peer) (*admit.Reply, bool) { return r.callPeer(ctx, peer, call) })
 }
 
-// askPeers calls ask for peersAsked peers at a time, those that gave a conclusive reply lately first.
-func (r *Relay) askPeers(ctx context.Context, peers []Peer, ask func(Peer) *admit.Reply) (reply *admit.Reply, tried bool) {
+// Isolated reports whether peers of other data centres were asked lately and none of them was reached.
+func (r *Relay) Isolated() bool {
+	remote := slices.DeleteFunc(r.Peers.Others(), func(peer Peer) bool { return peer.DataCentre == r.Peers.Self.DataCentre })
+	return r.recent.noneReached(remote, r.Now())
+}
+
+// askPeers calls ask for peersAsked peers at a time, those that gave a conclusive reply lately first; ask also returns whether
+// the peer was reached.
+func (r *Relay) askPeers(ctx context.Context, peers []Peer, ask func(Peer) (*admit.Reply, bool)) (reply *admit.Reply, tried bool) {
 	started := r.Now()
 	peers = r.recent.choose(peers, peersAsked, maxPeersAsked, started)
 	replies := make(chan *admit.Reply, len(peers))
@@ -70,10 +78,10 @@
 		peer := peers[0]
 		peers = peers[1:]
 		go func() {
-			answer := ask(peer)
+			answer, reached := ask(peer)
 			// A call that was abandoned since another peer had replied says nothing about this peer.
 			if ctx.Err() == nil {
-				r.recent.note(peer.Name, conclusive(answer), r.Now())
+				r.recent.note(peer.Name, recentReply{at: r.Now(), reached: reached, conclusive: conclusive(answer)})
 			}
 			replies <- answer
 		}()
@@ -102,8 +110,8 @@
 }
 
 // callPeer returns the peer's reply, a refusal if the peer can't be reached, or nil if the call failed after it may have
-// been executed.
-func (r *Relay) callPeer(ctx context.Context, peer Peer, call *admit.Call) *admit.Reply {
+// been executed; reached is true for the first of them.
+func (r *Relay) callPeer(ctx context.Context, peer Peer, call *admit.Call) (reply *admit.Reply, reached bool) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	fields := event.Fields{"peer": peer.Name, "job": call.Caller.Path}
@@ -112,12 +120,12 @@
 	var dialErr *net.OpError
 	if errors.As(err, &dialErr) && dialErr.Op == "dial" {
 		fields["error"] = err.Error()
-		return &admit.Reply{Result: admit.Refused, Why: "the peer can't be reached"}
+		return &admit.Reply{Result: admit.Refused, Why: "the peer can't be reached"}, false
 	}
 	if err != nil {
 		fields["error"] = err.Error()
-		return nil
+		return nil, false
 	}
 	fields["result"] = answer.Result.String()
-	return answer
+	return answer, true
 }
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -32,17 +32,17 @@
 	asked       []string
 }
 
-func (o *outage) ask(peer Peer) *admit.Reply {
+func (o *outage) ask(peer Peer) (reply *admit.Reply, reached bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.asked = append(o.asked, peer.Name)
 	switch {
 	case o.silent[peer.Name]:
-		return nil
+		return nil, false
 	case o.cut[peer.Name]:
-		return &admit.Reply{Result: admit.Refused}
+		return &admit.Reply{Result: admit.Refused}, true
 	default:
-		return &admit.Reply{Result: admit.OK}
+		return &admit.Reply{Result: admit.OK}, true
 	}
 }
 
@@ -75,9 +75,9 @@
 func TestPeersAreAskedByTheirLastReplies(t *testing.T) {
 	r, now := newRelay()
 	for i := range 5 {
-		r.recent.note(fmt.Sprint("p", i), false, *now)
+		r.recent.note(fmt.Sprint("p", i), recentReply{at: *now})
 	}
-	r.recent.note("p5", true, *now)
+	r.recent.note("p5", recentReply{at: *now, reached: true, conclusive: true})
 	chosen := r.recent.choose(peersNamed(7), peersAsked, maxPeersAsked, *now)
 	assert.Equal(t, len(chosen), 2)
 	assert.Equal(t, chosen[0].Name, "p5")
@@ -108,3 +108,18 @@
 	reply, tried := r.askPeers(context.Background(), peersNamed(3), o.ask)
 	assert.Assert(t, reply == nil && tried)
 }
+
+// A data centre is cut off from the others: its instances reach each other, but nobody who could answer.
+func TestInstanceOfACutOffDataCentreIsIsolated(t *testing.T) {
+	r, now := newRelay()
+	r.Peers = &Peers{Self: Peer{Name: "self", DataCentre: "a"}, others: []Peer{{Name: "near", DataCentre: "a"}, {Name: "far", DataCentre: "b"}, {Name: "further", DataCentre: "c"}}}
+	assert.Assert(t, !r.Isolated(), "nobody was asked yet")
+	r.recent.note("near", recentReply{at: *now, reached: true})
+	assert.Assert(t, !r.Isolated(), "no other data centre was asked yet")
+	r.recent.note("far", recentReply{at: *now})
+	assert.Assert(t, r.Isolated())
+	r.recent.note("further", recentReply{at: *now, reached: true})
+	assert.Assert(t, !r.Isolated(), "one other data centre was reached")
+	*now = now.Add(2 * recentFor)
+	assert.Assert(t, !r.Isolated(), "the replies are too old")
+}
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -147,11 +147,17 @@
 // submit tries this instance and then a peer, or the peer first if the last read of the configuration failed. If the job may
 // have been created by then, it tries this instance until ctx ends.
 func (s *Service) submit(ctx context.Context, caller Caller, spec *work.Spec) Reply {
+	if s.isolated() {
+		return isolatedReply()
+	}
 	if s.Policy.Failing() && s.Relay != nil {
 		relayed, tried := s.forward(ctx, &Call{Kind: Submit, Caller: caller, Spec: spec})
 		if relayed != nil {
 			return *relayed
 		}
+		if s.isolated() && !tried {
+			return isolatedReply()
+		}
 		return s.submitLocally(ctx, caller, spec, tried)
 	}
 	firstCtx, cancel := context.WithTimeout(ctx, 2*firstTryTimeout)
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -56,8 +56,12 @@
 	reply *admit.Reply
 	tried bool
 	calls int
+	// isolated is the result of Isolated after the first call.
+	isolated bool
 }
 
+func (r *fakeRelay) Isolated() bool { return r.isolated && r.calls > 0 }
+
 func (r *fakeRelay) Forward(context.Context, *admit.Call) (*admit.Reply, bool) {
 	r.calls++
 	return r.reply, r.tried
@@ -474,3 +478,36 @@
 	assert.Equal(t, reply.Result, admit.Gone)
 	assert.Assert(t, reply.Version > 0)
 }
+
+// A data centre is cut off for seconds, and callers ask its instances. Each must be sent away at once instead of being held until
+// its deadline, as instances elsewhere can answer.
+func TestIsolatedInstanceRefusesAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.source.down = true
+	assert.Assert(t, f.service.Policy.Refresh(t.Context()) != nil)
+	calls := 0
+	f.store.SetOutcomes(func(string) fake.CallOutcome {
+		calls++
+		return fake.Down
+	})
+	relay := &fakeRelay{isolated: true}
+	f.service.Relay = relay
+	for _, reply := range []admit.Reply{f.service.State(t.Context(), caller()), f.service.Submit(t.Context(), caller(), spec()), f.service.Cancel(t.Context(), caller())} {
+		assert.Equal(t, reply.Result, admit.Refused)
+		assert.Equal(t, reply.RetryAfter, time.Second)
+	}
+	assert.Equal(t, relay.calls, 1, "peers are not asked again")
+	assert.Equal(t, calls, 0, "calls to the store")
+}
+
+// A peer may have executed the request before the data centre was cut off.
+func TestIsolatedInstanceDoesNotRefuseWhatAPeerMayHaveDone(t *testing.T) {
+	f := newFixture(t)
+	f.source.down = true
+	assert.Assert(t, f.service.Policy.Refresh(t.Context()) != nil)
+	f.store.SetOutcomes(func(string) fake.CallOutcome { return fake.Down })
+	f.service.Relay = &fakeRelay{isolated: true, tried: true}
+	assert.Equal(t, f.service.Submit(shortContext(t), caller(), spec()).Result, admit.Unknown)
+	f.service.Relay = &fakeRelay{isolated: true, tried: true}
+	assert.Equal(t, f.service.Cancel(shortContext(t), caller()).Result, admit.Unknown)
+}
--- a/internal/route/admit/call.go
+++ b/internal/route/admit/call.go
@@ -31,6 +31,19 @@
 type Relay interface {
 	// Forward returns a conclusive reply, or nil if no peer gave one; tried is true if a peer may have executed the request.
 	Forward(ctx context.Context, call *Call) (reply *Reply, tried bool)
+	// Isolated reports whether no peer of another data centre was reached by the latest requests.
+	Isolated() bool
+}
+
+// isolated reports whether this instance reaches neither the key-value store nor other data centres. Its callers are then sent
+// away at once, since another instance serves them sooner than this one will.
+func (s *Service) isolated() bool {
+	return s.Relay != nil && s.Policy.Failing() && s.Relay.Isolated()
+}
+
+// isolatedReply refuses a request of which nothing was tried.
+func isolatedReply() Reply {
+	return Reply{Result: Refused, Why: "this instance is cut off from the store and from other data centres", RetryAfter: retryAfter}
 }
 
 // worthRelaying reports whether another instance might give a better reply.
@@ -102,6 +115,9 @@
 // failed, then through a peer, and then on this instance until ctx ends. A cancellation that an earlier attempt may have
 // recorded is not refused.
 func (s *Service) localOrRelayed(ctx context.Context, call *Call) Reply {
+	if s.isolated() {
+		return isolatedReply()
+	}
 	mayHaveRun := false
 	if !s.Policy.Failing() {
 		firstCtx, cancel := context.WithTimeout(ctx, firstTryTimeout)
@@ -116,6 +132,9 @@
 	if relayed != nil {
 		return *relayed
 	}
+	if s.isolated() && (call.Kind == State || !mayHaveRun && !tried) {
+		return isolatedReply()
+	}
 	reply := s.runLocally(ctx, call)
 	if reply.Result == Refused && call.Kind == Cancel && (mayHaveRun || tried) {
 		return Reply{Result: Unknown, Why: reply.Why}
