--- a/internal/oper/losses/cause.go
+++ b/internal/oper/losses/cause.go
@@ -9,7 +9,7 @@
 const (
 	// Unexplained is what no line of the logs explains.
 	Unexplained Cause = iota
-	// StoreAway means that the key-value store did not answer an instance.
+	// StoreAway means that the key-value store did not answer an instance, or not in time.
 	StoreAway
 	// OwnerChanging means that no instance decided.
 	OwnerChanging
--- a/internal/oper/losses/collector.go
+++ b/internal/oper/losses/collector.go
@@ -151,6 +151,9 @@
 	switch line.Message {
 	case "admitted":
 		t.admitted(line)
+		if line.Duration("took") > slowAdmission {
+			c.storeFaults = append(c.storeFaults, line.Time)
+		}
 	case "jobSeen":
 		return t.seen(line)
 	case "runChanged":
@@ -182,6 +185,9 @@
 	return gaps
 }
 
+// slowAdmission is the time that a submission takes from which the store counts as slow; ten times the usual.
+const slowAdmission = 150 * time.Millisecond
+
 // faultNear is how far a fault's line may lie before a delay that it explains: a failed call is logged when it times out.
 const faultNear = 1500 * time.Millisecond
 
--- a/internal/oper/losses/lateness.go
+++ b/internal/oper/losses/lateness.go
@@ -299,7 +299,7 @@
 			cause = named.cause
 		}
 		if named.at.After(from) && named.at.Before(to) && !cause.afterRun() {
-			w.addDelay(c, from, named.at, cause)
+			w.addDelay(c, from, named.at, c.storeIfUnknown(cause, from, named.at))
 			from, cause = named.at, named.cause
 		}
 	}
--- a/internal/oper/losses/losses_test.go
+++ b/internal/oper/losses/losses_test.go
@@ -176,6 +176,16 @@
 	assert.Equal(t, r.Causes[0].Name, losses.RunFailed.String())
 }
 
+// Each response of the store takes a second; nothing fails, but nothing comes in time.
+func TestSlowStoreIsTheCauseOfASlowAdmission(t *testing.T) {
+	r := collect(t, []string{
+		line(2010, "admitted", aboutJob(`"result":"oK","took":"2.01s"`)),
+		line(2012, "jobSeen", aboutJob(`"queue":"quick","workspace":"alpha","age":"2ms","stretch":1.5,"target":"250ms","steps":[{"count":1}]`)),
+		changed(2014, "runPlaced", task(1)), started(2020, 1), changed(3020, "runDone", task(1)),
+	}, ended(3020, 3030, 3040)).Report()
+	assert.Assert(t, seconds(r, losses.StoreAway) > 0.9*r.Total.LatenessSeconds, "%v", r.Causes)
+}
+
 func TestUnfinishedAndCancelledJobs(t *testing.T) {
 	r := collect(t, accepted(), []string{changed(14, "jobWaits", task(0)+`,"cause":"scattered"`), line(9000, "asked", `"job":"/x/1"`)}).Report()
 	assert.Equal(t, r.Total.Unfinished, 1)
