--- a/internal/place/group/closed_worker_test.go
+++ b/internal/place/group/closed_worker_test.go
@@ -1,10 +1,8 @@
 package group_test
 
 import (
-	"math"
 	"testing"
 
-	"github.com/lentildeck/lentildeck/internal/place/group"
 	"gotest.tools/v3/assert"
 )
 
@@ -36,16 +34,7 @@
 func TestStartThatHasNotLeftIsWithheldFromAWorkerThatLeaves(t *testing.T) {
 	c := newCluster(t, 1, 2)
 	c.submit("late", planQueue, "beta", gang(1, 8))
-	c.engine.Decide(true, c.now)
-	for _, u := range c.engine.Updates(math.MaxInt, c.now) {
-		c.engine.Committed(u, c.now)
-	}
-	var order group.StartOrder
-	for _, action := range c.engine.Actions() {
-		if a, ok := action.(group.StartOrder); ok {
-			order = a
-		}
-	}
+	order := c.lastStartOrder()
 	for i := range c.infos {
 		c.infos[i].Draining = c.infos[i].ID == order.Worker
 	}
--- a/internal/place/group/engine_test.go
+++ b/internal/place/group/engine_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// lastStartOrder takes one decision, commits its updates and returns the last start order, which it does not carry out.
+func (c *cluster) lastStartOrder() (order group.StartOrder) {
+	c.engine.Decide(true, c.now)
+	for _, u := range c.engine.Updates(math.MaxInt, c.now) {
+		c.engine.Committed(u, c.now)
+	}
+	for _, action := range c.engine.Actions() {
+		if a, ok := action.(group.StartOrder); ok {
+			order = a
+		}
+	}
+	return order
+}
+
 func (c *cluster) carryOutStop(a group.StopOrder) {
 	c.engine.StopAcknowledged(a.Worker, a.Task, a.Run, c.now)
 	if entry, ok := c.running[a.Worker][a.Task]; ok && entry.Run == a.Run {
--- a/internal/place/group/unconfirmed_start_test.go
+++ b/internal/place/group/unconfirmed_start_test.go
@@ -1,7 +1,6 @@
 package group_test
 
 import (
-	"math"
 	"testing"
 	"time"
 
@@ -15,16 +14,7 @@
 	t.Helper()
 	c := newCluster(t, 1, 2)
 	job := c.submit("short", planQueue, "beta", gang(1, 8))
-	c.engine.Decide(true, c.now)
-	for _, u := range c.engine.Updates(math.MaxInt, c.now) {
-		c.engine.Committed(u, c.now)
-	}
-	var order group.StartOrder
-	for _, action := range c.engine.Actions() {
-		if a, ok := action.(group.StartOrder); ok {
-			order = a
-		}
-	}
+	order := c.lastStartOrder()
 	order.Member.MarkSent()
 	c.now = c.now.Add(400 * time.Millisecond)
 	c.engine.ApplyStartResult(order.Member, group.Unconfirmed, c.now)
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -213,71 +213,6 @@
 	assert.Equal(t, f.service.Submit(shortContext(t), caller(), spec()).Result, admit.Unknown)
 }
 
-// endsAfterCommits is a context that ends with the given number of commits, but whose Done channel is closed by its parent
-// only: the deadline passes between a pause and the next check.
-type endsAfterCommits struct {
-	context.Context
-	commits *int
-	limit   int
-}
-
-func (c endsAfterCommits) Err() error {
-	if *c.commits >= c.limit {
-		return context.DeadlineExceeded
-	}
-	return c.Context.Err()
-}
-
-// failCommits makes the outcomes of the commits the given ones, the last of them for all that follow, and counts them in n.
-func (f *fixture) failCommits(n *int, outcomes ...fake.CallOutcome) {
-	f.store.SetOutcomes(func(operation string) fake.CallOutcome {
-		if operation != "commit" {
-			return fake.Delivered
-		}
-		*n++
-		return outcomes[min(*n, len(outcomes))-1]
-	})
-}
-
-// A deadline that passes right after the pause before a retry must not turn a job that may exist into a refused one.
-func TestDeadlineAfterALostCommitIsNeverRefused(t *testing.T) {
-	f := newFixture(t)
-	commits := 0
-	f.failCommits(&commits, fake.ResponseLost)
-	ctx := endsAfterCommits{Context: t.Context(), commits: &commits, limit: 1}
-	assert.Equal(t, f.service.Submit(ctx, caller(), spec()).Result, admit.Unknown)
-	assert.Assert(t, f.jobCreated(t))
-}
-
-// The cancellation is recorded, its response lost, and the configuration then changes and can't be read any more.
-func TestCancelAfterALostCommitIsNeverRefused(t *testing.T) {
-	f := newFixture(t)
-	commits := 0
-	f.failCommits(&commits, fake.ResponseLost, fake.Delivered)
-	f.source.beforeRead = func() { f.source.down = true }
-	f.service.Store = changeAfterCommit{Transactor: f.store, change: func() { f.store.Put(configKey, nil) }}
-	assert.Equal(t, f.service.Cancel(shortContext(t), caller()).Result, admit.Unknown)
-}
-
-// changeAfterCommit calls change after each commit.
-type changeAfterCommit struct {
-	store.Transactor
-	change func()
-}
-
-func (c changeAfterCommit) Commit(ctx context.Context, tx store.Transaction) (int64, error) {
-	defer c.change()
-	return c.Transactor.Commit(ctx, tx)
-}
-
-// A peer may have recorded the cancellation although its reply is lost; the policy here is then too old to try again.
-func TestRelayedCancelWithoutAnswerIsNeverRefused(t *testing.T) {
-	f := newFixture(t)
-	f.now = f.now.Add(4 * time.Second)
-	f.service.Relay = &fakeRelay{tried: true}
-	assert.Equal(t, f.service.Cancel(shortContext(t), caller()).Result, admit.Unknown)
-}
-
 func TestStateOfAJob(t *testing.T) {
 	f := newFixture(t)
 	assert.Equal(t, f.service.State(shortContext(t), caller()).Result, admit.Gone)
@@ -361,31 +296,6 @@
 	assert.DeepEqual(t, accepted, []string{job})
 }
 
-// While the store refuses a third of the instances for seconds, callers keep polling these for the state of their jobs. An
-// instance that knows that it is cut off must not spend firstTryTimeout on the store before it asks a peer.
-func TestInstanceThatKnowsItIsCutOffAsksAPeerFirst(t *testing.T) {
-	f := newFixture(t)
-	f.source.down = true
-	assert.Assert(t, f.service.Policy.Refresh(t.Context()) != nil)
-	calls := 0
-	f.store.SetOutcomes(func(string) fake.CallOutcome {
-		calls++
-		return fake.Down
-	})
-	relay := &fakeRelay{reply: &admit.Reply{Result: admit.OK}, tried: true}
-	f.service.Relay = relay
-	assert.Equal(t, f.service.State(shortContext(t), caller()).Result, admit.OK)
-	assert.Equal(t, f.service.Cancel(shortContext(t), caller()).Result, admit.OK)
-	assert.Equal(t, f.service.Submit(shortContext(t), caller(), spec()).Result, admit.OK)
-	assert.Equal(t, calls, 0, "calls to the store")
-	assert.Equal(t, relay.calls, 3)
-	f.source.down = false
-	f.store.SetOutcomes(nil)
-	assert.NilError(t, f.service.Policy.Refresh(t.Context()))
-	assert.Equal(t, f.service.State(shortContext(t), caller()).Result, admit.Gone)
-	assert.Equal(t, relay.calls, 3)
-}
-
 // A peer that is cut off as well must refuse immediately; the refusal is definite, as the peer has tried nothing.
 func TestCutOffPeerRefusesImmediately(t *testing.T) {
 	f := newFixture(t)
@@ -478,36 +388,3 @@
 	assert.Equal(t, reply.Result, admit.Gone)
 	assert.Assert(t, reply.Version > 0)
 }
-
-// A data centre is cut off for seconds, and callers ask its instances. Each must be sent away at once instead of being held until
-// its deadline, as instances elsewhere can answer.
-func TestIsolatedInstanceRefusesAtOnce(t *testing.T) {
-	f := newFixture(t)
-	f.source.down = true
-	assert.Assert(t, f.service.Policy.Refresh(t.Context()) != nil)
-	calls := 0
-	f.store.SetOutcomes(func(string) fake.CallOutcome {
-		calls++
-		return fake.Down
-	})
-	relay := &fakeRelay{isolated: true}
-	f.service.Relay = relay
-	for _, reply := range []admit.Reply{f.service.State(t.Context(), caller()), f.service.Submit(t.Context(), caller(), spec()), f.service.Cancel(t.Context(), caller())} {
-		assert.Equal(t, reply.Result, admit.Refused)
-		assert.Equal(t, reply.RetryAfter, time.Second)
-	}
-	assert.Equal(t, relay.calls, 1, "peers are not asked again")
-	assert.Equal(t, calls, 0, "calls to the store")
-}
-
-// A peer may have executed the request before the data centre was cut off.
-func TestIsolatedInstanceDoesNotRefuseWhatAPeerMayHaveDone(t *testing.T) {
-	f := newFixture(t)
-	f.source.down = true
-	assert.Assert(t, f.service.Policy.Refresh(t.Context()) != nil)
-	f.store.SetOutcomes(func(string) fake.CallOutcome { return fake.Down })
-	f.service.Relay = &fakeRelay{isolated: true, tried: true}
-	assert.Equal(t, f.service.Submit(shortContext(t), caller(), spec()).Result, admit.Unknown)
-	f.service.Relay = &fakeRelay{isolated: true, tried: true}
-	assert.Equal(t, f.service.Cancel(shortContext(t), caller()).Result, admit.Unknown)
-}
