--- a/internal/kern/event/event.go
+++ b/internal/kern/event/event.go
@@ -75,7 +75,7 @@
 	DecisionSlow     = define(416, "decisionSlow", log.WarnLevel, "A decision of the owner took long, or the time between two decisions was long, so orders were sent late. `took` is the duration of the decision alone, `waited` the time since the previous one, `visited` the number of workers examined by its searches, counted each time, `commits` the number of transactions in progress.")
 	LeasesKept       = define(417, "leasesKept", log.InfoLevel, "This instance extends the leases of the workers of its data centre, as the owner is silent; `request` is the number of the owner's last request.")
 	SubstituteChosen = define(418, "substituteChosen", log.InfoLevel, "An instance of another data centre was chosen as its lease proxy: it may extend the leases there on the owner's behalf.")
-	RackListed       = define(419, "rackListed", log.InfoLevel, "The workers of one rack and service that a new owner has found in the list; `capacity` is that of the first.")
+	RackListed       = define(419, "rackListed", log.InfoLevel, "The workers of one rack and service that a new owner has found in the list; `milliCores`, `memoryMB` and `accelerators` are those of the first worker.")
 	PolicyInForce    = define(510, "policyInForce", log.InfoLevel, "A newer configuration became active on this instance, or the set of evacuated data centres changed.")
 	PolicyBad        = define(511, "policyBad", log.ErrorLevel, "A stored configuration or list entry could not be decoded; it is ignored.")
 	RecordBad        = define(603, "recordBad", log.ErrorLevel, "A stored value could not be decoded; it was left unchanged.")
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -282,7 +282,11 @@
 		for i, w := range list {
 			ids[i] = w.ID
 		}
-		t.Log.Emit(event.RackListed, event.Fields{"dataCentre": k.dataCentre, "rack": k.rack, "service": k.service, "workers": ids, "capacity": list[0].Capacity, "token": t.token})
+		size := list[0].Capacity
+		t.Log.Emit(event.RackListed, event.Fields{
+			"dataCentre": k.dataCentre, "rack": k.rack, "service": k.service, "workers": ids, "token": t.token,
+			"milliCores": size.MilliCores, "memoryMB": size.MemoryMB, "accelerators": size.Accelerators,
+		})
 	}
 }
 
--- a/internal/peer/relay/recent.go
+++ b/internal/peer/relay/recent.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,13 +25,14 @@
 	conclusive bool
 }
 
-// note records the result of a request to the peer.
+// note records the result of a request to the peer, and forgets results that are no longer recent.
 func (r *recent) note(peer string, reply recentReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.replies == nil {
 		r.replies = make(map[string]recentReply)
 	}
+	maps.DeleteFunc(r.replies, func(_ string, last recentReply) bool { return reply.at.Sub(last.at) > recentFor })
 	r.replies[peer] = reply
 }
 
