--- a/internal/oper/cmds/losses.go
+++ b/internal/oper/cmds/losses.go
@@ -27,7 +27,7 @@
 func lossesCommand(env *Env) *ffcli.Command {
 	var f lossesFlags
 	flags := flag.NewFlagSet("losses", flag.ContinueOnError)
-	flags.StringVar(&f.job, "job", "", "print the way of this job instead of the tables")
+	flags.StringVar(&f.job, "job", "", "print the timeline of this job instead of the tables")
 	flags.BoolVar(&f.json, "json", false, "print JSON")
 	flags.StringVar(&f.plot, "plot", "", "also write a chart of the lateness by cause over time to this SVG file")
 	return &ffcli.Command{
@@ -84,21 +84,21 @@
 	if f.json {
 		return json.NewEncoder(env.Out).Encode(job)
 	}
-	_, err := fmt.Fprintf(env.Out, "job %s of queue %s, workspace %s: %s, %.3f s late\n", job.Job, job.Queue, job.Workspace, job.Phase, job.LatenessSeconds)
+	var text strings.Builder
+	fmt.Fprintf(&text, "job %s of queue %s, workspace %s: %s, %.3f s late\n", job.Job, job.Queue, job.Workspace, job.Phase, job.LatenessSeconds)
 	for _, refusal := range job.Refusals {
-		_, refusalErr := fmt.Fprintf(env.Out, "%s  refused: %s\n", refusal.At.Format(timelineFormat), refusal.Why)
-		err = errors.Join(err, refusalErr)
+		fmt.Fprintf(&text, "%s  refused: %s\n", refusal.At.Format(timelineFormat), refusal.Why)
 	}
-	for _, way := range job.Ways {
-		for _, s := range way {
+	for _, path := range job.CriticalPaths {
+		for _, s := range path {
 			what := "delay: " + s.Cause.String()
 			if s.Work {
 				what = "work"
 			}
-			_, segmentErr := fmt.Fprintf(env.Out, "%s  %8.3f s  %s\n", s.From.Format(timelineFormat), s.To.Sub(s.From).Seconds(), what)
-			err = errors.Join(err, segmentErr)
+			fmt.Fprintf(&text, "%s  %8.3f s  %s\n", s.From.Format(timelineFormat), s.To.Sub(s.From).Seconds(), what)
 		}
 	}
+	_, err := io.WriteString(env.Out, text.String())
 	return err
 }
 
@@ -111,25 +111,25 @@
 }
 
 func printLosses(out io.Writer, r *losses.Report) error {
-	_, err := fmt.Fprintf(out, "%d jobs: %d late by %.1f s in all, %d unfinished, %d refused, %d cancelled; %.0f core-seconds discarded; %.1f%% of the lateness is unexplained\n",
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d jobs: %d late by %.1f s in all, %d unfinished, %d refused, %d cancelled; %.0f core-seconds discarded; %.1f%% of the lateness is unexplained\n",
 		r.Total.Jobs, r.Total.Late, r.Total.LatenessSeconds, r.Total.Unfinished, r.Total.Refused, r.Cancelled, r.Total.CoreSeconds, 100*r.UnexplainedShare)
 	for _, table := range []struct {
 		name string
 		rows []losses.Loss
 	}{{"cause", r.Causes}, {"queue", r.Queues}, {"workspace", r.Workspaces}, {"data centre", r.DataCentres}, {"window", r.Windows}} {
-		if _, titleErr := fmt.Fprintln(out); titleErr != nil {
-			return titleErr
+		text.WriteString("\n")
+		if err := renderTable(&text, lossTable(table.name, table.rows)); err != nil {
+			return err
 		}
-		err = errors.Join(err, renderTable(out, lossTable(table.name, table.rows)))
 	}
 	if len(r.BadLines) > 0 {
-		_, badErr := fmt.Fprintf(out, "\n%d lines could not be decoded:\n%s\n", len(r.BadLines), strings.Join(r.BadLines[:min(len(r.BadLines), maxShownBadLines)], "\n"))
-		err = errors.Join(err, badErr)
+		fmt.Fprintf(&text, "\n%d lines could not be decoded:\n%s\n", len(r.BadLines), strings.Join(r.BadLines[:min(len(r.BadLines), maxShownBadLines)], "\n"))
 	}
 	if len(r.MissingInstances) > 0 {
-		_, missingErr := fmt.Fprintf(out, "\nno lines of these instances, so causes may be wrong: %s\n", strings.Join(r.MissingInstances, ", "))
-		err = errors.Join(err, missingErr)
+		fmt.Fprintf(&text, "\nno lines of these instances, so causes may be wrong: %s\n", strings.Join(r.MissingInstances, ", "))
 	}
+	_, err := io.WriteString(out, text.String())
 	return err
 }
 
--- a/internal/oper/losses/collector.go
+++ b/internal/oper/losses/collector.go
@@ -21,8 +21,8 @@
 
 // Collector gathers what the logs of any number of instances say about jobs.
 type Collector struct {
-	// Trails are the jobs by ID.
-	Trails map[string]*Trail
+	// Timelines are the jobs by ID.
+	Timelines map[string]*Timeline
 	// BadLines names the lines that could not be decoded, by file.
 	BadLines []string
 
@@ -42,7 +42,7 @@
 // NewCollector returns an empty collector.
 func NewCollector() *Collector {
 	return &Collector{
-		Trails: make(map[string]*Trail), instances: make(map[string]bool), mentioned: make(map[string]bool),
+		Timelines: make(map[string]*Timeline), instances: make(map[string]bool), mentioned: make(map[string]bool),
 		terms: make(map[int64]*interval), dataCentres: make(map[string]string),
 	}
 }
@@ -75,12 +75,12 @@
 	return missing
 }
 
-// trail returns the trail of the job, which is created if it is new.
-func (c *Collector) trail(job string) *Trail {
-	t := c.Trails[job]
+// timeline returns the timeline of the job, which is created if it is new.
+func (c *Collector) timeline(job string) *Timeline {
+	t := c.Timelines[job]
 	if t == nil {
-		t = &Trail{Job: job, groups: make(map[string]*taskGroup)}
-		c.Trails[job] = t
+		t = &Timeline{Job: job, groups: make(map[string]*taskGroup)}
+		c.Timelines[job] = t
 	}
 	return t
 }
@@ -95,12 +95,12 @@
 	}
 	c.addTerm(line)
 	if job := line.Text("job"); job != "" && !strings.Contains(job, "/") {
-		return c.addToTrail(c.trail(job), line)
+		return c.addToTimeline(c.timeline(job), line)
 	}
 	switch line.Message {
 	case "startSent":
 		job, _, _ := strings.Cut(line.Text("task"), ".")
-		c.trail(job).started(line)
+		c.timeline(job).started(line)
 		if line.Text("outcome") != "started" {
 			c.workerFault(line.Text("worker"), line.Time)
 		}
@@ -147,7 +147,7 @@
 	c.workerFaults = append(c.workerFaults, workerFault{worker: worker, at: at})
 }
 
-func (c *Collector) addToTrail(t *Trail, line *logs.Line) error {
+func (c *Collector) addToTimeline(t *Timeline, line *logs.Line) error {
 	switch line.Message {
 	case "admitted":
 		t.admitted(line)
--- a/internal/oper/losses/lateness.go
+++ b/internal/oper/losses/critical_path.go
@@ -7,7 +7,7 @@
 	"github.com/lentildeck/lentildeck/internal/state/work"
 )
 
-// Segment is a part of a job's way: work on its longest chain, or a delay with its cause.
+// Segment is a part of a job's time: work on its longest chain, or a delay with its cause.
 type Segment struct {
 	From  time.Time `json:"from"`
 	To    time.Time `json:"to"`
@@ -15,16 +15,16 @@
 	Cause Cause     `json:"cause"`
 }
 
-// way is the longest chain of one occurrence of a job, in the order of time.
-type way struct {
+// criticalPath is the longest chain of one occurrence of a job, in the order of time.
+type criticalPath struct {
 	segments []Segment
 	work     time.Duration
 	// from is when the caller began to wait, to when the end was shown to it.
 	from, to time.Time
 }
 
-// context holds what explains delays of all jobs.
-type context struct {
+// evidence holds what explains delays of all jobs.
+type evidence struct {
 	ownerGaps   []interval
 	storeFaults []time.Time
 	// dataCentres are those of the workers, workerFaults the faults in each.
@@ -37,7 +37,7 @@
 const minCutOff = 3
 
 // silence returns the cause of a delay by a silent worker: CutOff if others of its data centre were silent as well.
-func (c *context) silence(worker string, from, to time.Time) Cause {
+func (c *evidence) silence(worker string, from, to time.Time) Cause {
 	silent := make(map[string]bool)
 	for _, fault := range c.workerFaults[c.dataCentres[worker]] {
 		if within([]time.Time{fault.at}, interval{from, to}) {
@@ -51,7 +51,7 @@
 }
 
 // add appends a segment; empty ones are left out.
-func (w *way) add(from, to time.Time, isWork bool, cause Cause) {
+func (w *criticalPath) add(from, to time.Time, isWork bool, cause Cause) {
 	if !to.After(from) {
 		return
 	}
@@ -62,7 +62,7 @@
 }
 
 // addDelay appends a delay whose cause is the given one, except for the parts in which no owner decided.
-func (w *way) addDelay(c *context, from, to time.Time, cause Cause) {
+func (w *criticalPath) addDelay(c *evidence, from, to time.Time, cause Cause) {
 	for _, gap := range c.ownerGaps {
 		if gap.from.Before(to) && gap.to.After(from) {
 			w.add(from, latest(from, gap.from), false, cause)
@@ -78,7 +78,7 @@
 }
 
 // silenceOr returns the cause of the attempt's end, which is the silence of a worker or another one.
-func (c *context) silenceOr(a *attempt, from, to time.Time) Cause {
+func (c *evidence) silenceOr(a *attempt, from, to time.Time) Cause {
 	if a.cause == WorkerSilent {
 		return c.silence(a.worker, from, to)
 	}
@@ -86,31 +86,31 @@
 }
 
 // storeOr returns StoreAway if the store failed around the interval, and the other cause if not.
-func (c *context) storeOr(other Cause, from, to time.Time) Cause {
+func (c *evidence) storeOr(other Cause, from, to time.Time) Cause {
 	if within(c.storeFaults, interval{from, to}) {
 		return StoreAway
 	}
 	return other
 }
 
-// ways returns the ways of all occurrences of the job that were due.
-func (t *Trail) ways(c *context) []way {
+// criticalPaths returns the critical paths of all occurrences of the job that were due.
+func (t *Timeline) criticalPaths(c *evidence) []criticalPath {
 	spec := work.Spec{Steps: t.Steps, Repeat: t.Repeat}
-	var list []way
+	var list []criticalPath
 	for occurrence := range spec.Occurrences() {
 		due := t.Received
 		if t.Repeat != nil {
 			due = t.Repeat.Start.Add(time.Duration(occurrence) * t.Repeat.Interval)
 		}
 		if due.Before(c.end) {
-			list = append(list, t.way(c, occurrence, due))
+			list = append(list, t.criticalPath(c, occurrence, due))
 		}
 	}
 	return list
 }
 
-// way follows the longest chain of one occurrence backwards from its last end.
-func (t *Trail) way(c *context, occurrence int, due time.Time) way {
+// criticalPath follows the longest chain of one occurrence backwards from its last end.
+func (t *Timeline) criticalPath(c *evidence, occurrence int, due time.Time) criticalPath {
 	ends := t.stepEnds(c, occurrence)
 	var chain []int
 	last := -1
@@ -130,7 +130,7 @@
 		last = next
 	}
 	slices.Reverse(chain)
-	w := way{from: due}
+	w := criticalPath{from: due}
 	at := due
 	if t.Repeat == nil {
 		w.addDelay(c, t.Received, t.Accepted, c.storeOr(t.admission(), t.Received, t.Accepted))
@@ -147,7 +147,7 @@
 }
 
 // admission returns the cause of a delay before the job was accepted.
-func (t *Trail) admission() Cause {
+func (t *Timeline) admission() Cause {
 	if len(t.Refusals) > 0 {
 		return t.Refusals[0].Cause
 	}
@@ -156,7 +156,7 @@
 
 // addEnd adds the time from the end of the work to its showing to the caller, and returns when that was. Each occurrence of a
 // repeating job ends with its work.
-func (t *Trail) addEnd(w *way, c *context, at time.Time) time.Time {
+func (t *Timeline) addEnd(w *criticalPath, c *evidence, at time.Time) time.Time {
 	if t.Repeat != nil {
 		return at
 	}
@@ -172,7 +172,7 @@
 }
 
 // waitAt returns the cause of the job's wait as of the time.
-func (t *Trail) waitAt(at time.Time) Cause {
+func (t *Timeline) waitAt(at time.Time) Cause {
 	cause := Unexplained
 	for _, w := range t.waits {
 		if !w.at.After(at) {
@@ -183,7 +183,7 @@
 }
 
 // stepEnds returns when each step of the occurrence was done, or the end of the job.
-func (t *Trail) stepEnds(c *context, occurrence int) []time.Time {
+func (t *Timeline) stepEnds(c *evidence, occurrence int) []time.Time {
 	ends := make([]time.Time, len(t.Steps))
 	for _, g := range t.groups {
 		if g.occurrence == occurrence && g.step < len(ends) {
@@ -204,7 +204,7 @@
 }
 
 // lastGroup returns the group of the step that was done last.
-func (t *Trail) lastGroup(c *context, occurrence, step int) *taskGroup {
+func (t *Timeline) lastGroup(c *evidence, occurrence, step int) *taskGroup {
 	var found *taskGroup
 	for _, g := range t.groups {
 		if g.occurrence == occurrence && g.step == step && (found == nil || g.end(t.end(c)).After(found.end(t.end(c)))) {
@@ -215,7 +215,7 @@
 }
 
 // addGroup adds the attempts of a group that was ready at the given time, and returns when it was done.
-func (t *Trail) addGroup(w *way, c *context, g *taskGroup, ready time.Time) time.Time {
+func (t *Timeline) addGroup(w *criticalPath, c *evidence, g *taskGroup, ready time.Time) time.Time {
 	slices.SortFunc(g.attempts, func(a, b *attempt) int { return a.run - b.run })
 	at, cause := ready, Unexplained
 	for i, a := range g.attempts {
@@ -246,7 +246,7 @@
 
 // addWork adds a run that succeeded: its work on a sound worker, and as delays what a slow worker added and the time until
 // its end was known.
-func (t *Trail) addWork(w *way, c *context, a *attempt, from, to time.Time) {
+func (t *Timeline) addWork(w *criticalPath, c *evidence, a *attempt, from, to time.Time) {
 	heard := to
 	to = latest(from, to.Add(-a.overdue))
 	cause := c.silence(a.worker, to, heard)
@@ -284,7 +284,7 @@
 }
 
 // end returns when the job ended, or the end of the logs if it did not.
-func (t *Trail) end(c *context) time.Time {
+func (t *Timeline) end(c *evidence) time.Time {
 	if t.Ended.IsZero() {
 		return c.end
 	}
@@ -293,7 +293,7 @@
 
 // addWait adds the wait for room between two attempts, split where the owner named another cause. A wait after an attempt
 // that was stopped or broken has that cause until the owner names one.
-func (t *Trail) addWait(w *way, c *context, from, to time.Time, cause Cause) {
+func (t *Timeline) addWait(w *criticalPath, c *evidence, from, to time.Time, cause Cause) {
 	for _, named := range t.waits {
 		if cause == Unexplained && !named.at.After(from) {
 			cause = named.cause
@@ -312,22 +312,22 @@
 }
 
 // storeIfUnknown returns StoreAway for a delay without a cause around a fault of the store.
-func (c *context) storeIfUnknown(cause Cause, from, to time.Time) Cause {
+func (c *evidence) storeIfUnknown(cause Cause, from, to time.Time) Cause {
 	if cause == Unexplained {
 		return c.storeOr(cause, from, to)
 	}
 	return cause
 }
 
-// lateness returns how much later than its objective the way ended, zero if it did not. The chain counts as long as its work
+// lateness returns how much later than its objective the critical path ended, zero if it did not. The chain counts as long as its work
 // took, since only its run tells how long it is.
-func (t *Trail) lateness(w *way) time.Duration {
+func (t *Timeline) lateness(w *criticalPath) time.Duration {
 	objective := time.Duration(t.Stretch*float64(w.work)) + t.Target
 	return max(w.to.Sub(w.from)-objective, 0)
 }
 
-// attribute splits the lateness among the delays of the way, in proportion to their lengths.
-func (w *way) attribute(lateness time.Duration) map[Cause]time.Duration {
+// attribute splits the lateness among the delays of the critical path, in proportion to their lengths.
+func (w *criticalPath) attribute(lateness time.Duration) map[Cause]time.Duration {
 	delays := make(map[Cause]time.Duration)
 	total := time.Duration(0)
 	for _, s := range w.segments {
--- a/internal/oper/losses/report.go
+++ b/internal/oper/losses/report.go
@@ -66,10 +66,10 @@
 func (c *Collector) Report() *Report {
 	r := &Report{Total: Loss{Name: "all"}, BadLines: c.BadLines, MissingInstances: c.MissingInstances(), lateness: make(map[string]map[Cause]float64)}
 	all := tables{make(map[string]*Loss), make(map[string]*Loss), make(map[string]*Loss), make(map[string]*Loss), make(map[string]*Loss)}
-	ctx := c.context()
-	ids := make([]string, 0, len(c.Trails))
+	ev := c.evidence()
+	ids := make([]string, 0, len(c.Timelines))
 	first := time.Time{}
-	for id, t := range c.Trails {
+	for id, t := range c.Timelines {
 		if !t.Received.IsZero() {
 			ids = append(ids, id)
 			first = earliest(first, t.Received)
@@ -77,10 +77,10 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		t := c.Trails[id]
+		t := c.Timelines[id]
 		window := fmt.Sprintf("%04d s", int(t.Received.Sub(first)/windowLength*windowLength/time.Second))
 		rows := []*Loss{&r.Total, row(all.queues, t.Queue), row(all.workspaces, t.Workspace), row(all.dataCentres, t.DataCentre), row(all.windows, window)}
-		r.add(t, ctx, window, rows, all.causes)
+		r.add(t, ev, window, rows, all.causes)
 	}
 	r.Causes, r.Queues, r.Workspaces = worstFirst(all.causes), worstFirst(all.queues), worstFirst(all.workspaces)
 	r.DataCentres, r.Windows = worstFirst(all.dataCentres), byName(all.windows)
@@ -90,18 +90,18 @@
 	return r
 }
 
-// context returns what explains delays of all jobs.
-func (c *Collector) context() *context {
+// evidence returns what explains delays of all jobs.
+func (c *Collector) evidence() *evidence {
 	faults := make(map[string][]workerFault)
 	for _, fault := range c.workerFaults {
 		dataCentre := c.dataCentres[fault.worker]
 		faults[dataCentre] = append(faults[dataCentre], fault)
 	}
-	return &context{ownerGaps: c.ownerGaps(), storeFaults: c.storeFaults, dataCentres: c.dataCentres, workerFaults: faults, end: c.last}
+	return &evidence{ownerGaps: c.ownerGaps(), storeFaults: c.storeFaults, dataCentres: c.dataCentres, workerFaults: faults, end: c.last}
 }
 
 // add counts one job in the rows, and its lateness by cause.
-func (r *Report) add(t *Trail, ctx *context, window string, rows []*Loss, causes map[string]*Loss) {
+func (r *Report) add(t *Timeline, ev *evidence, window string, rows []*Loss, causes map[string]*Loss) {
 	for _, refusal := range t.Refusals {
 		row(causes, refusal.Cause.String()).Refusals++
 	}
@@ -121,7 +121,7 @@
 	if refused || t.Phase == work.Cancelled.String() {
 		return
 	}
-	late, byCause := t.latenessByCause(ctx)
+	late, byCause := t.latenessByCause(ev)
 	for _, loss := range rows {
 		loss.LatenessSeconds += late.Seconds()
 		if late > 0 {
@@ -146,9 +146,9 @@
 }
 
 // latenessByCause returns the lateness of all occurrences of the job.
-func (t *Trail) latenessByCause(ctx *context) (time.Duration, map[Cause]time.Duration) {
+func (t *Timeline) latenessByCause(ev *evidence) (time.Duration, map[Cause]time.Duration) {
 	total, byCause := time.Duration(0), make(map[Cause]time.Duration)
-	for _, w := range t.ways(ctx) {
+	for _, w := range t.criticalPaths(ev) {
 		late := t.lateness(&w)
 		total += late
 		if late == 0 {
@@ -162,7 +162,7 @@
 }
 
 // discarded returns the work of the job that was discarded, and adds it to the causes.
-func (t *Trail) discarded(causes map[string]*Loss) float64 {
+func (t *Timeline) discarded(causes map[string]*Loss) float64 {
 	total := 0.0
 	for _, g := range t.groups {
 		for _, a := range g.attempts {
@@ -195,7 +195,7 @@
 	return rows
 }
 
-// JobReport is the way of one job.
+// JobReport is the timeline of one job.
 type JobReport struct {
 	Job             string             `json:"job"`
 	Queue           string             `json:"queue"`
@@ -204,24 +204,24 @@
 	Refusals        []Refusal          `json:"refusals"`
 	LatenessSeconds float64            `json:"latenessSeconds"`
 	Causes          map[string]float64 `json:"causes"`
-	Ways            [][]Segment        `json:"ways"`
+	CriticalPaths   [][]Segment        `json:"criticalPaths"`
 }
 
-// Job returns the way of one job, or nil if the logs don't name it.
+// Job returns the timeline of one job, or nil if the logs don't name it.
 func (c *Collector) Job(id string) *JobReport {
-	t := c.Trails[id]
+	t := c.Timelines[id]
 	if t == nil {
 		return nil
 	}
-	ctx := c.context()
+	ev := c.evidence()
 	r := &JobReport{Job: id, Queue: t.Queue, Workspace: t.Workspace, Phase: t.Phase, Refusals: t.Refusals, Causes: make(map[string]float64)}
-	late, byCause := t.latenessByCause(ctx)
+	late, byCause := t.latenessByCause(ev)
 	r.LatenessSeconds = late.Seconds()
 	for cause, delay := range byCause {
 		r.Causes[cause.String()] = delay.Seconds()
 	}
-	for _, w := range t.ways(ctx) {
-		r.Ways = append(r.Ways, w.segments)
+	for _, w := range t.criticalPaths(ev) {
+		r.CriticalPaths = append(r.CriticalPaths, w.segments)
 	}
 	return r
 }
--- a/internal/oper/losses/trail.go
+++ b/internal/oper/losses/timeline.go
@@ -11,8 +11,8 @@
 	"github.com/lentildeck/lentildeck/internal/state/work"
 )
 
-// Trail is the way of one job, as far as the logs tell it; times that they don't tell are zero.
-type Trail struct {
+// Timeline is the course of one job, as far as the logs tell it; times that they don't tell are zero.
+type Timeline struct {
 	Job        string
 	Queue      string
 	Workspace  string
@@ -90,7 +90,7 @@
 }
 
 // group returns the task group of a task, which is created if it is new.
-func (t *Trail) group(task string) *taskGroup {
+func (t *Timeline) group(task string) *taskGroup {
 	occurrence, step, index, ok := taskOf(task)
 	if !ok {
 		return nil
@@ -120,7 +120,7 @@
 }
 
 // admitted applies a reply to the job's submission.
-func (t *Trail) admitted(line *logs.Line) {
+func (t *Timeline) admitted(line *logs.Line) {
 	if from := line.Time.Add(-line.Duration("took")); t.Received.IsZero() || from.Before(t.Received) {
 		t.Received = from
 	}
@@ -133,7 +133,7 @@
 }
 
 // seen applies the line of an owner that has loaded the job.
-func (t *Trail) seen(line *logs.Line) error {
+func (t *Timeline) seen(line *logs.Line) error {
 	t.Seen = earliest(t.Seen, line.Time)
 	if t.Accepted.IsZero() {
 		t.Accepted = line.Time.Add(-line.Duration("age"))
@@ -163,7 +163,7 @@
 }
 
 // started applies the answer to a start order.
-func (t *Trail) started(line *logs.Line) {
+func (t *Timeline) started(line *logs.Line) {
 	if g := t.group(line.Text("task")); g != nil && line.Text("outcome") == "started" {
 		a := g.attempt(int(line.Number("run")))
 		a.started = latest(a.started, line.Time)
@@ -183,7 +183,7 @@
 }
 
 // changed applies a decision of the owner.
-func (t *Trail) changed(line *logs.Line) {
+func (t *Timeline) changed(line *logs.Line) {
 	cause, err := group.CauseString(line.Text("cause"))
 	if err != nil {
 		// Decisions without a cause leave the field out.
