--- a/internal/oper/losses/cause.go
+++ b/internal/oper/losses/cause.go
@@ -13,7 +13,7 @@
 	StoreAway
 	// OwnerChanging means that no instance decided.
 	OwnerChanging
-	// CutOff means that a data centre was cut off or evacuated.
+	// CutOff means that several workers of a data centre did not answer.
 	CutOff
 	FleetFull
 	RoomReserved
--- a/internal/oper/losses/critical_path.go
+++ b/internal/oper/losses/critical_path.go
@@ -66,27 +66,25 @@
 	return list
 }
 
-// criticalPath follows the longest chain of one occurrence backwards from its last end.
-func (t *Timeline) criticalPath(c *evidence, occurrence int, due time.Time) criticalPath {
-	ends := t.stepEnds(c, occurrence)
-	var chain []int
-	last := -1
-	for step := range t.Steps {
-		if last < 0 || ends[step].After(ends[last]) {
-			last = step
-		}
+// chain returns the steps of the longest chain in their order: the step that ended last, and before each the last one that it
+// waited for.
+func (t *Timeline) chain(ends []time.Time) []int {
+	steps := make([]int, len(t.Steps))
+	for i := range steps {
+		steps[i] = i
 	}
-	for last >= 0 {
+	var chain []int
+	for len(steps) > 0 {
+		last := slices.MaxFunc(steps, func(a, b int) int { return ends[a].Compare(ends[b]) })
 		chain = append(chain, last)
-		next := -1
-		for _, earlier := range t.Steps[last].After {
-			if next < 0 || ends[earlier].After(ends[next]) {
-				next = earlier
-			}
-		}
-		last = next
+		steps = t.Steps[last].After
 	}
 	slices.Reverse(chain)
+	return chain
+}
+
+// criticalPath returns the longest chain of one occurrence with the delays on it.
+func (t *Timeline) criticalPath(c *evidence, occurrence int, due time.Time) criticalPath {
 	w := criticalPath{from: due}
 	at := due
 	if t.Repeat == nil {
@@ -94,7 +92,7 @@
 		w.addDelay(c, t.Accepted, t.Seen, c.storeOr(Unexplained, t.Accepted, t.Seen))
 		at = latest(t.Received, t.Seen)
 	}
-	for _, step := range chain {
+	for _, step := range t.chain(t.stepEnds(c, occurrence)) {
 		if g := t.lastGroup(c, occurrence, step); g != nil {
 			at = t.addGroup(&w, c, g, at)
 		}
@@ -198,6 +196,9 @@
 	return at
 }
 
+// slowSpeed is the speed below which a worker counts as slow; tasks of a step differ in length, so smaller differences say little.
+const slowSpeed = 0.5
+
 // endHeardWithin is the time after a new owner's first line within which an end counts as one that waited for that owner.
 const endHeardWithin = 500 * time.Millisecond
 
@@ -213,7 +214,7 @@
 		}
 	}
 	sound := to
-	if a.speed > 0 && a.speed < 0.5 {
+	if a.speed > 0 && a.speed < slowSpeed {
 		sound = from.Add(time.Duration(float64(to.Sub(from)) * a.speed))
 	}
 	w.add(from, sound, true, Unexplained)
@@ -268,8 +269,8 @@
 	return c == Preempted || c == RunFailed || c == WorkerSilent || c == CutOff
 }
 
-// lateness returns how much later than its objective the critical path ended, zero if it did not. The chain counts as long as its work
-// took, since only its run tells how long it is.
+// lateness returns how much later than its objective the critical path ended, zero if it did not. The chain counts as long as
+// its work took, since only its run tells how long it is.
 func (t *Timeline) lateness(w *criticalPath) time.Duration {
 	objective := time.Duration(t.Stretch*float64(w.work)) + t.Target
 	return max(w.to.Sub(w.from)-objective, 0)
