term, group: log restarts of workers with their incarnations and source

Change: a decision `workerRestarted` gives both incarnations and whether the worker's listing or the worker list showed the new one; `startSent` and `stopSent` give `born`, the incarnation as last seen. No decision changes.

--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -12,6 +12,8 @@
 type Target struct {
 	Worker  string
 	Address string
+	// Incarnation is the one that the caller last saw, or zero; another one may take the call.
+	Incarnation int64
 }
 
 // Start is an order to start one task.
--- a/internal/node/term/decision_log.go
+++ b/internal/node/term/decision_log.go
@@ -33,6 +33,9 @@
 			fields[name] = number
 		}
 	}
+	if d.Kind == group.WorkerRestarted {
+		fields["born"], fields["previous"] = d.Incarnation, d.Previous
+	}
 	if d.Kind == group.RunPlaced {
 		fields["tier"], fields["lateness"] = d.Tier, d.Lateness
 	}
--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -50,7 +50,7 @@
 			t.suspect(ctx, order.Worker)
 			mayHaveArrived = mayHaveArrived || !lost.Unsent
 		}
-		if t.applyStartAnswer(order, err, mayHaveArrived) {
+		if t.applyStartAnswer(order, to, err, mayHaveArrived) {
 			t.notify()
 			return
 		}
@@ -102,11 +102,16 @@
 	}
 	t.engine.LeaseRenewed(w.ID, now.Add(worstCaseLease(lease)))
 	order.Member.MarkSent()
-	return agent.Target{Worker: w.ID, Address: w.Address}, agent.Start{
+	return targetOf(w), agent.Start{
 		Task: order.Task, Run: order.Run, Payload: order.Payload, Deadline: deadline, Token: t.token, Checkpoint: order.Checkpoint,
 	}, true
 }
 
+// targetOf returns the target of a call to the worker.
+func targetOf(w *group.Worker) agent.Target {
+	return agent.Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
+}
+
 // startResults maps a worker's refusal of a start to the result that the engine applies.
 var startResults = map[agent.Refusal]group.StartResult{
 	agent.OldRun:       group.Outdated,
@@ -135,7 +140,7 @@
 }
 
 // applyStartAnswer applies the answer to a start; it reports false if the order must be sent again.
-func (t *term) applyStartAnswer(order group.StartOrder, err error, mayHaveArrived bool) bool {
+func (t *term) applyStartAnswer(order group.StartOrder, to agent.Target, err error, mayHaveArrived bool) bool {
 	var refused *agent.RefusedError
 	if errors.As(err, &refused) && refused.Refusal == agent.OldToken {
 		t.end(&fencedError{by: "by worker " + order.Worker})
@@ -143,6 +148,7 @@
 	}
 	t.Log.Emit(event.StartSent, event.Fields{
 		"worker": order.Worker, "task": order.Task, "run": order.Run, "token": t.token, "outcome": startOutcome(err), "mayHaveArrived": mayHaveArrived,
+		"born": to.Incarnation,
 	})
 	t.Meter.Count("worker.starts")
 	result, resolved := startResult(err, mayHaveArrived)
@@ -192,9 +198,9 @@
 		t.state.Lock()
 		w := t.engine.Worker(order.Worker)
 		wanted := w != nil && w.NeedsStop(order.Task, order.Run)
-		to := agent.Target{Worker: order.Worker}
+		var to agent.Target
 		if w != nil {
-			to.Address = w.Address
+			to = targetOf(w)
 		}
 		t.state.Unlock()
 		if !wanted || to.Address == "" {
@@ -209,7 +215,7 @@
 		if err != nil {
 			outcome = err.Error()
 		}
-		t.Log.Emit(event.StopSent, event.Fields{"worker": order.Worker, "task": order.Task, "run": order.Run, "token": t.token, "outcome": outcome})
+		t.Log.Emit(event.StopSent, event.Fields{"worker": order.Worker, "task": order.Task, "run": order.Run, "token": t.token, "outcome": outcome, "born": to.Incarnation})
 		var refused *agent.RefusedError
 		if errors.As(err, &refused) && refused.Refusal == agent.OldToken {
 			t.end(&fencedError{by: "by worker " + order.Worker})
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -138,7 +138,7 @@
 		t.state.Unlock()
 		return false
 	}
-	to := agent.Target{Worker: w.ID, Address: w.Address}
+	to := targetOf(w)
 	busy, processed := w.Busy(), w.LastExit
 	s.setIncarnation(w.Incarnation)
 	extend := busy && now.Before(t.validUntil.Add(extendPastLapse)) && now.Sub(s.lastSeen()) < silentAfter
@@ -174,7 +174,7 @@
 	defer t.state.Unlock()
 	for _, other := range t.engine.SuspectDataCentre(id, t.Now()) {
 		if s, w := t.sessions[other], t.engine.Worker(other); s != nil {
-			to := agent.Target{Worker: w.ID, Address: w.Address}
+			to := targetOf(w)
 			request := agent.Poll{Token: t.token, Acknowledged: s.acknowledged()}
 			t.components.Go("session", func() { s.sendPoll(ctx, to, request) })
 		}
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -37,6 +37,7 @@
 	JobWaits
 	WorkerAvoided
 	WorkerLapsed
+	WorkerRestarted
 )
 
 //go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Cause -transform=title-lower
@@ -92,6 +93,9 @@
 	// worker of the run, 1 for an average one.
 	Overdue time.Duration
 	Speed   float64
+	// Incarnation and Previous are the incarnations of a restarted worker after and before the restart.
+	Incarnation int64
+	Previous    int64
 	// CoreSeconds is the work that was discarded.
 	CoreSeconds float64
 	Text        string
--- a/internal/place/group/decisionkind_enumer.go
+++ b/internal/place/group/decisionkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsed"
+const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestarted"
 
-var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75}
+var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90}
 
-const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsed"
+const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestarted"
 
 func (i DecisionKind) String() string {
 	if i < 0 || i >= DecisionKind(len(_DecisionKindIndex)-1) {
@@ -32,9 +32,10 @@
 	_ = x[JobWaits-(5)]
 	_ = x[WorkerAvoided-(6)]
 	_ = x[WorkerLapsed-(7)]
+	_ = x[WorkerRestarted-(8)]
 }
 
-var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed}
+var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted}
 
 var _DecisionKindNameToValueMap = map[string]DecisionKind{
 	_DecisionKindName[0:9]:        RunPlaced,
@@ -53,6 +54,8 @@
 	_DecisionKindLowerName[50:63]: WorkerAvoided,
 	_DecisionKindName[63:75]:      WorkerLapsed,
 	_DecisionKindLowerName[63:75]: WorkerLapsed,
+	_DecisionKindName[75:90]:      WorkerRestarted,
+	_DecisionKindLowerName[75:90]: WorkerRestarted,
 }
 
 var _DecisionKindNames = []string{
@@ -64,6 +67,7 @@
 	_DecisionKindName[42:50],
 	_DecisionKindName[50:63],
 	_DecisionKindName[63:75],
+	_DecisionKindName[75:90],
 }
 
 // DecisionKindString retrieves an enum value from the enum constants string name.
--- a/internal/place/group/engine_test.go
+++ b/internal/place/group/engine_test.go
@@ -72,8 +72,18 @@
 	}
 }
 
+// incarnationOf returns the incarnation in the worker's entry, 1 for a worker without an entry.
+func (c *cluster) incarnationOf(id string) int64 {
+	for _, info := range c.infos {
+		if info.ID == id {
+			return info.Incarnation
+		}
+	}
+	return 1
+}
+
 func (c *cluster) poll(id string, finished ...group.ExitEntry) {
-	listing := group.Listing{Incarnation: 1, Exits: finished}
+	listing := group.Listing{Incarnation: c.incarnationOf(id), Exits: finished}
 	for _, entry := range c.running[id] {
 		listing.Running = append(listing.Running, entry)
 	}
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -41,7 +41,7 @@
 		if list.Incarnation < w.Incarnation {
 			return
 		}
-		e.workerRestarted(w, list.Incarnation, now)
+		e.workerRestarted(w, list.Incarnation, "its own listing", now)
 	}
 	if list.Incarnation != 0 {
 		w.Incarnation = list.Incarnation
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -161,7 +161,7 @@
 			continue
 		}
 		if info.Incarnation != 0 && w.Incarnation != 0 && info.Incarnation != w.Incarnation {
-			e.workerRestarted(w, info.Incarnation, now)
+			e.workerRestarted(w, info.Incarnation, "the worker list", now)
 		}
 		if info.Incarnation == 0 {
 			info.Incarnation = w.Incarnation
@@ -213,8 +213,9 @@
 	e.sortedWorkers = slices.Insert(e.sortedWorkers, at, w)
 }
 
-// workerRestarted ends all members that the worker ran in an earlier incarnation.
-func (e *Engine) workerRestarted(w *Worker, incarnation int64, now time.Time) {
+// workerRestarted ends all members that the worker ran in an earlier incarnation; source is where the new one was read.
+func (e *Engine) workerRestarted(w *Worker, incarnation int64, source string, now time.Time) {
+	e.emit(Decision{Kind: WorkerRestarted, Worker: w.ID, Incarnation: incarnation, Previous: w.Incarnation, Text: "read from " + source})
 	w.Incarnation, w.LastExit, w.speed = incarnation, 0, 1
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
