--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -13,7 +13,7 @@
 	Worker  string
 	Address string
 	// Incarnation is the one that the caller last saw, or zero; another one may take the call.
-	Incarnation int64
+	Incarnation int64 `cbor:",omitempty"`
 }
 
 // Start is an order to start one task.
