group: planned starts are withdrawn from a worker that has shrunk

Callers would see rule LIMIT broken: a worker whose entry shows a smaller capacity got the starts that were planned on the larger one, as far as their intent records were still being written or their orders waited for a slot, a clock or a fresh list.

Cause: free room is only looked at when a run is planned. A later change of the capacity was not compared with what the plans need.

Change: each decision withdraws the runs whose starts were not sent and whose workers have less room than their members need, the least urgent first and no more than necessary; a gang is withdrawn as a whole. Tasks that may run stay and count as used. The decision log names the cause as workerChanged; `lentildeck losses` counts it as a lack of room.

Evidence: TestRunPlannedOnAWorkerThatHasShrunkIsWithdrawn, TestOrderedStartThatHasNotLeftIsWithdrawnFromAWorkerThatHasShrunk, TestOnlyTheLeastUrgentStartsAreWithdrawnFromAWorkerThatHasShrunk and TestGangIsWithdrawnAsAWholeWhenOneOfItsWorkersShrinks failed before. TestRunningTasksStayOnAWorkerThatHasShrunk and TestJobThatNoLongerFitsWaitsUntilItsRoomIsBack passed before.

--- a/internal/oper/losses/timeline.go
+++ b/internal/oper/losses/timeline.go
@@ -174,7 +174,7 @@
 var stopCauses = map[group.Cause]Cause{
 	group.Preempted: Preempted, group.Cancel: ClientGone, group.JobFinished: RunFailed, group.MemberEnded: RunFailed,
 	group.StartUnanswered: WorkerSilent, group.WorkerLeaving: WorkerSilent, group.OutlastsWorker: EstimateWrong,
-	group.NoProgress: WorkerSilent, group.SlowWorker: WorkerSilent,
+	group.NoProgress: WorkerSilent, group.SlowWorker: WorkerSilent, group.WorkerChanged: FleetFull,
 }
 
 // waitCauses maps the causes of waits to those of losses.
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -69,6 +69,8 @@
 	OutlastsWorker
 	NoProgress
 	SlowWorker
+	// WorkerChanged means that the worker no longer has room for a task whose start was not sent.
+	WorkerChanged
 )
 
 // Decision is a decision log entry; fields that don't apply are zero.
--- a/internal/place/group/cause_enumer.go
+++ b/internal/place/group/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "noCausefreeRoomreservedRoomfleetFullroomReservedscatteredstopAwaitedpreemptedcanceljobFinishedmemberEndedstartUnansweredworkerLeavingoutlastsWorkernoProgressslowWorker"
+const _CauseName = "noCausefreeRoomreservedRoomfleetFullroomReservedscatteredstopAwaitedpreemptedcanceljobFinishedmemberEndedstartUnansweredworkerLeavingoutlastsWorkernoProgressslowWorkerworkerChanged"
 
-var _CauseIndex = [...]uint8{0, 7, 15, 27, 36, 48, 57, 68, 77, 83, 94, 105, 120, 133, 147, 157, 167}
+var _CauseIndex = [...]uint8{0, 7, 15, 27, 36, 48, 57, 68, 77, 83, 94, 105, 120, 133, 147, 157, 167, 180}
 
-const _CauseLowerName = "nocausefreeroomreservedroomfleetfullroomreservedscatteredstopawaitedpreemptedcanceljobfinishedmemberendedstartunansweredworkerleavingoutlastsworkernoprogressslowworker"
+const _CauseLowerName = "nocausefreeroomreservedroomfleetfullroomreservedscatteredstopawaitedpreemptedcanceljobfinishedmemberendedstartunansweredworkerleavingoutlastsworkernoprogressslowworkerworkerchanged"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -40,9 +40,10 @@
 	_ = x[OutlastsWorker-(13)]
 	_ = x[NoProgress-(14)]
 	_ = x[SlowWorker-(15)]
+	_ = x[WorkerChanged-(16)]
 }
 
-var _CauseValues = []Cause{NoCause, FreeRoom, ReservedRoom, FleetFull, RoomReserved, Scattered, StopAwaited, Preempted, Cancel, JobFinished, MemberEnded, StartUnanswered, WorkerLeaving, OutlastsWorker, NoProgress, SlowWorker}
+var _CauseValues = []Cause{NoCause, FreeRoom, ReservedRoom, FleetFull, RoomReserved, Scattered, StopAwaited, Preempted, Cancel, JobFinished, MemberEnded, StartUnanswered, WorkerLeaving, OutlastsWorker, NoProgress, SlowWorker, WorkerChanged}
 
 var _CauseNameToValueMap = map[string]Cause{
 	_CauseName[0:7]:          NoCause,
@@ -77,6 +78,8 @@
 	_CauseLowerName[147:157]: NoProgress,
 	_CauseName[157:167]:      SlowWorker,
 	_CauseLowerName[157:167]: SlowWorker,
+	_CauseName[167:180]:      WorkerChanged,
+	_CauseLowerName[167:180]: WorkerChanged,
 }
 
 var _CauseNames = []string{
@@ -96,6 +99,7 @@
 	_CauseName[133:147],
 	_CauseName[147:157],
 	_CauseName[157:167],
+	_CauseName[167:180],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -12,6 +12,7 @@
 func (e *Engine) Decide(mayStart bool, now time.Time) {
 	e.moveFinished()
 	e.checkMembers(now)
+	e.withdrawUnfit(now)
 	e.updateSpeeds(now)
 	if !mayStart {
 		return
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -391,7 +391,7 @@
 	for _, m := range run.Members {
 		switch {
 		case m.State == Ended || m.stopSent:
-		case m.State == Planned || m.State == Ordered && !m.startSent:
+		case m.unsent():
 			e.endMember(m, Void, "", now)
 		default:
 			m.stopSent = true
--- /dev/null
+++ b/internal/place/group/shrunk_worker_test.go
@@ -0,0 +1,120 @@
+package group_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"gotest.tools/v3/assert"
+)
+
+// resize changes the capacity in the worker's entry to the given number of accelerators, with a share of the rest.
+func (c *cluster) resize(id string, accelerators int) {
+	for i := range c.infos {
+		if c.infos[i].ID == id {
+			c.infos[i].Capacity = group.Resources{MilliCores: 4000 * accelerators, MemoryMB: 16000 * accelerators, Accelerators: accelerators}
+		}
+	}
+	c.engine.SetWorkers(c.infos, c.now)
+}
+
+// single is a step of independent tasks.
+func single(count, accelerators int) work.Step {
+	return work.Step{Count: count, MilliCores: 1000, MemoryMB: 1000, Accelerators: accelerators, Estimate: 8 * time.Second}
+}
+
+// Guards against a start beyond a worker's capacity: the worker shrinks while the intent record of a run is being written.
+func TestRunPlannedOnAWorkerThatHasShrunkIsWithdrawn(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	c.engine.Decide(true, c.now)
+	updates := c.engine.Updates(math.MaxInt, c.now)
+	c.resize("w0-0", 4)
+	c.engine.Decide(true, c.now)
+	for _, u := range updates {
+		c.engine.Committed(u, c.now)
+	}
+	c.step()
+	assert.DeepEqual(t, c.workersOf("job-a"), map[string]int{})
+	assert.Equal(t, c.engine.Worker("w0-0").Used, group.Resources{})
+	c.resize("w0-0", 8)
+	c.step()
+	assert.DeepEqual(t, c.workersOf("job-a"), map[string]int{"w0-0": 1})
+}
+
+// Guards against a start beyond a worker's capacity: the worker shrinks after the start was ordered and before it is sent.
+func TestOrderedStartThatHasNotLeftIsWithdrawnFromAWorkerThatHasShrunk(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	order := c.lastStartOrder()
+	c.resize(order.Worker, 4)
+	c.step()
+	assert.Assert(t, !order.Member.StartWanted())
+	assert.Equal(t, c.workersOf("job-a")[order.Worker], 0)
+	assert.Equal(t, len(c.workersOf("job-a")), 1, "it starts on the other worker")
+}
+
+// Guards against giving up more than necessary: only as many starts are withdrawn as no longer fit, the least urgent first.
+func TestOnlyTheLeastUrgentStartsAreWithdrawnFromAWorkerThatHasShrunk(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.submit("batch", batchQueue, "beta", single(2, 2))
+	c.submit("quick", quickQueue, "beta", single(2, 2))
+	c.engine.Decide(true, c.now)
+	c.resize("w0-0", 6)
+	c.step()
+	assert.DeepEqual(t, c.workersOf("quick"), map[string]int{"w0-0": 2})
+	assert.DeepEqual(t, c.workersOf("batch"), map[string]int{"w0-0": 1})
+}
+
+// Guards against stopping tasks because their worker has shrunk, and against placing more there before it has room again.
+func TestRunningTasksStayOnAWorkerThatHasShrunk(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.submit("job-a", planQueue, "beta", single(8, 1))
+	c.step()
+	c.resize("w0-0", 2)
+	c.submit("job-b", planQueue, "beta", single(1, 1))
+	c.advanceTime(2 * time.Second)
+	assert.DeepEqual(t, c.workersOf("job-a"), map[string]int{"w0-0": 8})
+	for range 6 {
+		c.exitTask(c.oldestTask("job-a"), group.Done)
+		c.step()
+	}
+	assert.Equal(t, len(c.workersOf("job-b")), 0, "two tasks use all that is left")
+	c.exitTask(c.oldestTask("job-a"), group.Done)
+	c.step()
+	assert.DeepEqual(t, c.workersOf("job-b"), map[string]int{"w0-0": 1})
+}
+
+// Guards against a gang that is started in part: a worker of one member shrinks before the starts of all members have left.
+func TestGangIsWithdrawnAsAWholeWhenOneOfItsWorkersShrinks(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.submit("job-a", planQueue, "beta", gang(2, 8))
+	order := c.lastStartOrder()
+	c.resize(order.Worker, 4)
+	c.step()
+	assert.Equal(t, len(c.stops), 0, "no start had left")
+	assert.Equal(t, c.workersOf("job-a")[order.Worker], 0)
+	assert.Equal(t, len(c.workersOf("job-a")), 2)
+}
+
+// Guards against a job that never runs: it fits on no worker for a while, and room comes back.
+func TestJobThatNoLongerFitsWaitsUntilItsRoomIsBack(t *testing.T) {
+	for name, queue := range map[string]string{"quick": quickQueue, "plan": planQueue, "batch": batchQueue} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 2, 2)
+			for _, info := range c.infos {
+				c.resize(info.ID, 0)
+			}
+			job := c.submit("job-a", queue, "alpha", gang(2, 8))
+			c.advanceTime(15 * time.Second)
+			assert.Equal(t, job.Record.Phase, work.Queued)
+			for _, info := range c.infos {
+				c.resize(info.ID, 8)
+			}
+			c.step()
+			assert.Equal(t, len(c.workersOf("job-a")), 2)
+		})
+	}
+}
