term: a start is checked against its worker's present room right before it is sent

Callers would see rule LIMIT broken: between two decisions a list with a smaller capacity arrives, and an order that has just got its slot is sent nevertheless; an order whose response was lost was repeated however small its worker had become.

Cause: the last check before an order looked at the owner's lease, the proofs and the worker's state, but not at its room.

Change: an order is held back while the members that may be alive on the worker need more than it has. The next decision withdraws a start that was never sent. One that may have arrived is not repeated; the worker's listing shows whether it runs, and otherwise the run is stopped after the usual time for an unanswered start.

--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -92,6 +92,10 @@
 		t.notify()
 		return agent.Target{}, agent.Start{}, false
 	}
+	if !order.Member.StartFits() {
+		// The next decision withdraws the start, unless it was sent before: then the worker's listing shows whether it arrived.
+		return agent.Target{}, agent.Start{}, true
+	}
 	lease := t.Limits.MaxLease
 	if w.NothingStarted() {
 		lease = min(lease, firstLease)
--- a/internal/place/group/fit.go
+++ b/internal/place/group/fit.go
@@ -37,3 +37,7 @@
 
 // unsent reports whether the member certainly does not run, as its start was not sent.
 func (m *Member) unsent() bool { return m.State == Planned || m.State == Ordered && !m.startSent }
+
+// StartFits reports whether the member's worker has room for all members that may be alive there, as a start must not be sent
+// otherwise.
+func (m *Member) StartFits() bool { return !m.Worker.overcommitted() }
