term: a start waits until unknown runs on its worker have stopped

Callers would see rule LIMIT broken ("What is being stopped still counts"): a worker that lists a run that is no member, or on which a given-up start may still arrive, gets no new placements, but starts that were ordered before were still sent. The room of such a run is not part of what counts as used.

Change: such a start is held back until the worker no longer lists the run, or has acknowledged the stop of the given-up one; a start held back for longer than an unanswered one may stay is withdrawn, as before.

Evidence: TestStartWaitsUntilAnUnknownRunHasStopped failed before.

--- a/internal/node/term/shrunk_worker_test.go
+++ b/internal/node/term/shrunk_worker_test.go
@@ -94,3 +94,14 @@
 	s.assertMaySend(t, false, false)
 	assert.Equal(t, s.order.Member.State, group.Started)
 }
+
+// Guards against a start beyond a worker's capacity: a run that the owner does not know appears on the worker after a start
+// was ordered there, and what is being stopped still counts.
+func TestStartWaitsUntilAnUnknownRunHasStopped(t *testing.T) {
+	s := newStartOnOneWorker(t)
+	unknown := []group.RunningEntry{{Task: "gone.0.0.0", Run: 1}}
+	s.engine.ApplyListing("w", group.Listing{Incarnation: 1, Running: unknown}, s.now, s.now)
+	s.assertMaySend(t, false, true)
+	s.engine.ApplyListing("w", group.Listing{Incarnation: 1}, s.now, s.now)
+	s.assertMaySend(t, true, true)
+}
--- a/internal/place/group/fit.go
+++ b/internal/place/group/fit.go
@@ -38,6 +38,9 @@
 // unsent reports whether the member certainly does not run, as its start was not sent.
 func (m *Member) unsent() bool { return m.State == Planned || m.State == Ordered && !m.startSent }
 
-// StartFits reports whether the member's worker has room for all members that may be alive there, as a start must not be sent
-// otherwise.
-func (m *Member) StartFits() bool { return !m.Worker.overcommitted() }
+// StartFits reports whether the member's worker has room for all that may be alive there, as a start must not be sent
+// otherwise. How much a run needs that is no member is unknown, so it must end first.
+func (m *Member) StartFits() bool {
+	w := m.Worker
+	return len(w.orphans) == 0 && len(w.abandoned) == 0 && !w.overcommitted()
+}
