group: a worker gets tasks only on an entry of its present incarnation

Callers would see LIMIT or ROUTE broken: a worker restarts under its ID, perhaps as a smaller or another kind. Its listing shows the new incarnation before the list of workers does, and until then tasks were placed on the capacity and labels of the earlier one. A list that still showed the earlier entry even set the engine back to that incarnation. Runs that were planned before the restart were started on whatever kind came back.

Change: the worker keeps the incarnation that its entry describes. While that is older than the one it reports, the worker gets no new tasks, and runs whose starts were not sent are withdrawn; an older entry no longer changes the incarnation, as an older listing never did. A run is also withdrawn if its worker now lacks the service or label that it needs.

Evidence: TestNothingStartsOnAWorkerWhoseEntryIsOfAnEarlierIncarnation, TestRunPlannedOnAnEarlierIncarnationIsWithdrawnUntilTheNewOneIsListed and TestRunPlannedOnAWorkerThatIsNowOfAnotherKindIsWithdrawn failed before.

--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -69,7 +69,8 @@
 	OutlastsWorker
 	NoProgress
 	SlowWorker
-	// WorkerChanged means that the worker no longer has room for a task whose start was not sent.
+	// WorkerChanged means that the worker can't take a task any more whose start was not sent: it has too little room or has
+	// restarted, perhaps as another kind.
 	WorkerChanged
 )
 
--- a/internal/place/group/fit.go
+++ b/internal/place/group/fit.go
@@ -6,21 +6,43 @@
 	"time"
 )
 
-// withdrawUnfit withdraws the runs whose starts were not sent and for which their workers no longer have room, the least
-// urgent first. Members that may run stay and count as used.
+// withdrawUnfit withdraws the runs whose starts were not sent and that their workers can't take any more, the least urgent
+// first. Members that may run stay and count as used.
 func (e *Engine) withdrawUnfit(now time.Time) {
 	for _, w := range e.sortedWorkers {
-		if !w.overcommitted() {
+		if !slices.ContainsFunc(w.sortedMembers(), (*Member).unfit) {
 			continue
 		}
 		for _, m := range w.unsentMembers() {
-			if w.overcommitted() {
-				e.stopRun(m.Run, WorkerChanged, "its worker has less room than when the run was planned", now)
+			if m.unfit() {
+				e.stopRun(m.Run, WorkerChanged, "its worker has changed since the run was planned", now)
 			}
 		}
 	}
 }
 
+// unfit reports whether the member's start was not sent and its worker can't take it any more.
+func (m *Member) unfit() bool { return m.unsent() && !m.fits() }
+
+// fits reports whether the worker has room for all its members and suits this one.
+func (m *Member) fits() bool {
+	return !m.Worker.overcommitted() && !m.Worker.entryOutdated() && m.suitsWorker()
+}
+
+// entryOutdated reports whether the worker's entry describes an earlier incarnation, whose capacity, service and labels may
+// differ.
+func (w *Worker) entryOutdated() bool {
+	return w.listedIncarnation != 0 && w.Incarnation > w.listedIncarnation
+}
+
+// suitsWorker reports whether the member's worker has the service of its queue, if that is known, and the label that its step
+// requires.
+func (m *Member) suitsWorker() bool {
+	g := m.Run.Group
+	service := g.Job.queue.Service
+	return (service == "" || m.Worker.Service == service) && m.Worker.hasLabel(g.step().Requires)
+}
+
 // unsentMembers returns the members whose start was not sent, the least urgent and then the last planned first.
 func (w *Worker) unsentMembers() []*Member {
 	var list []*Member
@@ -38,9 +60,8 @@
 // unsent reports whether the member certainly does not run, as its start was not sent.
 func (m *Member) unsent() bool { return m.State == Planned || m.State == Ordered && !m.startSent }
 
-// StartFits reports whether the member's worker has room for all that may be alive there, as a start must not be sent
-// otherwise. How much a run needs that is no member is unknown, so it must end first.
+// StartFits reports whether the member's worker has room for all that may be alive there and suits the task, as a start must
+// not be sent otherwise. How much a run needs that is no member is unknown, so it must end first.
 func (m *Member) StartFits() bool {
-	w := m.Worker
-	return len(w.orphans) == 0 && len(w.abandoned) == 0 && !w.overcommitted()
+	return len(m.Worker.orphans) == 0 && len(m.Worker.abandoned) == 0 && m.fits()
 }
--- a/internal/place/group/shrunk_worker_test.go
+++ b/internal/place/group/shrunk_worker_test.go
@@ -118,3 +118,56 @@
 		})
 	}
 }
+
+// listedAs changes the worker's incarnation and kind in the list of workers only.
+func (c *cluster) listedAs(id string, incarnation int64, accelerators int, labels ...string) {
+	for i := range c.infos {
+		if c.infos[i].ID == id {
+			c.infos[i].Incarnation, c.infos[i].Labels = incarnation, labels
+		}
+	}
+	c.resize(id, accelerators)
+}
+
+// Guards against starts on the capacity of an earlier incarnation: a poll shows the restart before the entry of the new
+// incarnation is listed, which is of a smaller kind.
+func TestNothingStartsOnAWorkerWhoseEntryIsOfAnEarlierIncarnation(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.engine.ApplyListing("w0-0", group.Listing{Incarnation: 2}, c.now, c.now)
+	c.engine.SetWorkers(c.infos, c.now)
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	c.submit("job-b", planQueue, "beta", gang(1, 4))
+	c.step()
+	assert.Equal(t, len(c.running["w0-0"]), 0)
+	c.listedAs("w0-0", 2, 4, "b", "r0")
+	c.step()
+	assert.DeepEqual(t, c.workersOf("job-a"), map[string]int{})
+	assert.DeepEqual(t, c.workersOf("job-b"), map[string]int{"w0-0": 1})
+}
+
+// Guards against starts on the capacity of an earlier incarnation: the restart is noticed while the intent record of a run is
+// being written.
+func TestRunPlannedOnAnEarlierIncarnationIsWithdrawnUntilTheNewOneIsListed(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	c.engine.Decide(true, c.now)
+	c.engine.ApplyListing("w0-0", group.Listing{Incarnation: 2}, c.now, c.now)
+	c.step()
+	assert.Equal(t, len(c.running["w0-0"]), 0)
+	c.listedAs("w0-0", 2, 8, "a", "r0")
+	c.step()
+	assert.DeepEqual(t, c.workersOf("job-a"), map[string]int{"w0-0": 1})
+}
+
+// Guards against a start on a worker without the required label: the worker restarts as another kind while the intent record
+// of a run is being written.
+func TestRunPlannedOnAWorkerThatIsNowOfAnotherKindIsWithdrawn(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	step := gang(1, 4)
+	step.Requires = "a"
+	c.submit("job-a", planQueue, "beta", step)
+	c.engine.Decide(true, c.now)
+	c.listedAs("w0-0", 2, 8, "b", "r0")
+	c.step()
+	assert.Equal(t, len(c.running["w0-0"]), 0)
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -33,6 +33,8 @@
 	WorkerInfo
 	// Listed is false once the worker is no longer listed.
 	Listed bool
+	// listedIncarnation is the incarnation that the worker's last entry describes; zero if it is unknown.
+	listedIncarnation int64
 	// Used is the room of all members that may be alive on the worker.
 	Used Resources
 	// LastSeen is when the last poll that the worker answered was sent.
@@ -88,7 +90,7 @@
 // newWorker returns a worker that may hold a lease of an earlier owner until leaseEnds.
 func newWorker(info WorkerInfo, leaseEnds time.Time) *Worker {
 	return &Worker{
-		WorkerInfo: info, Listed: true, speed: 1, LeaseEnds: leaseEnds,
+		WorkerInfo: info, Listed: true, listedIncarnation: info.Incarnation, speed: 1, LeaseEnds: leaseEnds,
 		members: make(map[runKey]*Member), orphans: make(map[runKey]bool), abandoned: make(map[runKey]bool),
 	}
 }
@@ -115,7 +117,7 @@
 // usable reports whether new tasks may be placed on the worker now.
 func (e *Engine) usable(w *Worker, now time.Time) bool {
 	switch {
-	case !w.Listed || w.Draining || e.evacuated[w.DataCentre]:
+	case !w.Listed || w.Draining || e.evacuated[w.DataCentre] || w.entryOutdated():
 		return false
 	case now.Sub(w.LastSeen) > e.cfg.SeenWithin || w.LastSeen.IsZero() || w.suspect():
 		return false
@@ -160,12 +162,10 @@
 			e.addWorker(w)
 			continue
 		}
-		if info.Incarnation != 0 && w.Incarnation != 0 && info.Incarnation != w.Incarnation {
+		if w.Incarnation != 0 && info.Incarnation > w.Incarnation {
 			e.workerRestarted(w, info.Incarnation, "the worker list", now)
 		}
-		if info.Incarnation == 0 {
-			info.Incarnation = w.Incarnation
-		}
+		w.listedIncarnation, info.Incarnation = info.Incarnation, max(info.Incarnation, w.Incarnation)
 		e.racksStale = e.racksStale || w.Rack != info.Rack
 		w.WorkerInfo, w.Listed = info, true
 		w.updateLeavesAt(now)
