group: a reservation ends when its workers can't hold the task group any more

On a worker that had restarted as another kind the run was planned as soon as there was room, though it lacked the required label.

Cause: service, label and capacity of a reservation's workers were only looked at when it was made.

Change: such a reservation is dropped in the next decision, and the group may reserve or preempt elsewhere at once.

Evidence: TestReservationOnAWorkerThatHasBecomeTooSmallIsDropped and TestReservationOnAWorkerThatIsNowOfAnotherKindIsDropped failed before; the second started the run on the worker of the other kind.

--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -293,13 +293,16 @@
 }
 
 // startReserved plans runs of the task groups whose reserved room is free, and drops reservations that have expired or lost
-// a worker.
+// a worker. One that can no longer be used, as a worker has shrunk or is of another kind, may be replaced at once.
 //
 // A reservation stays while new tasks are kept off one of its workers for a short time, as runs were already stopped for it.
 func (e *Engine) startReserved(p *pass, now time.Time) {
 	for _, g := range slices.Clone(e.reservedGroups) {
 		workers := g.reservation.workers
 		switch {
+		case !couldHold(g, workers):
+			e.dropReservation(g)
+			g.Job.Waiting = ""
 		case now.After(g.reservation.until) || slices.ContainsFunc(workers, e.Closed):
 			e.dropReservation(g)
 			g.Job.Waiting = ""
@@ -339,16 +342,7 @@
 
 // hasRoomFor reports whether the task group fits on the workers now; the reservations of others are ignored.
 func (e *Engine) hasRoomFor(g *Group, workers []*Worker) bool {
-	for i, w := range workers {
-		if slices.Contains(workers[:i], w) {
-			continue
-		}
-		n := 0
-		for _, o := range workers {
-			if o == w {
-				n++
-			}
-		}
+	for w, n := range tasksPerWorker(workers) {
 		if g.taskNeed().Count(w.Capacity.Sub(w.Used), n) < n {
 			return false
 		}
@@ -358,3 +352,22 @@
 	}
 	return true
 }
+
+// couldHold reports whether the task group may run on the workers and would fit if they were empty.
+func couldHold(g *Group, workers []*Worker) bool {
+	for w, n := range tasksPerWorker(workers) {
+		if !w.eligible(g) || g.taskNeed().Count(w.Capacity, n) < n {
+			return false
+		}
+	}
+	return true
+}
+
+// tasksPerWorker returns how many tasks of a group each worker is to get, from the workers of its tasks.
+func tasksPerWorker(workers []*Worker) map[*Worker]int {
+	counts := make(map[*Worker]int, len(workers))
+	for _, w := range workers {
+		counts[w]++
+	}
+	return counts
+}
--- a/internal/place/group/shrunk_worker_test.go
+++ b/internal/place/group/shrunk_worker_test.go
@@ -171,3 +171,47 @@
 	c.step()
 	assert.Equal(t, len(c.running["w0-0"]), 0)
 }
+
+// preemptedForQuick returns a cluster of two full workers in which a quick job has preempted the work on one, and that worker.
+func preemptedForQuick(t *testing.T) (c *cluster, reserved, other string) {
+	t.Helper()
+	c = newCluster(t, 1, 2)
+	c.submit("full-a", batchQueue, "beta", gang(1, 8))
+	c.submit("full-b", batchQueue, "beta", gang(1, 8))
+	c.step()
+	quick := gang(1, 8)
+	quick.Requires = "a"
+	c.submit("quick", quickQueue, "alpha", quick)
+	c.silent["w0-0"], c.silent["w0-1"] = true, true
+	c.step()
+	assert.Equal(t, len(c.stops), 1)
+	c.silent["w0-0"], c.silent["w0-1"] = false, false
+	if c.stops[0].Worker == "w0-0" {
+		return c, "w0-0", "w0-1"
+	}
+	return c, "w0-1", "w0-0"
+}
+
+// Guards against a job that waits for reserved room which can't become free: the worker shrinks below what the job needs.
+func TestReservationOnAWorkerThatHasBecomeTooSmallIsDropped(t *testing.T) {
+	c, reserved, other := preemptedForQuick(t)
+	c.resize(reserved, 4)
+	c.step()
+	c.step()
+	assert.DeepEqual(t, c.workersOf("quick"), map[string]int{other: 1})
+}
+
+// Guards against a start on a worker without the required label: the worker restarts as another kind while room is reserved
+// there.
+func TestReservationOnAWorkerThatIsNowOfAnotherKindIsDropped(t *testing.T) {
+	c, reserved, other := preemptedForQuick(t)
+	c.restart(reserved, 2)
+	c.listedAs(reserved, 2, 8, "b", "r0")
+	c.poll(reserved)
+	c.step()
+	c.step()
+	assert.DeepEqual(t, c.workersOf("quick"), map[string]int{other: 1})
+	for _, decision := range c.decisions {
+		assert.Assert(t, decision.Kind != group.RunPlaced || decision.Job != "quick" || decision.Worker == other)
+	}
+}
