server: no job is refused because the workers have shrunk for a while

Callers would see a 400 for a job that only has to wait: an instance that starts while all workers of a service have shrunk knows no larger size, and refused every job with a task above it. A list that could not be read again also led to refusals by sizes that were old.

Cause: "no worker could ever run it" was concluded from the capacities that one instance had seen since its start.

Change: the largest capacities by service are in the store under `sizes`. An installation whose workers have all been small since its first start can't be told from one with small workers.

Evidence: TestNoJobIsRefusedBecauseTheWorkersHaveShrunkForAWhile and TestNoJobIsRefusedWithoutASuccessfulRead failed before. The two earlier tests of sizes only changed in how they build the sizes and in an argument of merge.

--- a/internal/node/server/worker_sizes.go
+++ b/internal/node/server/worker_sizes.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/node/term"
 	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/store"
 	"github.com/lentildeck/lentildeck/internal/state/work"
 )
 
@@ -23,15 +26,17 @@
 	maxSizesAge = 5 * time.Second
 )
 
-// workerSizes has the largest capacity of any worker of each service, so that jobs with tasks that fit on no worker are
-// refused when they are submitted.
+// workerSizes has the largest capacity that any worker of each service has had, so that jobs with tasks that fit on no worker
+// are refused when they are submitted.
 type workerSizes struct {
 	lister term.Lister
-	reads  *event.Dependency
-	now    func() time.Time
+	// store holds the sizes at work.SizesKey, as an instance may start while workers have shrunk for a while.
+	store store.Transactor
+	reads *event.Dependency
+	now   func() time.Time
 
 	mu      sync.Mutex
-	largest map[string]group.Resources
+	largest map[string]size
 	// readAt is when the last successful read of the list was sent.
 	readAt time.Time
 }
@@ -46,7 +51,7 @@
 	}
 }
 
-// read reads the list and reports whether it succeeded.
+// read reads the list and the stored sizes and reports whether it succeeded. Sizes above the stored ones are stored.
 func (s *workerSizes) read(ctx context.Context) bool {
 	call, done := context.WithTimeout(ctx, refreshTimeout)
 	defer done()
@@ -56,34 +61,79 @@
 	if err != nil {
 		return false
 	}
-	s.merge(workers, sent)
+	item, err := s.store.Item(call, work.SizesKey)
+	if err != nil {
+		return false
+	}
+	if data := s.merge(workers, decodeSizes(item.Data), sent); data != nil {
+		// If this fails, another instance has stored its sizes, or the next read tries again.
+		_, _ = s.store.Commit(call, store.Transaction{
+			Expected: []store.Expectation{{Key: work.SizesKey, Revision: item.Revision}},
+			Writes:   []store.Write{{Key: work.SizesKey, Data: data}},
+		})
+	}
 	return true
 }
 
-// merge adds the sizes of a list that was requested at sent. Sizes are never removed, as a missing worker may come back.
-func (s *workerSizes) merge(workers []group.WorkerInfo, sent time.Time) {
+// size is the stored form of the largest capacity of a service's workers.
+type size struct {
+	MilliCores   int `json:"milliCores"`
+	MemoryMB     int `json:"memoryMB"`
+	Accelerators int `json:"accelerators"`
+}
+
+// decodeSizes returns the stored sizes; what can't be decoded counts as absent and is replaced.
+func decodeSizes(data []byte) map[string]size {
+	sizes := make(map[string]size)
+	if len(data) > 0 && json.Unmarshal(data, &sizes) != nil {
+		return nil
+	}
+	return sizes
+}
+
+// merge adds the stored sizes and those of a list that was requested at sent, and returns what is to be stored, or nil. Sizes
+// are never removed, as a missing worker may come back and one that has shrunk may grow again.
+func (s *workerSizes) merge(workers []group.WorkerInfo, stored map[string]size, sent time.Time) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readAt = sent
 	if s.largest == nil {
-		s.largest = make(map[string]group.Resources)
+		s.largest = make(map[string]size)
+	}
+	for service, known := range stored {
+		s.largest[service] = larger(s.largest[service], known)
 	}
 	for _, w := range workers {
-		largest := s.largest[w.Service]
-		s.largest[w.Service] = group.Resources{
-			MilliCores: max(largest.MilliCores, w.Capacity.MilliCores), MemoryMB: max(largest.MemoryMB, w.Capacity.MemoryMB),
-			Accelerators: max(largest.Accelerators, w.Capacity.Accelerators),
-		}
+		s.largest[w.Service] = larger(s.largest[w.Service], size(w.Capacity))
+	}
+	if maps.Equal(s.largest, stored) {
+		return nil
+	}
+	data, err := json.Marshal(s.largest)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// larger returns the larger value of each field.
+func larger(a, b size) size {
+	return size{
+		MilliCores: max(a.MilliCores, b.MilliCores), MemoryMB: max(a.MemoryMB, b.MemoryMB), Accelerators: max(a.Accelerators, b.Accelerators),
 	}
 }
 
 // unservableReason returns why no worker of the service can run the job's tasks, or an empty string. It reads the list again
-// before it gives a reason from an old one.
+// before it gives a reason from an old one, and gives none if that fails.
 func (s *workerSizes) unservableReason(ctx context.Context, service string, spec *work.Spec) string {
 	why, age := s.tooLarge(service, spec)
-	if why != "" && age > maxSizesAge && s.read(ctx) {
-		why, _ = s.tooLarge(service, spec)
+	if why == "" || age <= maxSizesAge {
+		return why
+	}
+	if !s.read(ctx) {
+		return ""
 	}
+	why, _ = s.tooLarge(service, spec)
 	return why
 }
 
@@ -98,7 +148,7 @@
 	}
 	for i, step := range spec.Steps {
 		need := group.Resources{MilliCores: step.MilliCores, MemoryMB: step.MemoryMB, Accelerators: step.Accelerators}
-		if need.Count(largest, 1) == 0 {
+		if need.Count(group.Resources(largest), 1) == 0 {
 			return fmt.Sprintf("a task of step %d needs %+v, and the largest worker has %+v", i, need, largest), age
 		}
 	}
--- a/internal/node/server/worker_sizes_test.go
+++ b/internal/node/server/worker_sizes_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/state/store"
 	"github.com/lentildeck/lentildeck/internal/state/work"
 	"gotest.tools/v3/assert"
 )
@@ -30,12 +32,17 @@
 	return &work.Spec{Steps: []work.Step{{Count: 1, MilliCores: 1000, Accelerators: accelerators}}}
 }
 
+// newSizes returns the sizes as known to an instance that has just started.
+func newSizes(lister *countingLister, kvStore store.Transactor, now *time.Time) *workerSizes {
+	return &workerSizes{lister: lister, store: kvStore, reads: event.ListReads(event.Discard(), "workers"), now: func() time.Time { return *now }}
+}
+
 func TestTaskLargerThanAnyWorkerIsUnservable(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := &workerSizes{lister: &countingLister{}, reads: event.ListReads(event.Discard(), "workers"), now: func() time.Time { return now }}
+	s := newSizes(&countingLister{}, fake.NewTransactor(), &now)
 	assert.Equal(t, s.unservableReason(t.Context(), "main", needing(16)), "", "nothing is known yet")
-	s.merge(sized(8), now)
-	s.merge(nil, now)
+	s.merge(sized(8), nil, now)
+	s.merge(nil, nil, now)
 	assert.Equal(t, s.unservableReason(t.Context(), "main", needing(8)), "")
 	assert.Assert(t, s.unservableReason(t.Context(), "main", needing(9)) != "")
 	assert.Equal(t, s.unservableReason(t.Context(), "other", needing(9)), "")
@@ -45,7 +52,7 @@
 func TestNoJobIsRefusedByAnOldList(t *testing.T) {
 	now := time.Unix(1000, 0)
 	listed := &countingLister{workers: sized(8)}
-	s := &workerSizes{lister: listed, reads: event.ListReads(event.Discard(), "workers"), now: func() time.Time { return now }}
+	s := newSizes(listed, fake.NewTransactor(), &now)
 	assert.Assert(t, s.read(t.Context()))
 	now = now.Add(maxSizesAge + time.Second)
 	listed.workers = sized(16)
@@ -53,3 +60,37 @@
 	assert.Assert(t, s.unservableReason(t.Context(), "main", needing(17)) != "")
 	assert.Equal(t, listed.reads, 2, "a list that was just read was read again")
 }
+
+// Guards against refusing jobs that only have to wait: an instance starts while all workers of a service have shrunk for a
+// while.
+func TestNoJobIsRefusedBecauseTheWorkersHaveShrunkForAWhile(t *testing.T) {
+	now := time.Unix(1000, 0)
+	kvStore := fake.NewTransactor()
+	assert.Assert(t, newSizes(&countingLister{workers: sized(8)}, kvStore, &now).read(t.Context()))
+	started := newSizes(&countingLister{workers: sized(2)}, kvStore, &now)
+	assert.Assert(t, started.read(t.Context()))
+	assert.Equal(t, started.unservableReason(t.Context(), "main", needing(8)), "")
+	assert.Assert(t, started.unservableReason(t.Context(), "main", needing(9)) != "")
+	before, err := kvStore.Item(t.Context(), work.SizesKey)
+	assert.NilError(t, err)
+	assert.Assert(t, started.read(t.Context()))
+	after, err := kvStore.Item(t.Context(), work.SizesKey)
+	assert.NilError(t, err)
+	assert.Equal(t, after.Revision, before.Revision, "sizes that are not larger are not written")
+}
+
+// Guards against refusing jobs for sizes that are not known: the stored ones can't be read, or no list has been read lately.
+func TestNoJobIsRefusedWithoutASuccessfulRead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	kvStore := fake.NewTransactor()
+	s := newSizes(&countingLister{workers: sized(2)}, kvStore, &now)
+	kvStore.SetOutcomes(func(string) fake.CallOutcome { return fake.Down })
+	assert.Assert(t, !s.read(t.Context()))
+	assert.Equal(t, s.unservableReason(t.Context(), "main", needing(8)), "")
+	kvStore.SetOutcomes(func(string) fake.CallOutcome { return fake.Delivered })
+	assert.Assert(t, s.read(t.Context()))
+	assert.Assert(t, s.unservableReason(t.Context(), "main", needing(8)) != "")
+	kvStore.SetOutcomes(func(string) fake.CallOutcome { return fake.Down })
+	now = now.Add(maxSizesAge + time.Second)
+	assert.Equal(t, s.unservableReason(t.Context(), "main", needing(8)), "")
+}
--- a/internal/state/work/keys.go
+++ b/internal/state/work/keys.go
@@ -11,7 +11,9 @@
 	// WaitPrefix is the prefix of an empty value for each job that has not started, by queue.
 	WaitPrefix = "wait/"
 	// OwnerKey holds the name of the owner, the instance that decides; its creation revision is the fencing token.
-	OwnerKey     = "owner"
+	OwnerKey = "owner"
+	// SizesKey holds the largest capacities that workers have had, by service.
+	SizesKey     = "sizes"
 	cancelSuffix = "/cancel"
 )
 
