group: what runs beyond a shrunk worker's capacity is no use of the others

Callers would see jobs wait beside idle workers: seven full workers shrink from eight accelerators to one, three others of a rack set aside for quick jobs stay idle with 24, and a job of one accelerator waits until the work on the small ones ends.

Cause: utilization divided all that runs by all that is left, 56 by 31, so the fleet counted as overfull, while racks set aside open, and gangs may move small tasks, when less than half is in use.

Change: a worker counts as used at most up to its capacity.

Evidence: TestRacksForQuickJobsOpenThoughShrunkWorkersAreOverfull failed before. Nothing changes while no worker has shrunk.

--- a/internal/place/group/rack.go
+++ b/internal/place/group/rack.go
@@ -55,7 +55,7 @@
 		if w.open {
 			e.freeIndex.add(w)
 			e.usableAccelerators += w.Capacity.Accelerators
-			used += w.Used.Accelerators
+			used += min(w.Used.Accelerators, w.Capacity.Accelerators)
 		}
 	}
 	e.utilization = float64(used) / float64(max(e.usableAccelerators, 1))
--- a/internal/place/group/shrunk_worker_test.go
+++ b/internal/place/group/shrunk_worker_test.go
@@ -215,3 +215,23 @@
 		assert.Assert(t, decision.Kind != group.RunPlaced || decision.Job != "quick" || decision.Worker == other)
 	}
 }
+
+// Guards against jobs that wait beside idle room: what runs beyond the capacity of workers that have shrunk counted as use of
+// the others, and the racks that are set aside for quick jobs stayed closed.
+func TestRacksForQuickJobsOpenThoughShrunkWorkersAreOverfull(t *testing.T) {
+	c := newCluster(t, 10, 1)
+	quickRacks := 0
+	c.submit("long", planQueue, "beta", single(7, 8))
+	c.step()
+	for _, info := range c.infos {
+		if len(c.running[info.ID]) == 0 {
+			quickRacks++
+			continue
+		}
+		c.resize(info.ID, 1)
+	}
+	assert.Equal(t, quickRacks, 3)
+	c.submit("small", planQueue, "beta", single(1, 1))
+	c.advanceTime(3 * time.Second)
+	assert.Equal(t, len(c.workersOf("small")), 1)
+}
