--- a/internal/kern/event/event.go
+++ b/internal/kern/event/event.go
@@ -71,7 +71,7 @@
 	TermLoaded       = define(412, "termLoaded", log.InfoLevel, "The new owner has read the records of all jobs.")
 	WorkerSilent     = define(413, "workerSilent", log.WarnLevel, "A worker stopped responding; its tasks run until their lease expires.")
 	WorkerAnswers    = define(414, "workerAnswers", log.InfoLevel, "An unresponsive worker responds again.")
-	WorkersListed    = define(415, "workersListed", log.InfoLevel, "The list of workers changed: a worker was added, removed, set to draining or restarted.")
+	WorkersListed    = define(415, "workersListed", log.InfoLevel, "The list of workers changed: a worker was added, removed, set to draining or restarted, or its capacity (`milliCores`, `memoryMB`, `accelerators`) has changed.")
 	DecisionSlow     = define(416, "decisionSlow", log.WarnLevel, "A decision of the owner took long, or the time between two decisions was long, so orders were sent late. `took` is the duration of the decision alone, `waited` the time since the previous one, `visited` the number of workers examined by its searches, counted each time, `commits` the number of transactions in progress.")
 	LeasesKept       = define(417, "leasesKept", log.InfoLevel, "This instance extends the leases of the workers of its data centre, as the owner is silent; `request` is the number of the owner's last request.")
 	SubstituteChosen = define(418, "substituteChosen", log.InfoLevel, "An instance of another data centre was chosen as its lease proxy: it may extend the leases there on the owner's behalf.")
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -296,8 +296,11 @@
 	for _, info := range workers {
 		listed[info.ID] = true
 		w := t.engine.Worker(info.ID)
-		if w == nil || !w.Listed || w.Draining != info.Draining || w.Incarnation != info.Incarnation && info.Incarnation != 0 {
-			t.Log.Emit(event.WorkersListed, event.Fields{"worker": info.ID, "draining": info.Draining, "born": info.Incarnation, "dataCentre": info.DataCentre, "rack": info.Rack, "new": w == nil})
+		if w == nil || !w.Listed || w.Draining != info.Draining || w.Incarnation != info.Incarnation && info.Incarnation != 0 || w.Capacity != info.Capacity {
+			t.Log.Emit(event.WorkersListed, event.Fields{
+				"worker": info.ID, "draining": info.Draining, "born": info.Incarnation, "dataCentre": info.DataCentre, "rack": info.Rack, "new": w == nil,
+				"milliCores": info.Capacity.MilliCores, "memoryMB": info.Capacity.MemoryMB, "accelerators": info.Capacity.Accelerators,
+			})
 		}
 	}
 	for _, w := range t.engine.Workers() {
