--- a/internal/place/group/restart_test.go
+++ b/internal/place/group/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/lentildeck/lentildeck/internal/place/group"
 	"gotest.tools/v3/assert"
@@ -31,3 +32,82 @@
 		{Kind: group.WorkerRestarted, Worker: "w0-1", Incarnation: 3, Previous: 1, Text: "read from the worker list"},
 	})
 }
+
+// takeStart lets the worker take the start order, whether or not the owner learns of it.
+func (c *cluster) takeStart(order group.StartOrder) {
+	c.running[order.Worker][order.Task] = group.RunningEntry{Task: order.Task, Run: order.Run}
+}
+
+// Guards against two runs of one task (incident inc1): a worker restarts under its ID, its new incarnation acknowledges a
+// start, and only then does a poll show the owner that there was a restart.
+func TestStartTakenByANewIncarnationIsNotLostWithTheEarlierOne(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	order := c.lastStartOrder()
+	order.Member.MarkSent()
+	c.restart(order.Worker, 2)
+	c.takeStart(order)
+	c.engine.ApplyStartResult(order.Member, group.Accepted, c.now)
+	c.now = c.now.Add(5 * time.Millisecond)
+	c.poll(order.Worker)
+	c.step()
+	assert.DeepEqual(t, c.workersOf("job-a"), map[string]int{order.Worker: 1})
+	assert.Equal(t, len(c.stops), 0)
+}
+
+// Guards against two runs of one task: a poll that was sent before the new incarnation took the start does not list it.
+func TestStartTakenAfterTheFirstPollOfANewIncarnationIsNotLost(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	job := c.submit("job-a", planQueue, "beta", gang(1, 8))
+	order := c.lastStartOrder()
+	order.Member.MarkSent()
+	c.restart(order.Worker, 2)
+	polled := c.now
+	c.now = c.now.Add(5 * time.Millisecond)
+	c.engine.ApplyStartResult(order.Member, group.Accepted, c.now)
+	c.takeStart(order)
+	c.engine.ApplyListing(order.Worker, group.Listing{Incarnation: 2}, polled, c.now)
+	c.step()
+	c.advanceTime(time.Second)
+	assert.DeepEqual(t, c.workersOf("job-a"), map[string]int{order.Worker: 1})
+	assert.Equal(t, job.Record.Groups[0].Run, 1)
+}
+
+// Guards against two runs of one task: a start without a response reaches the new incarnation after the owner has learned of
+// the restart.
+func TestUnansweredStartIsSettledBeforeTheTaskRunsElsewhere(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	order := c.lastStartOrder()
+	order.Member.MarkSent()
+	c.restart(order.Worker, 2)
+	c.poll(order.Worker)
+	c.silent[order.Worker] = true
+	c.step()
+	assert.Equal(t, len(c.workersOf("job-a")), 0, "the new incarnation may still take the start")
+	c.takeStart(order)
+	c.silent[order.Worker] = false
+	c.advanceTime(time.Second)
+	running := 0
+	for _, tasks := range c.workersOf("job-a") {
+		running += tasks
+	}
+	assert.Equal(t, running, 1)
+	assert.DeepEqual(t, c.stops[0], group.StopOrder{Worker: order.Worker, Task: order.Task, Run: order.Run})
+}
+
+// Guards against a task that never runs again: what an earlier incarnation ran ended with it.
+func TestTaskOfAnEarlierIncarnationRunsAgainAtOnce(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	c.step()
+	c.pollAll()
+	worker := ""
+	for id := range c.workersOf("job-a") {
+		worker = id
+	}
+	c.restart(worker, 2)
+	c.poll(worker)
+	c.step()
+	assert.Equal(t, len(c.workersOf("job-a")), 1)
+}
