group: a worker's own listing decides which incarnation runs a task

Cause: an order names a worker, not its incarnation, but the owner bound a run to the incarnation that it knew when it ordered the start. A worker had crashed at 43.000 s and was back under its ID at 43.519 s; its new incarnation took and acknowledged the start at 43.583 s; the poll that showed the restart came at 43.589 s and ended all runs of "the earlier incarnation" as lost, the new ones among them. A start without a response was treated the same way, and the stop that guarded it was forgotten at the restart. The class: an answer, or silence, is attributed to an incarnation that did not give it. Why it works: a member belongs to the incarnation whose listing has shown it. At a restart only such members are lost. For one that was acknowledged and never listed, a listing that was requested after the acknowledgement decides: it runs, has exited, or is lost. One with an order that had no response is stopped, and counts until the present incarnation lists its exit or, after its own acknowledgement of the stop, no longer lists it; acknowledgements by earlier incarnations are ignored, and stops of abandoned starts outlive a restart. A lease that the new incarnation granted from a deadline on the old clock counts at its longest.

--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -49,6 +49,7 @@
 		if errors.As(err, &lost) {
 			t.suspect(ctx, order.Worker)
 			mayHaveArrived = mayHaveArrived || !lost.Unsent
+			t.markUnanswered(order.Member, lost)
 		}
 		if t.applyStartAnswer(order, to, err, mayHaveArrived) {
 			t.notify()
@@ -58,6 +59,16 @@
 	}
 }
 
+// markUnanswered records that a start may have arrived although it had no response.
+func (t *term) markUnanswered(m *group.Member, lost *agent.LostError) {
+	if lost.Unsent {
+		return
+	}
+	t.state.Lock()
+	m.MarkUnanswered()
+	t.state.Unlock()
+}
+
 // acquireOrderSlot waits until an order may be sent to the worker; the caller calls the returned function after the order.
 func (t *term) acquireOrderSlot(ctx context.Context, worker string) (release func()) {
 	t.state.Lock()
@@ -223,9 +234,11 @@
 		}
 		if err == nil {
 			t.state.Lock()
-			t.engine.StopAcknowledged(order.Worker, order.Task, order.Run, t.Now())
+			settled := t.engine.StopAcknowledged(order.Worker, to.Incarnation, order.Task, order.Run, t.Now())
 			t.state.Unlock()
-			return
+			if settled {
+				return
+			}
 		}
 		pause.For(ctx, wait)
 	}
--- a/internal/place/group/engine_test.go
+++ b/internal/place/group/engine_test.go
@@ -152,7 +152,7 @@
 }
 
 func (c *cluster) carryOutStop(a group.StopOrder) {
-	c.engine.StopAcknowledged(a.Worker, a.Task, a.Run, c.now)
+	c.engine.StopAcknowledged(a.Worker, c.incarnationOf(a.Worker), a.Task, a.Run, c.now)
 	if entry, ok := c.running[a.Worker][a.Task]; ok && entry.Run == a.Run {
 		delete(c.running[a.Worker], a.Task)
 		c.lastExit[a.Worker]++
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -78,6 +78,7 @@
 			e.emit(StopOrder{Worker: w.ID, Task: entry.Task, Run: entry.Run})
 			continue
 		}
+		m.incarnation = w.Incarnation
 		if m.State != Started {
 			e.markStarted(m, now)
 		}
@@ -124,6 +125,8 @@
 			e.endMember(m, Lost, "", now)
 		case !m.stopAckedAt.IsZero() && m.stopAckedAt.Before(sentAt):
 			e.endMember(m, Stopped, "", now)
+		case m.stopSent && m.stopAckedAt.IsZero():
+			e.emit(StopOrder{Worker: w.ID, Task: m.task, Run: m.Run.Number})
 		}
 	}
 }
@@ -144,7 +147,7 @@
 
 // orderStart emits the start order of one member.
 func (e *Engine) orderStart(m *Member, now time.Time) {
-	m.State, m.orderedAt, m.incarnation, m.progressedAt = Ordered, now, m.Worker.Incarnation, now
+	m.State, m.orderedAt, m.progressedAt = Ordered, now, now
 	e.emit(StartOrder{Member: m, Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number,
 		Payload: m.Run.Group.Job.Spec.Payload, Checkpoint: m.Run.checkpoint})
 }
@@ -218,16 +221,21 @@
 	w.AvoidUntil = latest(w.AvoidUntil, until)
 }
 
-// StopAcknowledged records that the worker has acknowledged the stop of a run.
-func (e *Engine) StopAcknowledged(id, task string, run int, now time.Time) {
+// StopAcknowledged records that the worker has acknowledged the stop of a run, and reports false if the stop must be sent
+// again: one that was meant for an earlier incarnation is no evidence of what the present one runs.
+func (e *Engine) StopAcknowledged(id string, incarnation int64, task string, run int, now time.Time) bool {
 	w := e.workers[id]
 	if w == nil {
-		return
+		return true
+	}
+	if w.Incarnation != incarnation {
+		return false
 	}
 	delete(w.abandoned, runKey{task, run})
 	if m := w.members[runKey{task, run}]; m != nil && m.stopAckedAt.IsZero() {
 		m.stopAckedAt = now
 	}
+	return true
 }
 
 // Cancel ends a job on its caller's request; unknown, cancelled and final jobs are unaffected.
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -188,14 +188,16 @@
 	// Percent is the progress last reported.
 	Percent int
 	task    string
-	// incarnation is that of the worker when the start was ordered.
+	// incarnation is that of the worker whose listing showed the member; zero until one has.
 	incarnation int64
 	// orderedAt is when the start was ordered; startAckedAt and stopAckedAt are when the worker acknowledged start and stop.
 	orderedAt    time.Time
 	startAckedAt time.Time
 	stopAckedAt  time.Time
-	// startSent is true once the start may have been sent.
-	startSent bool
+	// startSent is true once the start may have been sent, startUnanswered once a start has had no response: it may have been
+	// executed, or may still be, also by a later incarnation of the worker.
+	startSent       bool
+	startUnanswered bool
 	// stopSent is true once a stop was ordered.
 	stopSent bool
 	// progressedAt is when Percent last changed.
--- a/internal/place/group/unconfirmed_start_test.go
+++ b/internal/place/group/unconfirmed_start_test.go
@@ -38,7 +38,7 @@
 	c, _, order := orderUnconfirmed(t)
 	c.step()
 	assert.Equal(t, len(c.workersOf("short")), 0)
-	c.engine.StopAcknowledged(order.Worker, order.Task, order.Run, c.now)
+	c.engine.StopAcknowledged(order.Worker, c.incarnationOf(order.Worker), order.Task, order.Run, c.now)
 	c.now = c.now.Add(time.Millisecond)
 	c.pollAll()
 	c.step()
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -213,16 +213,30 @@
 	e.sortedWorkers = slices.Insert(e.sortedWorkers, at, w)
 }
 
-// workerRestarted ends all members that the worker ran in an earlier incarnation; source is where the new one was read.
+// workerRestarted ends the members that the worker's listings have shown in an earlier incarnation, as they ended with it;
+// source is where the new one was read.
+//
+// Orders name a worker and not its incarnation, so the new one may have taken those of the other members: its own listing
+// decides about the members that were acknowledged, and a stop about those without a response.
 func (e *Engine) workerRestarted(w *Worker, incarnation int64, source string, now time.Time) {
 	e.emit(Decision{Kind: WorkerRestarted, Worker: w.ID, Incarnation: incarnation, Previous: w.Incarnation, Text: "read from " + source})
 	w.Incarnation, w.LastExit, w.speed = incarnation, 0, 1
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
-	clear(w.abandoned)
 	for _, m := range w.sortedMembers() {
-		if m.State != Planned && m.incarnation != incarnation {
+		switch {
+		case m.State == Planned || m.State == Inherited:
+		case m.State == Ordered && !m.startSent:
+			e.endMember(m, Void, "", now)
+		case m.incarnation != 0 && !m.startUnanswered:
 			e.endMember(m, Lost, "", now)
+		default:
+			// The lease that the new incarnation granted may be longer than intended, as its clock differs.
+			w.LeaseEnds = latest(w.LeaseEnds, now.Add(e.cfg.InheritedLease))
+			m.incarnation, m.stopSent, m.stopAckedAt = 0, false, time.Time{}
+			if m.State == Ordered || m.startUnanswered || m.Run.stopReason != "" {
+				e.stopRun(m.Run, StartUnanswered, "its worker restarted before it confirmed the start", now)
+			}
 		}
 	}
 }
@@ -323,6 +337,9 @@
 	e.endMember(m, Void, "", now)
 }
 
+// MarkUnanswered records that a start order had no response and may have been executed, or may still be.
+func (m *Member) MarkUnanswered() { m.startUnanswered = true }
+
 // MarkSent records that the start order is about to be sent.
 func (m *Member) MarkSent() { m.startSent = true }
 
