group: a list entry from before a restart is not a second restart

What callers would see: two runs of one task. Cause: the worker list may still hold the entry that a worker wrote before it restarted. A poll that shows the new incarnation comes first, then the list is read, and SetWorkers took any other incarnation for a restart: all that runs on the new one was lost and began elsewhere, and its exits were numbered from one again. ApplyListing already ignored earlier incarnations. Change: an entry of an earlier incarnation only says that the worker is listed. Incarnations are start times and rise. Evidence: TestEntryFromBeforeARestartIsNoRestart failed before (run 2 of a task whose run 1 was alive) and passes now.

--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -296,7 +296,7 @@
 	for _, info := range workers {
 		listed[info.ID] = true
 		w := t.engine.Worker(info.ID)
-		if w == nil || !w.Listed || w.Draining != info.Draining || w.Incarnation != info.Incarnation && info.Incarnation != 0 {
+		if w == nil || !w.Listed || w.Draining != info.Draining || info.Incarnation > w.Incarnation {
 			t.Log.Emit(event.WorkersListed, event.Fields{"worker": info.ID, "draining": info.Draining, "born": info.Incarnation, "dataCentre": info.DataCentre, "rack": info.Rack, "new": w == nil})
 		}
 	}
--- a/internal/place/group/restart_test.go
+++ b/internal/place/group/restart_test.go
@@ -1,6 +1,7 @@
 package group_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -111,3 +112,23 @@
 	c.step()
 	assert.Equal(t, len(c.workersOf("job-a")), 1)
 }
+
+// Guards against two runs of one task: an entry of the worker list that was written before a restart is read after a poll has
+// shown it, and counts as a second restart.
+func TestEntryFromBeforeARestartIsNoRestart(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	before := slices.Clone(c.infos)
+	c.restart("w0-0", 2)
+	c.poll("w0-0")
+	c.silent["w0-1"] = true
+	c.advanceTime(group.DefaultConfig().SeenWithin + time.Second)
+	job := c.submit("job-a", planQueue, "beta", gang(1, 8))
+	c.step()
+	c.poll("w0-0")
+	c.engine.SetWorkers(before, c.now)
+	c.poll("w0-0")
+	c.advanceTime(time.Second)
+	assert.DeepEqual(t, c.workersOf("job-a"), map[string]int{"w0-0": 1})
+	assert.Equal(t, job.Record.Groups[0].Run, 1)
+	assert.Equal(t, c.engine.Worker("w0-0").Incarnation, int64(2))
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -160,7 +160,12 @@
 			e.addWorker(w)
 			continue
 		}
-		if info.Incarnation != 0 && w.Incarnation != 0 && info.Incarnation != w.Incarnation {
+		if info.Incarnation != 0 && info.Incarnation < w.Incarnation {
+			// The entry was written before a restart that a poll has shown.
+			w.Listed = true
+			continue
+		}
+		if w.Incarnation != 0 && info.Incarnation > w.Incarnation {
 			e.workerRestarted(w, info.Incarnation, "the worker list", now)
 		}
 		if info.Incarnation == 0 {
