session: acknowledge what the engine holds as durable for the present incarnation

What callers would see: an exit that is never acknowledged, so its worker lists it for ever and answers each poll at once. Cause: the session kept a copy of the number to acknowledge. When a poll showed a new incarnation and its first exits became durable before the next poll, the copy kept the higher number of the earlier incarnation, the next poll set it to zero, and the number of the new one was lost until a further exit. Change: a poll acknowledges Worker.DurableExit, which the engine keeps for the present incarnation; the copy is gone, and a commit only wakes the session. Evidence: TestExitsOfANewIncarnationAreAcknowledged failed before (0 acknowledged of 1) and passes now.

--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -86,11 +86,11 @@
 	}
 }
 
-// acknowledge has each worker's session acknowledge the exits whose records are durable. The caller holds t.state.
+// acknowledge wakes the sessions of the workers whose exits have become durable, so that they acknowledge them. The caller holds t.state.
 func (t *term) acknowledge() {
-	for id, number := range t.engine.NewlyDurableExits() {
+	for id := range t.engine.NewlyDurableExits() {
 		if s := t.sessions[id]; s != nil {
-			s.acknowledge(number)
+			s.wake()
 		}
 	}
 }
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -9,6 +9,7 @@
 	"github.com/lentildeck/lentildeck/internal/edge/agent"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
+	"github.com/lentildeck/lentildeck/internal/place/group"
 )
 
 const (
@@ -44,7 +45,6 @@
 	// workerClock is the reading of the worker's own clock in the answer that came at workerClockAt.
 	workerClock   time.Duration
 	workerClockAt time.Time
-	acked         int64
 	silent        bool
 	// missedPolls counts the polls since the last answer.
 	missedPolls int
@@ -61,7 +61,7 @@
 		if t.sessions[w.ID] != nil || w.Address == "" {
 			continue
 		}
-		s := &session{term: t, id: w.ID, orderSlots: make(chan struct{}, maxOrdersPerWorker), seenAt: t.Now(), acked: w.DurableExit(), ackChanged: make(chan struct{}, 1)}
+		s := &session{term: t, id: w.ID, orderSlots: make(chan struct{}, maxOrdersPerWorker), seenAt: t.Now(), ackChanged: make(chan struct{}, 1)}
 		t.sessions[w.ID] = s
 		t.components.Go("session", func() { s.run(ctx) })
 	}
@@ -83,21 +83,16 @@
 	return silent, all
 }
 
-func (s *session) acknowledge(number int64) {
-	s.mu.Lock()
-	s.acked = max(s.acked, number)
-	s.mu.Unlock()
+// wake ends the wait for exits to become durable.
+func (s *session) wake() {
 	select {
 	case s.ackChanged <- struct{}{}:
 	default:
 	}
 }
 
-func (s *session) acknowledged() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.acked
-}
+// acknowledgeable returns the number of the last exit that the worker may forget. The caller holds t.state.
+func (s *session) acknowledgeable(w *group.Worker) int64 { return w.DurableExit() }
 
 func (s *session) lastSeen() time.Time {
 	s.mu.Lock()
@@ -142,7 +137,7 @@
 	busy, processed := w.Busy(), w.LastExit
 	s.setIncarnation(w.Incarnation)
 	extend := busy && now.Before(t.validUntil.Add(extendPastLapse)) && now.Sub(s.lastSeen()) < silentAfter
-	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledged(), Wait: idlePollWait}
+	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w), Wait: idlePollWait}
 	if extend {
 		lease := t.Limits.MaxLease
 		if w.Draining {
@@ -156,7 +151,9 @@
 	t.state.Unlock()
 	if processed > request.Acknowledged {
 		s.waitForCommit(ctx)
-		request.Acknowledged = s.acknowledged()
+		t.state.Lock()
+		request.Acknowledged = s.acknowledgeable(w)
+		t.state.Unlock()
 	}
 	switch {
 	case s.clockUnknown() || processed > request.Acknowledged:
@@ -175,7 +172,7 @@
 	for _, other := range t.engine.SuspectDataCentre(id, t.Now()) {
 		if s, w := t.sessions[other], t.engine.Worker(other); s != nil {
 			to := targetOf(w)
-			request := agent.Poll{Token: t.token, Acknowledged: s.acknowledged()}
+			request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w)}
 			t.components.Go("session", func() { s.sendPoll(ctx, to, request) })
 		}
 	}
@@ -187,12 +184,12 @@
 	return s.workerClockAt.IsZero()
 }
 
-// setIncarnation resets the acknowledged exits and the clock if the worker has restarted.
+// setIncarnation forgets the clock if the worker has restarted.
 func (s *session) setIncarnation(incarnation int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.incarnation != 0 && incarnation != s.incarnation {
-		s.acked, s.workerClockAt = 0, time.Time{}
+		s.workerClockAt = time.Time{}
 	}
 	s.incarnation = incarnation
 }
--- /dev/null
+++ b/internal/node/term/session_test.go
@@ -0,0 +1,75 @@
+package term
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/edge/agent"
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/node/meter"
+	"github.com/lentildeck/lentildeck/internal/place/group"
+	"gotest.tools/v3/assert"
+)
+
+// scriptedAgent answers each poll with the listing and records the polls.
+type scriptedAgent struct {
+	agent.Client
+	listing group.Listing
+	polls   []agent.Poll
+}
+
+func (a *scriptedAgent) Poll(_ context.Context, _ agent.Target, poll agent.Poll) (agent.PollResponse, error) {
+	a.polls = append(a.polls, poll)
+	return agent.PollResponse{Listing: a.listing, Clock: time.Minute}, nil
+}
+
+func (a *scriptedAgent) lastPoll() agent.Poll { return a.polls[len(a.polls)-1] }
+
+// newSession returns a session with a worker that is listed as incarnation 1.
+func newSession(t *testing.T, a *scriptedAgent) *session {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	e := &Elector{
+		Agent: a, Log: event.Discard(), Meter: meter.New(t.Name()), Now: func() time.Time { now = now.Add(time.Millisecond); return now },
+		Limits: Limits{MaxLease: 6 * time.Second},
+	}
+	tm := newTerm(e, 1, 1, now)
+	tm.engine.SetWorkers([]group.WorkerInfo{{
+		ID: "w", Address: "w", Service: "main", Capacity: group.Resources{MilliCores: 8000, MemoryMB: 8000, Accelerators: 8}, Incarnation: 1,
+	}}, now)
+	s := &session{term: tm, id: "w", orderSlots: make(chan struct{}, 1), seenAt: now, ackChanged: make(chan struct{}, 1)}
+	tm.sessions["w"] = s
+	return s
+}
+
+// endedContext is the context of a term that has ended, in which nothing waits.
+func endedContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return ctx
+}
+
+// exits lists exits of tasks that no record has, so that they are durable at once.
+func exits(numbers ...int64) []group.ExitEntry {
+	list := make([]group.ExitEntry, 0, len(numbers))
+	for _, number := range numbers {
+		list = append(list, group.ExitEntry{Number: number, Task: "unknown", Run: int(number)})
+	}
+	return list
+}
+
+// Guards against exits that are never acknowledged: the first exits of a new incarnation are durable before the next poll.
+func TestExitsOfANewIncarnationAreAcknowledged(t *testing.T) {
+	a := &scriptedAgent{listing: group.Listing{Incarnation: 1, Exits: exits(1, 2, 3)}}
+	s := newSession(t, a)
+	ctx := endedContext(t)
+	s.poll(ctx)
+	a.listing = group.Listing{Incarnation: 2, Exits: exits(1)}
+	s.poll(ctx)
+	s.term.acknowledge()
+	for range 3 {
+		s.poll(ctx)
+	}
+	assert.Equal(t, a.lastPoll().Acknowledged, int64(1))
+}
