session: nothing of an incarnation is sent after a poll that failed

What callers would see: a task that runs again after it was done, or two runs of it at the same time. Cause: after a crash the owner goes on with what it knew of the earlier incarnation until a poll shows the new one. An acknowledgement of its exits makes the new one forget its own, which are numbered from one again; a deadline on its clock, which starts anew, grants a longer lease than the owner counts; a start begins a task on a worker whose kind and room are not known. Change: a failed poll is the first sign of a crash, as the connection breaks with the worker. From then on until an answer shows the incarnation, polls acknowledge nothing and renew nothing, and starts wait. Evidence: TestNothingOfAnIncarnationIsSentAfterAPollThatFailed failed before (a deadline was known) and passes now.

--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -42,7 +42,8 @@
 	orderSlots chan struct{}
 
 	mu sync.Mutex
-	// workerClock is the reading of the worker's own clock in the answer that came at workerClockAt.
+	// workerClock is the reading of the worker's own clock in the answer that came at workerClockAt; that is zero while the
+	// incarnation of the worker, and so its clock, is not known.
 	workerClock   time.Duration
 	workerClockAt time.Time
 	silent        bool
@@ -91,8 +92,14 @@
 	}
 }
 
-// acknowledgeable returns the number of the last exit that the worker may forget. The caller holds t.state.
-func (s *session) acknowledgeable(w *group.Worker) int64 { return w.DurableExit() }
+// acknowledgeable returns the number of the last exit that the worker may forget, or zero while its incarnation is not known.
+// The caller holds t.state.
+func (s *session) acknowledgeable(w *group.Worker) int64 {
+	if s.clockUnknown() {
+		return 0
+	}
+	return w.DurableExit()
+}
 
 func (s *session) lastSeen() time.Time {
 	s.mu.Lock()
@@ -149,7 +156,7 @@
 		}
 	}
 	t.state.Unlock()
-	if processed > request.Acknowledged {
+	if processed > request.Acknowledged && !s.clockUnknown() {
 		s.waitForCommit(ctx)
 		t.state.Lock()
 		request.Acknowledged = s.acknowledgeable(w)
@@ -238,6 +245,8 @@
 	}
 	s.mu.Lock()
 	s.missedPolls++
+	// The worker may have restarted; its next answer shows which incarnation it is.
+	s.workerClockAt = time.Time{}
 	wait := min(time.Duration(s.missedPolls)*pollRetryDelay, maxPollRetryDelay)
 	becameSilent := !s.silent && now.Sub(s.seenAt) > silentAfter
 	if becameSilent {
--- a/internal/node/term/session_test.go
+++ b/internal/node/term/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -12,15 +13,19 @@
 	"gotest.tools/v3/assert"
 )
 
-// scriptedAgent answers each poll with the listing and records the polls.
+// scriptedAgent answers each poll with the listing, or not at all while it is down, and records the polls.
 type scriptedAgent struct {
 	agent.Client
 	listing group.Listing
+	down    bool
 	polls   []agent.Poll
 }
 
-func (a *scriptedAgent) Poll(_ context.Context, _ agent.Target, poll agent.Poll) (agent.PollResponse, error) {
+func (a *scriptedAgent) Poll(_ context.Context, to agent.Target, poll agent.Poll) (agent.PollResponse, error) {
 	a.polls = append(a.polls, poll)
+	if a.down {
+		return agent.PollResponse{}, &agent.LostError{Worker: to.Worker, Cause: errors.New("down")}
+	}
 	return agent.PollResponse{Listing: a.listing, Clock: time.Minute}, nil
 }
 
@@ -59,6 +64,29 @@
 	return list
 }
 
+// Guards against tasks that run again after they are done: a worker crashes and comes back between two polls, and the
+// numbers and the clock of its earlier incarnation make the new one forget its exits and grant longer leases.
+func TestNothingOfAnIncarnationIsSentAfterAPollThatFailed(t *testing.T) {
+	a := &scriptedAgent{listing: group.Listing{Incarnation: 1, Exits: exits(1, 2, 3)}}
+	s := newSession(t, a)
+	ctx := endedContext(t)
+	s.poll(ctx)
+	s.term.acknowledge()
+	s.poll(ctx)
+	assert.Equal(t, a.lastPoll().Acknowledged, int64(3))
+	_, known := s.deadline(s.term.Now(), time.Second)
+	assert.Assert(t, known)
+	a.down = true
+	s.poll(ctx)
+	a.down = false
+	_, known = s.deadline(s.term.Now(), time.Second)
+	assert.Assert(t, !known, "no start is sent to an incarnation that is not known")
+	s.poll(ctx)
+	assert.DeepEqual(t, a.lastPoll(), agent.Poll{Token: 1})
+	s.poll(ctx)
+	assert.Equal(t, a.lastPoll().Acknowledged, int64(3))
+}
+
 // Guards against exits that are never acknowledged: the first exits of a new incarnation are durable before the next poll.
 func TestExitsOfANewIncarnationAreAcknowledged(t *testing.T) {
 	a := &scriptedAgent{listing: group.Listing{Incarnation: 1, Exits: exits(1, 2, 3)}}
