group: no task is placed on a worker whose last poll failed

Cause: a worker counted as usable for 4 s after its last answer; only an unanswered order made it suspect, not a poll that failed. Change: a worker whose poll has failed gets no new tasks until a poll that was sent later is answered, and an unanswered start there is given up as on any suspect worker. Evidence: TestNoTaskIsPlacedOnAWorkerWhosePollFailed fails without the check in suspect().

--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -253,6 +253,9 @@
 		s.silent = true
 	}
 	s.mu.Unlock()
+	t.state.Lock()
+	t.engine.PollFailed(s.id, now)
+	t.state.Unlock()
 	if becameSilent && ctx.Err() == nil {
 		t.Log.Emit(event.WorkerSilent, event.Fields{"worker": s.id, "error": err.Error()})
 	}
--- a/internal/place/group/restart_test.go
+++ b/internal/place/group/restart_test.go
@@ -132,3 +132,17 @@
 	assert.Equal(t, job.Record.Groups[0].Run, 1)
 	assert.Equal(t, c.engine.Worker("w0-0").Incarnation, int64(2))
 }
+
+// Guards against tasks that wait for a worker that has crashed: its connections broke some hundred milliseconds ago.
+func TestNoTaskIsPlacedOnAWorkerWhosePollFailed(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.now = c.now.Add(100 * time.Millisecond)
+	c.engine.PollFailed("w0-0", c.now)
+	c.submit("job-a", planQueue, "beta", gang(2, 8))
+	c.step()
+	assert.Equal(t, len(c.workersOf("job-a")), 0)
+	c.now = c.now.Add(100 * time.Millisecond)
+	c.poll("w0-0")
+	c.step()
+	assert.Equal(t, len(c.workersOf("job-a")), 2)
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -39,8 +39,10 @@
 	LastSeen time.Time
 	// seenBefore is LastSeen as of the answer before.
 	seenBefore time.Time
-	// suspectedAt is when an order to the worker, or to another one in its data centre, was left unanswered.
-	suspectedAt time.Time
+	// suspectedAt is when an order to the worker, or to another one in its data centre, was left unanswered, pollFailedAt when
+	// a poll of the worker last failed.
+	suspectedAt  time.Time
+	pollFailedAt time.Time
 	// LeaseEnds is when everything on the worker has certainly been killed, unless its lease is renewed or extended.
 	LeaseEnds time.Time
 	// leaseExtension is until when tasks may live because a lease proxy may extend their leases for the owner.
@@ -126,8 +128,17 @@
 	}
 }
 
-// suspect reports whether the worker has answered no poll since an order was left unanswered.
-func (w *Worker) suspect() bool { return w.suspectedAt.After(w.LastSeen) }
+// suspect reports whether the worker has answered no poll since an order was left unanswered or a poll failed.
+func (w *Worker) suspect() bool {
+	return w.suspectedAt.After(w.LastSeen) || w.pollFailedAt.After(w.LastSeen)
+}
+
+// PollFailed records that a poll of the worker failed; it gets no new tasks until it answers again.
+func (e *Engine) PollFailed(id string, now time.Time) {
+	if w := e.workers[id]; w != nil {
+		w.pollFailedAt = now
+	}
+}
 
 // SuspectDataCentre marks all workers of the worker's data centre as suspect and returns their IDs, or nil if this was done
 // less than Config.SuspectInterval ago; each gets no new tasks until it answers again.
