--- /dev/null
+++ b/internal/place/group/crash_test.go
@@ -0,0 +1,120 @@
+package group_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"gotest.tools/v3/assert"
+)
+
+// workerOf returns the worker that runs the task, or an empty string.
+func (c *cluster) workerOf(task string) string {
+	for id, tasks := range c.running {
+		if _, ok := tasks[task]; ok {
+			return id
+		}
+	}
+	return ""
+}
+
+// crash restarts the worker under its ID: its connections break, and a second later it is back with nothing running.
+func (c *cluster) crash(id string) {
+	c.engine.PollFailed(id, c.now)
+	c.restart(id, c.incarnationOf(id)+1)
+	c.silent[id] = true
+	c.advanceTime(time.Second)
+	c.silent[id] = false
+	c.advanceTime(time.Second)
+}
+
+// Guards against BUDGET: a task that crashes each worker that starts it is started again and again.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	job := c.submit("deadly", batchQueue, "beta", work.Step{Count: 2, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute})
+	c.step()
+	starts := 0
+	for range 10 {
+		worker := c.workerOf("deadly.0.0.0")
+		if worker == "" {
+			break
+		}
+		starts++
+		c.crash(worker)
+	}
+	assert.Equal(t, job.Record.Phase, work.Failed)
+	assert.Assert(t, starts >= 2 && starts <= 5, "%d starts", starts)
+	assert.Equal(t, len(c.workersOf("deadly")), 0)
+}
+
+// Guards against BUDGET with the owner lost between two crashes: the count is part of the job's record.
+func TestCrashesUnderATaskOutliveTheOwner(t *testing.T) {
+	spec := &work.Spec{Job: "deadly", Queue: batchQueue, Workspace: "beta", Steps: []work.Step{{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute}}}
+	var record *work.Record
+	starts := 0
+	for range 10 {
+		c := newCluster(t, 2, 3)
+		job := c.engine.Load(spec, record, 0, c.now, c.now)
+		c.step()
+		c.advanceTime(time.Second)
+		if worker := c.workerOf("deadly.0.0.0"); worker != "" {
+			starts++
+			c.crash(worker)
+		}
+		data, err := job.Record.Encode()
+		assert.NilError(t, err)
+		record, err = work.DecodeRecord(data)
+		assert.NilError(t, err)
+		record.Groups[0].Workers = nil
+		if record.Phase == work.Failed {
+			break
+		}
+	}
+	assert.Equal(t, record.Phase, work.Failed)
+	assert.Assert(t, starts >= 2 && starts <= 5, "%d starts", starts)
+}
+
+// Guards against jobs that are shown as failed without cause: the tasks beside a deadly one are on each worker that it crashes,
+// but began long before each crash, so they run on.
+func TestNeighboursOfADeadlyTaskAreNotGivenUp(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	neighbour := c.submit("sound", batchQueue, "beta", work.Step{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute})
+	c.step()
+	for n := range 2 {
+		c.advanceTime(5 * time.Second)
+		deadly := c.submit("deadly-"+string(rune('a'+n)), batchQueue, "beta", work.Step{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute})
+		c.step()
+		assert.Equal(t, len(c.running["w0-0"]), 2)
+		c.crash("w0-0")
+		c.engine.Cancel(deadly.ID(), c.now)
+		c.advanceTime(time.Second)
+	}
+	assert.Equal(t, neighbour.Record.Phase, work.Running)
+	assert.Equal(t, len(c.workersOf("sound")), 1)
+}
+
+// Guards against jobs that are shown as failed without cause: a lease that expires is no crash, as a worker that is cut off
+// runs on.
+func TestLapsedLeasesAreNoCrashes(t *testing.T) {
+	c := newCluster(t, 4, 2)
+	job := c.submit("far", batchQueue, "beta", work.Step{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute})
+	c.step()
+	for range 6 {
+		worker := c.workerOf("far.0.0.0")
+		assert.Assert(t, worker != "")
+		c.silent[worker] = true
+		delete(c.running[worker], "far.0.0.0")
+		c.advanceTime(20 * time.Second)
+		c.silent[worker] = false
+		c.advanceTime(time.Second)
+	}
+	assert.Equal(t, job.Record.Phase, work.Running)
+	var lapsed int
+	for _, decision := range c.decisions {
+		if decision.Kind == group.WorkerLapsed {
+			lapsed++
+		}
+	}
+	assert.Equal(t, lapsed, 6)
+}
