group: count the workers that crash under a task, and give it up

Cause: nothing counted crashes. Only an exit `failed` raises the count that the queue's attempts limit; a run that is lost with its worker raised nothing, so the task began again for as long as its job was open, under each owner. Change: a certain crash (the worker is back under its ID as another incarnation, and does not list a run that it had confirmed) is counted in the record of each task group that ran there, once a run, so a successor goes on counting.

--- a/internal/node/term/decision_log.go
+++ b/internal/node/term/decision_log.go
@@ -33,6 +33,9 @@
 			fields[name] = number
 		}
 	}
+	if d.Kind == group.WorkerCrashed {
+		fields["crashes"], fields["suspected"] = d.Crashes, d.Suspected
+	}
 	if d.Kind == group.WorkerRestarted {
 		fields["born"], fields["previous"] = d.Incarnation, d.Previous
 	}
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -38,6 +38,8 @@
 	WorkerAvoided
 	WorkerLapsed
 	WorkerRestarted
+	// WorkerCrashed means that a worker crashed under a task.
+	WorkerCrashed
 )
 
 //go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Cause -transform=title-lower
@@ -96,6 +98,9 @@
 	// Incarnation and Previous are the incarnations of a restarted worker after and before the restart.
 	Incarnation int64
 	Previous    int64
+	// Crashes is how many workers have crashed under the task, Suspected how many of these crashes it may have caused.
+	Crashes   int
+	Suspected int
 	// CoreSeconds is the work that was discarded.
 	CoreSeconds float64
 	Text        string
--- a/internal/place/group/decisionkind_enumer.go
+++ b/internal/place/group/decisionkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestarted"
+const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestartedworkerCrashed"
 
-var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90}
+var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90, 103}
 
-const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestarted"
+const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestartedworkercrashed"
 
 func (i DecisionKind) String() string {
 	if i < 0 || i >= DecisionKind(len(_DecisionKindIndex)-1) {
@@ -33,29 +33,32 @@
 	_ = x[WorkerAvoided-(6)]
 	_ = x[WorkerLapsed-(7)]
 	_ = x[WorkerRestarted-(8)]
+	_ = x[WorkerCrashed-(9)]
 }
 
-var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted}
+var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted, WorkerCrashed}
 
 var _DecisionKindNameToValueMap = map[string]DecisionKind{
-	_DecisionKindName[0:9]:        RunPlaced,
-	_DecisionKindLowerName[0:9]:   RunPlaced,
-	_DecisionKindName[9:19]:       RunStopped,
-	_DecisionKindLowerName[9:19]:  RunStopped,
-	_DecisionKindName[19:28]:      RunBroken,
-	_DecisionKindLowerName[19:28]: RunBroken,
-	_DecisionKindName[28:35]:      RunDone,
-	_DecisionKindLowerName[28:35]: RunDone,
-	_DecisionKindName[35:42]:      JobOver,
-	_DecisionKindLowerName[35:42]: JobOver,
-	_DecisionKindName[42:50]:      JobWaits,
-	_DecisionKindLowerName[42:50]: JobWaits,
-	_DecisionKindName[50:63]:      WorkerAvoided,
-	_DecisionKindLowerName[50:63]: WorkerAvoided,
-	_DecisionKindName[63:75]:      WorkerLapsed,
-	_DecisionKindLowerName[63:75]: WorkerLapsed,
-	_DecisionKindName[75:90]:      WorkerRestarted,
-	_DecisionKindLowerName[75:90]: WorkerRestarted,
+	_DecisionKindName[0:9]:         RunPlaced,
+	_DecisionKindLowerName[0:9]:    RunPlaced,
+	_DecisionKindName[9:19]:        RunStopped,
+	_DecisionKindLowerName[9:19]:   RunStopped,
+	_DecisionKindName[19:28]:       RunBroken,
+	_DecisionKindLowerName[19:28]:  RunBroken,
+	_DecisionKindName[28:35]:       RunDone,
+	_DecisionKindLowerName[28:35]:  RunDone,
+	_DecisionKindName[35:42]:       JobOver,
+	_DecisionKindLowerName[35:42]:  JobOver,
+	_DecisionKindName[42:50]:       JobWaits,
+	_DecisionKindLowerName[42:50]:  JobWaits,
+	_DecisionKindName[50:63]:       WorkerAvoided,
+	_DecisionKindLowerName[50:63]:  WorkerAvoided,
+	_DecisionKindName[63:75]:       WorkerLapsed,
+	_DecisionKindLowerName[63:75]:  WorkerLapsed,
+	_DecisionKindName[75:90]:       WorkerRestarted,
+	_DecisionKindLowerName[75:90]:  WorkerRestarted,
+	_DecisionKindName[90:103]:      WorkerCrashed,
+	_DecisionKindLowerName[90:103]: WorkerCrashed,
 }
 
 var _DecisionKindNames = []string{
@@ -68,6 +71,7 @@
 	_DecisionKindName[50:63],
 	_DecisionKindName[63:75],
 	_DecisionKindName[75:90],
+	_DecisionKindName[90:103],
 }
 
 // DecisionKindString retrieves an enum value from the enum constants string name.
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -78,7 +78,7 @@
 			e.emit(StopOrder{Worker: w.ID, Task: entry.Task, Run: entry.Run})
 			continue
 		}
-		m.incarnation = w.Incarnation
+		m.incarnation, m.restarted = w.Incarnation, false
 		if m.State != Started {
 			e.markStarted(m, now)
 		}
@@ -122,15 +122,23 @@
 		case m.State == Inherited:
 			e.inheritedMissing(m, now)
 		case !m.startAckedAt.IsZero() && m.startAckedAt.Before(sentAt):
-			e.endMember(m, Lost, "", now)
+			e.endMissing(m, Lost, now)
 		case !m.stopAckedAt.IsZero() && m.stopAckedAt.Before(sentAt):
-			e.endMember(m, Stopped, "", now)
+			e.endMissing(m, Stopped, now)
 		case m.stopSent && m.stopAckedAt.IsZero():
 			e.emit(StopOrder{Worker: w.ID, Task: m.task, Run: m.Run.Number})
 		}
 	}
 }
 
+// endMissing ends a member that its worker does not list; one that an earlier incarnation ran ended in a crash.
+func (e *Engine) endMissing(m *Member, status ExitStatus, now time.Time) {
+	if m.restarted {
+		e.recordCrash(m, m.crashSuspect, now)
+	}
+	e.endMember(m, status, "", now)
+}
+
 // inheritedMissing resends a start that an earlier owner recorded but that never reached the worker, or ends the member if
 // it should not or can't start any more.
 //
@@ -197,7 +205,7 @@
 		return
 	}
 	if result == Accepted {
-		m.startAckedAt = now
+		m.startAckedAt, m.Worker.startAckedAt = now, now
 		if m.State == Ordered {
 			e.markStarted(m, now)
 		}
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -190,6 +190,10 @@
 	task    string
 	// incarnation is that of the worker whose listing showed the member; zero until one has.
 	incarnation int64
+	// restarted is true if the worker has restarted since it confirmed the start, and its present incarnation has not listed
+	// the member; crashSuspect is true if the member started shortly before.
+	restarted    bool
+	crashSuspect bool
 	// orderedAt is when the start was ordered; startAckedAt and stopAckedAt are when the worker acknowledged start and stop.
 	orderedAt    time.Time
 	startAckedAt time.Time
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -43,6 +43,8 @@
 	// a poll of the worker last failed.
 	suspectedAt  time.Time
 	pollFailedAt time.Time
+	// startAckedAt is when the worker last acknowledged a start.
+	startAckedAt time.Time
 	// LeaseEnds is when everything on the worker has certainly been killed, unless its lease is renewed or extended.
 	LeaseEnds time.Time
 	// leaseExtension is until when tasks may live because a lease proxy may extend their leases for the owner.
@@ -239,16 +241,20 @@
 	w.Incarnation, w.LastExit, w.speed = incarnation, 0, 1
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
+	lastAlive := w.lastAlive()
 	for _, m := range w.sortedMembers() {
+		suspect := m.suspectOfCrash(lastAlive)
 		switch {
 		case m.State == Planned || m.State == Inherited:
 		case m.State == Ordered && !m.startSent:
 			e.endMember(m, Void, "", now)
 		case m.incarnation != 0 && !m.startUnanswered:
+			e.recordCrash(m, suspect, now)
 			e.endMember(m, Lost, "", now)
 		default:
 			// The lease that the new incarnation granted may be longer than intended, as its clock differs.
 			w.LeaseEnds = latest(w.LeaseEnds, now.Add(e.cfg.InheritedLease))
+			m.restarted, m.crashSuspect = m.State == Started, suspect
 			m.incarnation, m.stopSent, m.stopAckedAt = 0, false, time.Time{}
 			if m.State == Ordered || m.startUnanswered || m.Run.stopReason != "" {
 				e.stopRun(m.Run, StartUnanswered, "its worker restarted before it confirmed the start", now)
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -27,9 +27,14 @@
 	// Run is the number of the last run, one attempt to run the task group; zero before the first.
 	Run int `json:"run,omitempty"`
 	// Failures is the number of failed runs; FailedRun is the last one counted, so that each run counts once.
-	Failures  int  `json:"failures,omitempty"`
-	FailedRun int  `json:"failedRun,omitempty"`
-	Done      bool `json:"done,omitempty"`
+	Failures  int `json:"failures,omitempty"`
+	FailedRun int `json:"failedRun,omitempty"`
+	// Crashes is the number of runs that ended as a worker crashed under them, SuspectedCrashes the number of those that may
+	// have caused the crash; CrashedRun is the last one counted.
+	Crashes          int  `json:"crashes,omitempty"`
+	SuspectedCrashes int  `json:"suspectedCrashes,omitempty"`
+	CrashedRun       int  `json:"crashedRun,omitempty"`
+	Done             bool `json:"done,omitempty"`
 	// Checkpoint is the last known checkpoint.
 	Checkpoint string `json:"saved,omitempty"`
 	// StartedFrom is the checkpoint that the members of the run in Workers started from.
