--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -71,6 +71,9 @@
 	OutlastsWorker
 	NoProgress
 	SlowWorker
+	// WorkerChanged means that the worker can't take a task any more whose start was not sent: it has too little room or has
+	// restarted, perhaps as another kind.
+	WorkerChanged
 )
 
 // Decision is a decision log entry; fields that don't apply are zero.
--- a/internal/place/group/crash_test.go
+++ b/internal/place/group/crash_test.go
@@ -25,6 +25,7 @@
 	c.restart(id, c.incarnationOf(id)+1)
 	c.silent[id] = true
 	c.advanceTime(time.Second)
+	c.engine.SetWorkers(c.infos, c.now)
 	c.silent[id] = false
 	c.advanceTime(time.Second)
 }
--- a/internal/place/group/restart_test.go
+++ b/internal/place/group/restart_test.go
@@ -120,6 +120,7 @@
 	before := slices.Clone(c.infos)
 	c.restart("w0-0", 2)
 	c.poll("w0-0")
+	c.engine.SetWorkers(c.infos, c.now)
 	c.silent["w0-1"] = true
 	c.advanceTime(group.DefaultConfig().SeenWithin + time.Second)
 	job := c.submit("job-a", planQueue, "beta", gang(1, 8))
