group: a repeated start is settled by a stop after its worker restarts

What callers would see: two runs of one task. Cause: a start without a response is repeated, the repetition is confirmed, and the worker crashes. The restart ordered a stop, as the first order may still be executed by the new incarnation; but the same listing then ended the run as lost, since it was confirmed and not listed, and so withdrew the stop. If the worker fell silent instead, the run was not kept as abandoned when its lease expired, as it had been confirmed. Change: whether a start without a response may still be executed is asked in one place, mayStartLate: until the present incarnation has listed the run. Such a run is ended by an acknowledged stop, and kept as abandoned when the lease expires. Evidence: TestRepeatedStartIsSettledByAStopAfterARestart and TestUnansweredStartIsStoppedAfterTheLeaseOfANewIncarnation failed before and pass now.

--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -121,12 +121,15 @@
 		case listed:
 		case m.State == Inherited:
 			e.inheritedMissing(m, now)
-		case !m.startAckedAt.IsZero() && m.startAckedAt.Before(sentAt):
-			e.endMissing(m, Lost, now)
 		case !m.stopAckedAt.IsZero() && m.stopAckedAt.Before(sentAt):
 			e.endMissing(m, Stopped, now)
 		case m.stopSent && m.stopAckedAt.IsZero():
 			e.emit(StopOrder{Worker: w.ID, Task: m.task, Run: m.Run.Number})
+		case m.startAckedAt.IsZero() || !m.startAckedAt.Before(sentAt):
+		case m.mayStartLate():
+			e.stopRun(m.Run, StartUnanswered, "a start without a response may still be executed", now)
+		default:
+			e.endMissing(m, Lost, now)
 		}
 	}
 }
@@ -282,7 +285,7 @@
 		return
 	}
 	run, g := m.Run, m.Run.Group
-	if status == Lost && m.startAckedAt.IsZero() && m.State == Ordered && m.startSent {
+	if status == Lost && (m.mayStartLate() || m.startAckedAt.IsZero() && m.State == Ordered && m.startSent) {
 		m.Worker.abandoned[runKey{m.task, run.Number}] = true
 	}
 	discarded := m.unsavedCoreSeconds(now)
--- a/internal/place/group/restart_test.go
+++ b/internal/place/group/restart_test.go
@@ -147,3 +147,49 @@
 	c.step()
 	assert.Equal(t, len(c.workersOf("job-a")), 2)
 }
+
+// startRepeated loses the response to a start, which the worker has not executed yet, and confirms its repetition.
+func (c *cluster) startRepeated() group.StartOrder {
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	order := c.lastStartOrder()
+	order.Member.MarkSent()
+	order.Member.MarkUnanswered()
+	c.takeStart(order)
+	c.engine.ApplyStartResult(order.Member, group.Accepted, c.now)
+	c.now = c.now.Add(5 * time.Millisecond)
+	c.poll(order.Worker)
+	return order
+}
+
+// Guards against two runs of one task: a start is repeated, the worker crashes under the repetition, and the first order, which
+// had no response, is executed by the new incarnation.
+func TestRepeatedStartIsSettledByAStopAfterARestart(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	order := c.startRepeated()
+	c.restart(order.Worker, 2)
+	c.now = c.now.Add(500 * time.Millisecond)
+	c.poll(order.Worker)
+	c.silent[order.Worker] = true
+	c.step()
+	assert.Equal(t, len(c.workersOf("job-a")), 0)
+	assert.Assert(t, c.engine.Worker(order.Worker).NeedsStop(order.Task, order.Run))
+	c.takeStart(order)
+	c.silent[order.Worker] = false
+	c.engine.SetWorkers(c.infos, c.now)
+	c.advanceTime(time.Second)
+	assert.Equal(t, len(c.workersOf("job-a")), 1)
+	assert.DeepEqual(t, c.stops[0], group.StopOrder{Worker: order.Worker, Task: order.Task, Run: order.Run})
+}
+
+// Guards against two runs of one task: the new incarnation falls silent before the stop of an unanswered start arrives, and
+// is back after its lease has expired.
+func TestUnansweredStartIsStoppedAfterTheLeaseOfANewIncarnation(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	order := c.startRepeated()
+	c.restart(order.Worker, 2)
+	c.now = c.now.Add(500 * time.Millisecond)
+	c.poll(order.Worker)
+	c.silent[order.Worker] = true
+	c.advanceTime(20 * time.Second)
+	assert.Assert(t, c.engine.Worker(order.Worker).NeedsStop(order.Task, order.Run))
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -354,6 +354,12 @@
 	e.endMember(m, Void, "", now)
 }
 
+// mayStartLate reports whether an order without a response may still be executed: the worker's present incarnation has not
+// listed the member, so it would not refuse the order.
+func (m *Member) mayStartLate() bool {
+	return m.startUnanswered && (m.incarnation == 0 || m.incarnation != m.Worker.Incarnation)
+}
+
 // MarkUnanswered records that a start order had no response and may have been executed, or may still be.
 func (m *Member) MarkUnanswered() { m.startUnanswered = true }
 
