group: what a new incarnation lists is not lost with the earlier one

What callers would see: two runs of one task. Cause: after a crash a worker has seen no fencing token, so it executes a late order of an earlier owner. The poll that showed the restart ended the run, and the same listing, which had it, made it an orphan, so it began elsewhere before the stop arrived. Change: a restart is applied together with the listing that shows it: members in that listing stay. Evidence: TestRunInTheFirstListingOfANewIncarnationIsNotLost failed before (a run on each of two workers) and passes now. Where the worker list shows the restart first, the members are still lost at once; such a late order is left to the orphan's stop.

--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -41,7 +41,7 @@
 		if list.Incarnation < w.Incarnation {
 			return
 		}
-		e.workerRestarted(w, list.Incarnation, "its own listing", now)
+		e.workerRestarted(w, list.Incarnation, "its own listing", list.Running, now)
 	}
 	if list.Incarnation != 0 {
 		w.Incarnation = list.Incarnation
@@ -114,11 +114,8 @@
 // applyMissing ends or resends members that the worker did not report although it should have.
 func (e *Engine) applyMissing(w *Worker, running []RunningEntry, sentAt, now time.Time) {
 	for _, m := range w.sortedMembers() {
-		listed := slices.ContainsFunc(running, func(entry RunningEntry) bool {
-			return entry.Task == m.task && entry.Run == m.Run.Number
-		})
 		switch {
-		case listed:
+		case m.listedIn(running):
 		case m.State == Inherited:
 			e.inheritedMissing(m, now)
 		case !m.stopAckedAt.IsZero() && m.stopAckedAt.Before(sentAt):
--- a/internal/place/group/restart_test.go
+++ b/internal/place/group/restart_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/work"
 	"gotest.tools/v3/assert"
 )
 
@@ -193,3 +194,32 @@
 	c.advanceTime(20 * time.Second)
 	assert.Assert(t, c.engine.Worker(order.Worker).NeedsStop(order.Task, order.Run))
 }
+
+// inherit loads a job whose run 3 an earlier owner has started on the worker, or was about to.
+func (c *cluster) inherit(worker string) group.RunningEntry {
+	record := &work.Record{Phase: work.Running, Groups: []work.GroupRecord{{Run: 3, Workers: []string{worker}}}}
+	c.engine.Load(&work.Spec{Job: "job-a", Queue: planQueue, Steps: []work.Step{gang(1, 1)}}, record, 0, c.now, c.now)
+	return group.RunningEntry{Task: "job-a.0.0.0", Run: 3}
+}
+
+// Guards against two runs of one task: an order of an earlier owner is executed by a new incarnation, which has seen no fencing
+// token yet, and its first listing shows both the restart and the run.
+func TestRunInTheFirstListingOfANewIncarnationIsNotLost(t *testing.T) {
+	for name, listedBefore := range map[string]bool{"listed before": true, "about to be sent again": false} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1, 2)
+			entry := c.inherit("w0-0")
+			if listedBefore {
+				c.running["w0-0"][entry.Task] = entry
+			}
+			c.pollAll()
+			c.engine.Actions()
+			c.restart("w0-0", 2)
+			c.running["w0-0"][entry.Task] = entry
+			c.poll("w0-0")
+			c.silent["w0-0"] = true
+			c.step()
+			assert.DeepEqual(t, c.workersOf("job-a"), map[string]int{"w0-0": 1})
+		})
+	}
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -176,7 +176,7 @@
 			continue
 		}
 		if w.Incarnation != 0 && info.Incarnation > w.Incarnation {
-			e.workerRestarted(w, info.Incarnation, "the worker list", now)
+			e.workerRestarted(w, info.Incarnation, "the worker list", nil, now)
 		}
 		w.listedIncarnation, info.Incarnation = info.Incarnation, max(info.Incarnation, w.Incarnation)
 		e.racksStale = e.racksStale || w.Rack != info.Rack
@@ -227,37 +227,49 @@
 }
 
 // workerRestarted ends the members that the worker's listings have shown in an earlier incarnation, as they ended with it;
-// source is where the new one was read.
-//
-// Orders name a worker and not its incarnation, so the new one may have taken those of the other members: its own listing
-// decides about the members that were acknowledged, and a stop about those without a response.
-func (e *Engine) workerRestarted(w *Worker, incarnation int64, source string, now time.Time) {
+// source is where the new one was read, running is what the new one lists, if that is known.
+func (e *Engine) workerRestarted(w *Worker, incarnation int64, source string, running []RunningEntry, now time.Time) {
 	e.emit(Decision{Kind: WorkerRestarted, Worker: w.ID, Incarnation: incarnation, Previous: w.Incarnation, Text: "read from " + source})
 	w.Incarnation, w.LastExit, w.speed = incarnation, 0, 1
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
 	lastAlive := w.lastAlive()
 	for _, m := range w.sortedMembers() {
-		suspect := m.suspectOfCrash(lastAlive)
-		switch {
-		case m.State == Planned || m.State == Inherited:
-		case m.State == Ordered && !m.startSent:
-			e.endMember(m, Void, "", now)
-		case m.incarnation != 0 && !m.startUnanswered:
-			e.recordCrash(m, suspect, now)
-			e.endMember(m, Lost, "", now)
-		default:
-			// The lease that the new incarnation granted may be longer than intended, as its clock differs.
-			w.LeaseEnds = latest(w.LeaseEnds, now.Add(e.cfg.InheritedLease))
-			m.restarted, m.crashSuspect = m.State == Started, suspect
-			m.incarnation, m.stopSent, m.stopAckedAt = 0, false, time.Time{}
-			if m.State == Ordered || m.startUnanswered || m.Run.stopReason != "" {
-				e.stopRun(m.Run, StartUnanswered, "its worker restarted before it confirmed the start", now)
-			}
-		}
+		e.memberRestarted(m, m.listedIn(running), m.suspectOfCrash(lastAlive), now)
+	}
+}
+
+// memberRestarted applies a restart of its worker to the member; listed is true if the new incarnation has listed it.
+//
+// Orders name a worker and not its incarnation, so the new one may have executed those that the earlier one has not listed:
+// its own listing decides about the members that were acknowledged, and a stop about those without a response.
+func (e *Engine) memberRestarted(m *Member, listed, crashSuspect bool, now time.Time) {
+	switch {
+	case m.State == Planned || m.State == Inherited || m.State == Ended:
+		return
+	case listed:
+	case m.State == Ordered && !m.startSent:
+		e.endMember(m, Void, "", now)
+		return
+	case m.incarnation != 0 && !m.startUnanswered:
+		e.recordCrash(m, crashSuspect, now)
+		e.endMember(m, Lost, "", now)
+		return
+	}
+	// The lease that the new incarnation granted may be longer than intended, as its clock differs.
+	m.Worker.LeaseEnds = latest(m.Worker.LeaseEnds, now.Add(e.cfg.InheritedLease))
+	m.restarted, m.crashSuspect = m.State == Started, crashSuspect
+	m.incarnation, m.stopSent, m.stopAckedAt = 0, false, time.Time{}
+	if !listed && (m.State == Ordered || m.startUnanswered) || m.Run.stopReason != "" {
+		e.stopRun(m.Run, StartUnanswered, "its worker restarted before the start was confirmed", now)
 	}
 }
 
+// listedIn reports whether the member is among the running tasks.
+func (m *Member) listedIn(running []RunningEntry) bool {
+	return slices.ContainsFunc(running, func(entry RunningEntry) bool { return entry.Task == m.task && entry.Run == m.Run.Number })
+}
+
 // sortedMembers returns the members in a fixed order, so that decisions are reproducible. Later changes do not modify the
 // returned slice.
 func (w *Worker) sortedMembers() []*Member {
