group: a worker whose time of day was set back is used again after a restart

What callers would see: LOST, tasks of such a worker that never run again. Cause: incarnations are start times by the worker's time of day. After a step back the new one is lower, so its answers and its entries were ignored as those of an earlier incarnation, while the answers still renewed the lease. Change: an answer to a poll that was sent after the present incarnation was seen comes from a later one, whatever its number; incarnations that have ended are remembered by worker, so neither their entries nor their late answers count. An entry is outdated if it is not of the present incarnation. Evidence: TestWorkerWithAnEarlierStartTimeIsUsedAgain failed before (nothing runs) and passes now; TestEntryFromBeforeARestartIsNoRestart still passes.

--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -32,19 +32,22 @@
 }
 
 // ApplyListing applies a worker's answer to a poll that was sent at sentAt; an answer of an earlier incarnation is ignored.
+//
+// Incarnations are start times by the worker's time of day, which may jump, so a lower one is a later one if its answer was
+// requested after the present one was seen.
 func (e *Engine) ApplyListing(id string, list Listing, sentAt, now time.Time) {
 	w := e.workers[id]
 	if w == nil {
 		return
 	}
 	if list.Incarnation != 0 && w.Incarnation != 0 && list.Incarnation != w.Incarnation {
-		if list.Incarnation < w.Incarnation {
+		if w.pastIncarnations[list.Incarnation] || list.Incarnation < w.Incarnation && !sentAt.After(w.incarnationSeenAt) {
 			return
 		}
 		e.workerRestarted(w, list.Incarnation, "its own listing", list.Running, now)
 	}
 	if list.Incarnation != 0 {
-		w.Incarnation = list.Incarnation
+		w.Incarnation, w.incarnationSeenAt = list.Incarnation, now
 	}
 	if sentAt.After(w.LastSeen) {
 		w.seenBefore, w.LastSeen = w.LastSeen, sentAt
--- a/internal/place/group/fit.go
+++ b/internal/place/group/fit.go
@@ -32,7 +32,7 @@
 // entryOutdated reports whether the worker's entry describes an earlier incarnation, whose capacity, service and labels may
 // differ.
 func (w *Worker) entryOutdated() bool {
-	return w.listedIncarnation != 0 && w.Incarnation > w.listedIncarnation
+	return w.listedIncarnation != 0 && w.Incarnation != w.listedIncarnation
 }
 
 // suitsWorker reports whether the member's worker has the service of its queue, if that is known, and the label that its step
--- a/internal/place/group/restart_test.go
+++ b/internal/place/group/restart_test.go
@@ -223,3 +223,25 @@
 		})
 	}
 }
+
+// Guards against tasks that never run again: a worker's time of day was set back, so its new incarnation has an earlier start
+// time, and entries of the one before are still listed.
+func TestWorkerWithAnEarlierStartTimeIsUsedAgain(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.restart("w0-0", 100)
+	c.engine.SetWorkers(c.infos, c.now)
+	c.pollAll()
+	before := slices.Clone(c.infos)
+	job := c.submit("job-a", planQueue, "beta", gang(1, 8))
+	c.step()
+	c.pollAll()
+	c.restart("w0-0", 50)
+	c.advanceTime(time.Second)
+	c.engine.SetWorkers(before, c.now)
+	c.advanceTime(time.Second)
+	assert.Equal(t, len(c.workersOf("job-a")), 0, "only the entry of the earlier incarnation is listed")
+	c.engine.SetWorkers(c.infos, c.now)
+	c.advanceTime(time.Second)
+	assert.Equal(t, len(c.workersOf("job-a")), 1)
+	assert.Equal(t, job.Record.Groups[0].Run, 2)
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -35,6 +35,9 @@
 	Listed bool
 	// listedIncarnation is the incarnation that the worker's last entry describes; zero if it is unknown.
 	listedIncarnation int64
+	// pastIncarnations are those before the present one, which was last seen at incarnationSeenAt.
+	pastIncarnations  map[int64]bool
+	incarnationSeenAt time.Time
 	// Used is the room of all members that may be alive on the worker.
 	Used Resources
 	// LastSeen is when the last poll that the worker answered was sent.
@@ -95,7 +98,8 @@
 func newWorker(info WorkerInfo, leaseEnds time.Time) *Worker {
 	return &Worker{
 		WorkerInfo: info, Listed: true, listedIncarnation: info.Incarnation, speed: 1, LeaseEnds: leaseEnds,
-		members: make(map[runKey]*Member), orphans: make(map[runKey]bool), abandoned: make(map[runKey]bool),
+		pastIncarnations: make(map[int64]bool),
+		members:          make(map[runKey]*Member), orphans: make(map[runKey]bool), abandoned: make(map[runKey]bool),
 	}
 }
 
@@ -175,10 +179,13 @@
 			e.addWorker(w)
 			continue
 		}
-		if w.Incarnation != 0 && info.Incarnation > w.Incarnation {
+		if w.Incarnation != 0 && info.Incarnation > w.Incarnation && !w.pastIncarnations[info.Incarnation] {
 			e.workerRestarted(w, info.Incarnation, "the worker list", nil, now)
 		}
-		w.listedIncarnation, info.Incarnation = info.Incarnation, max(info.Incarnation, w.Incarnation)
+		w.listedIncarnation = info.Incarnation
+		if w.Incarnation != 0 {
+			info.Incarnation = w.Incarnation
+		}
 		e.racksStale = e.racksStale || w.Rack != info.Rack
 		w.WorkerInfo, w.Listed = info, true
 		w.updateLeavesAt(now)
@@ -230,7 +237,8 @@
 // source is where the new one was read, running is what the new one lists, if that is known.
 func (e *Engine) workerRestarted(w *Worker, incarnation int64, source string, running []RunningEntry, now time.Time) {
 	e.emit(Decision{Kind: WorkerRestarted, Worker: w.ID, Incarnation: incarnation, Previous: w.Incarnation, Text: "read from " + source})
-	w.Incarnation, w.LastExit, w.speed = incarnation, 0, 1
+	w.pastIncarnations[w.Incarnation] = true
+	w.Incarnation, w.incarnationSeenAt, w.LastExit, w.speed = incarnation, now, 0, 1
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
 	lastAlive := w.lastAlive()
