session: a lost poll does not hide an answer to another one

What callers would see: tasks that wait while sound workers stand idle for 2.5 to 3 s after one lost answer, and gangs broken by starts that waited. Cause: after an unanswered order all workers of a data centre are polled beside their open polls. The failure of such a poll made the worker suspect as of the failure and forgot its clock, also if another poll had been answered since it was sent. Change: a failed poll counts as of its sending, and only against answers that came before; a clock that was read later stays. The last answer's arrival also says until when a worker that crashed was alive.

--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -220,7 +220,7 @@
 	t.Meter.Count("worker.looks")
 	now := t.Now()
 	if err != nil {
-		s.pollFailed(ctx, err, now)
+		s.pollFailed(ctx, err, sent, now)
 		return
 	}
 	s.mu.Lock()
@@ -241,7 +241,8 @@
 	}
 }
 
-func (s *session) pollFailed(ctx context.Context, err error, now time.Time) {
+// pollFailed records that a poll that was sent at sentAt had no answer, and waits before the next one.
+func (s *session) pollFailed(ctx context.Context, err error, sentAt, now time.Time) {
 	t := s.term
 	var refused *agent.RefusedError
 	if errors.As(err, &refused) && refused.Refusal == agent.OldToken {
@@ -251,7 +252,9 @@
 	s.mu.Lock()
 	s.missedPolls++
 	// The worker may have restarted; its next answer shows which incarnation it is.
-	s.clock = clockReading{}
+	if !s.clock.at.After(sentAt) {
+		s.clock = clockReading{}
+	}
 	wait := min(time.Duration(s.missedPolls)*pollRetryDelay, maxPollRetryDelay)
 	becameSilent := !s.silent && now.Sub(s.seenAt) > silentAfter
 	if becameSilent {
@@ -259,7 +262,7 @@
 	}
 	s.mu.Unlock()
 	t.state.Lock()
-	t.engine.PollFailed(s.id, now)
+	t.engine.PollFailed(s.id, sentAt)
 	t.state.Unlock()
 	if becameSilent && ctx.Err() == nil {
 		t.Log.Emit(event.WorkerSilent, event.Fields{"worker": s.id, "error": err.Error()})
--- a/internal/node/term/session_test.go
+++ b/internal/node/term/session_test.go
@@ -137,3 +137,14 @@
 	w := s.term.engine.Worker("w")
 	assert.Assert(t, !s.knows(w.Incarnation))
 }
+
+// Guards against starts that wait for a clock that is known: a poll is lost, and its failure is noticed after a later answer.
+func TestFailureOfAnEarlierPollKeepsTheClock(t *testing.T) {
+	a := &scriptedAgent{listing: group.Listing{Incarnation: 1}}
+	s := newSession(t, a)
+	ctx := endedContext(t)
+	sent := s.term.Now()
+	s.poll(ctx)
+	s.pollFailed(ctx, &agent.LostError{Worker: "w", Cause: errors.New("timeout")}, sent, s.term.Now())
+	assert.Assert(t, s.knows(1))
+}
--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -16,9 +16,8 @@
 	maxCrashes = 4
 )
 
-// lastAlive is the last time at which the worker is known to have been alive: when it acknowledged a start, or when the last
-// poll that it answered was sent.
-func (w *Worker) lastAlive() time.Time { return latest(w.LastSeen, w.startAckedAt) }
+// lastAlive is when the worker last answered a poll or acknowledged a start.
+func (w *Worker) lastAlive() time.Time { return latest(w.answeredAt, w.startAckedAt) }
 
 // suspectOfCrash reports whether the member started shortly before its worker, last alive at the given time, crashed. Tasks
 // that had run there for longer are less likely to be the cause.
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -49,6 +49,7 @@
 	if list.Incarnation != 0 {
 		w.Incarnation, w.incarnationSeenAt = list.Incarnation, now
 	}
+	w.answeredAt = now
 	if sentAt.After(w.LastSeen) {
 		w.seenBefore, w.LastSeen = w.LastSeen, sentAt
 	}
--- a/internal/place/group/restart_test.go
+++ b/internal/place/group/restart_test.go
@@ -140,6 +140,7 @@
 	c := newCluster(t, 1, 2)
 	c.now = c.now.Add(100 * time.Millisecond)
 	c.engine.PollFailed("w0-0", c.now)
+	c.now = c.now.Add(time.Millisecond)
 	c.submit("job-a", planQueue, "beta", gang(2, 8))
 	c.step()
 	assert.Equal(t, len(c.workersOf("job-a")), 0)
@@ -245,3 +246,17 @@
 	assert.Equal(t, len(c.workersOf("job-a")), 1)
 	assert.Equal(t, job.Record.Groups[0].Run, 2)
 }
+
+// Guards against workers that get no tasks although they answer: a poll is lost while a longer one is being answered.
+func TestAnswerAfterALostPollMakesTheWorkerUsable(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	longPoll := c.now.Add(10 * time.Millisecond)
+	lostPoll := c.now.Add(100 * time.Millisecond)
+	c.now = c.now.Add(600 * time.Millisecond)
+	c.engine.PollFailed("w0-0", lostPoll)
+	c.now = c.now.Add(900 * time.Millisecond)
+	c.engine.ApplyListing("w0-0", group.Listing{Incarnation: 1}, longPoll, c.now)
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	c.step()
+	assert.Equal(t, len(c.workersOf("job-a")), 1)
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -44,10 +44,11 @@
 	LastSeen time.Time
 	// seenBefore is LastSeen as of the answer before.
 	seenBefore time.Time
-	// suspectedAt is when an order to the worker, or to another one in its data centre, was left unanswered, pollFailedAt when
-	// a poll of the worker last failed.
-	suspectedAt  time.Time
-	pollFailedAt time.Time
+	// suspectedAt is when an order to the worker, or to another one in its data centre, was left unanswered.
+	suspectedAt time.Time
+	// answeredAt is when the last answer to a poll came, failedPollSentAt when the last poll that failed was sent.
+	answeredAt       time.Time
+	failedPollSentAt time.Time
 	// startAckedAt is when the worker last acknowledged a start.
 	startAckedAt time.Time
 	// LeaseEnds is when everything on the worker has certainly been killed, unless its lease is renewed or extended.
@@ -136,15 +137,15 @@
 	}
 }
 
-// suspect reports whether the worker has answered no poll since an order was left unanswered or a poll failed.
+// suspect reports whether the worker has answered no poll since an order was left unanswered or a poll that failed was sent.
 func (w *Worker) suspect() bool {
-	return w.suspectedAt.After(w.LastSeen) || w.pollFailedAt.After(w.LastSeen)
+	return w.suspectedAt.After(w.LastSeen) || w.failedPollSentAt.After(w.answeredAt)
 }
 
-// PollFailed records that a poll of the worker failed; it gets no new tasks until it answers again.
-func (e *Engine) PollFailed(id string, now time.Time) {
+// PollFailed records that a poll of the worker failed that was sent at sentAt; it gets no new tasks until it answers again.
+func (e *Engine) PollFailed(id string, sentAt time.Time) {
 	if w := e.workers[id]; w != nil {
-		w.pollFailedAt = now
+		w.failedPollSentAt = latest(w.failedPollSentAt, sentAt)
 	}
 }
 
