group: a worker is remembered while its exits or starts are not settled

What callers would see: a task that starts again after it was done, or two runs of it. Cause: a worker that the list left out for a moment, as after an outage of the store, was forgotten as soon as nothing ran on it. With it went the exits whose records were not durable, so they were acknowledged too early when it was back, and the starts that had been given up without a response, so their stops were never sent again. Change: an unlisted worker is kept until its exits are durable, and for 30 s after its last answer or lease while a start was given up there. Evidence: TestExitOfAnUnlistedWorkerWaitsForItsRecord and TestAbandonedStartOutlivesTheEntryOfItsWorker failed before and pass now.

--- a/internal/place/group/restart_test.go
+++ b/internal/place/group/restart_test.go
@@ -260,3 +260,43 @@
 	c.step()
 	assert.Equal(t, len(c.workersOf("job-a")), 1)
 }
+
+// without returns the list of workers without one of them.
+func (c *cluster) without(id string) []group.WorkerInfo {
+	return slices.DeleteFunc(slices.Clone(c.infos), func(info group.WorkerInfo) bool { return info.ID == id })
+}
+
+// Guards against a start after a run that is done: a worker is not listed for a moment, and then its exit is acknowledged
+// before the record that holds it is durable.
+func TestExitOfAnUnlistedWorkerWaitsForItsRecord(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	c.step()
+	c.pollAll()
+	delete(c.running["w0-0"], "job-a.0.0.0")
+	exit := group.ExitEntry{Number: 1, Task: "job-a.0.0.0", Run: 1, Status: group.Done}
+	c.poll("w0-0", exit)
+	c.engine.SetWorkers(c.without("w0-0"), c.now)
+	c.engine.SetWorkers(c.infos, c.now)
+	c.poll("w0-0", exit)
+	assert.Equal(t, c.engine.Worker("w0-0").DurableExit(), int64(0))
+}
+
+// Guards against two runs of one task: a start without a response was given up, and its worker is not listed for a moment.
+func TestAbandonedStartOutlivesTheEntryOfItsWorker(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.submit("job-a", planQueue, "beta", gang(1, 8))
+	order := c.lastStartOrder()
+	order.Member.MarkSent()
+	order.Member.MarkUnanswered()
+	c.silent[order.Worker] = true
+	c.advanceTime(20 * time.Second)
+	c.engine.SetWorkers(c.without(order.Worker), c.now)
+	c.restart(order.Worker, 2)
+	c.engine.SetWorkers(c.infos, c.now)
+	assert.Assert(t, c.engine.Worker(order.Worker).NeedsStop(order.Task, order.Run))
+	c.engine.SetWorkers(c.without(order.Worker), c.now)
+	c.now = c.now.Add(time.Minute)
+	c.engine.SetWorkers(c.without(order.Worker), c.now)
+	assert.Assert(t, c.engine.Worker(order.Worker) == nil, "a worker that is gone for good is forgotten")
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		w.Listed = false
-		if !w.Busy() {
+		if e.forgettableWorker(w, now) {
 			delete(e.workers, id)
 			// Reservations on it are dropped in the next decision.
 			w.open, w.freeIndex = false, nil
@@ -206,6 +206,19 @@
 	}
 }
 
+// abandonedRetention is how long an unlisted worker is kept for the sake of starts that were given up without a response; late
+// orders arrive within seconds.
+const abandonedRetention = 30 * time.Second
+
+// forgettableWorker reports whether nothing may be alive on an unlisted worker, its exits are durable, and no start that was
+// given up may still be executed there.
+func (e *Engine) forgettableWorker(w *Worker, now time.Time) bool {
+	if w.Busy() || w.DurableExit() < w.LastExit {
+		return false
+	}
+	return len(w.abandoned) == 0 || now.Sub(latest(w.answeredAt, w.LeaseEnds)) > abandonedRetention
+}
+
 // updateLeavesAt computes when the worker shuts down. The earliest time counts, as a stale list entry that is read again
 // would postpone it.
 func (w *Worker) updateLeavesAt(now time.Time) {
