group, term: log until when a run on a silent worker is held, and why

Cause: between `workerSilent` and `workerLapsed` no line spoke of the runs on the worker, so the log could not tell a lease from the permission of a lease proxy as what they wait for. No decision changes.

--- a/internal/node/term/decision_log.go
+++ b/internal/node/term/decision_log.go
@@ -15,7 +15,7 @@
 			fields[name] = text
 		}
 	}
-	for name, duration := range map[string]time.Duration{"waited": d.Waited, "took": d.Took, "estimate": d.Estimate, "overdue": d.Overdue} {
+	for name, duration := range map[string]time.Duration{"waited": d.Waited, "took": d.Took, "estimate": d.Estimate, "overdue": d.Overdue, "remaining": d.Remaining} {
 		if duration != 0 {
 			fields[name] = duration.String()
 		}
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -38,6 +38,8 @@
 	WorkerAvoided
 	WorkerLapsed
 	WorkerRestarted
+	// RunHeld means that a task of a silent worker counts as alive until its lease has certainly expired.
+	RunHeld
 )
 
 //go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Cause -transform=title-lower
@@ -93,6 +95,8 @@
 	// worker of the run, 1 for an average one.
 	Overdue time.Duration
 	Speed   float64
+	// Remaining is the time until a held task counts as dead.
+	Remaining time.Duration
 	// Incarnation and Previous are the incarnations of a restarted worker after and before the restart.
 	Incarnation int64
 	Previous    int64
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -27,6 +27,7 @@
 func (e *Engine) checkMembers(now time.Time) {
 	for _, w := range e.sortedWorkers {
 		leaseExpired := w.leaseExpired(now)
+		silent := now.Sub(w.LastSeen) > silentAfter
 		if leaseExpired && now.Sub(w.LastSeen) > e.cfg.SeenWithin {
 			// The runs in the worker's last listing are dead, as their leases have expired.
 			clear(w.orphans)
@@ -34,16 +35,34 @@
 		for _, m := range w.sortedMembers() {
 			switch {
 			case m.State == Planned || m.State == Ended:
-			case leaseExpired && (m.startSent || m.State != Ordered):
+			case leaseExpired && m.mayRun():
 				e.emit(Decision{Kind: WorkerLapsed, Worker: w.ID, Job: m.Run.Group.Job.ID(), Task: m.task, Run: m.Run.Number})
 				e.endMember(m, Lost, "", now)
 			default:
+				if silent && m.mayRun() && now.Sub(m.Run.PlannedAt) > silentAfter {
+					e.reportHeld(m, now)
+				}
 				e.checkMember(m, now)
 			}
 		}
 	}
 }
 
+// mayRun reports whether the member's start may have reached its worker.
+func (m *Member) mayRun() bool { return m.startSent || m.State != Ordered }
+
+// reportHeld logs, once for each time that the worker falls silent, until when the member counts as alive and why.
+func (e *Engine) reportHeld(m *Member, now time.Time) {
+	if m.heldReported {
+		return
+	}
+	m.heldReported = true
+	until, holder := m.Worker.heldUntil()
+	e.emit(Decision{
+		Kind: RunHeld, Job: m.Run.Group.Job.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number, Remaining: until.Sub(now), Text: holder,
+	})
+}
+
 // checkMember stops the member's run if another member ended without success, if the start is unanswered for too long, if
 // the worker leaves too soon, or if the member makes no progress.
 func (e *Engine) checkMember(m *Member, now time.Time) {
--- a/internal/place/group/decisionkind_enumer.go
+++ b/internal/place/group/decisionkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestarted"
+const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestartedrunHeld"
 
-var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90}
+var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90, 97}
 
-const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestarted"
+const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestartedrunheld"
 
 func (i DecisionKind) String() string {
 	if i < 0 || i >= DecisionKind(len(_DecisionKindIndex)-1) {
@@ -33,9 +33,10 @@
 	_ = x[WorkerAvoided-(6)]
 	_ = x[WorkerLapsed-(7)]
 	_ = x[WorkerRestarted-(8)]
+	_ = x[RunHeld-(9)]
 }
 
-var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted}
+var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted, RunHeld}
 
 var _DecisionKindNameToValueMap = map[string]DecisionKind{
 	_DecisionKindName[0:9]:        RunPlaced,
@@ -56,6 +57,8 @@
 	_DecisionKindLowerName[63:75]: WorkerLapsed,
 	_DecisionKindName[75:90]:      WorkerRestarted,
 	_DecisionKindLowerName[75:90]: WorkerRestarted,
+	_DecisionKindName[90:97]:      RunHeld,
+	_DecisionKindLowerName[90:97]: RunHeld,
 }
 
 var _DecisionKindNames = []string{
@@ -68,6 +71,7 @@
 	_DecisionKindName[50:63],
 	_DecisionKindName[63:75],
 	_DecisionKindName[75:90],
+	_DecisionKindName[90:97],
 }
 
 // DecisionKindString retrieves an enum value from the enum constants string name.
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -113,6 +113,7 @@
 // applyMissing ends or resends members that the worker did not report although it should have.
 func (e *Engine) applyMissing(w *Worker, running []RunningEntry, sentAt, now time.Time) {
 	for _, m := range w.sortedMembers() {
+		m.heldReported = false
 		listed := slices.ContainsFunc(running, func(entry RunningEntry) bool {
 			return entry.Task == m.task && entry.Run == m.Run.Number
 		})
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -198,6 +198,8 @@
 	startSent bool
 	// stopSent is true once a stop was ordered.
 	stopSent bool
+	// heldReported is true once RunHeld was logged, until the worker answers again.
+	heldReported bool
 	// progressedAt is when Percent last changed.
 	progressedAt time.Time
 	// rate is the last measured progress in percent per second, and rateUnused is true until it was used; the next
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -298,9 +298,19 @@
 	return b
 }
 
+// heldUntil returns until when anything on the worker may be alive, and what allows that.
+func (w *Worker) heldUntil() (until time.Time, holder string) {
+	extended := latest(w.leaseExtension.until, w.leaseExtension.earlierUntil)
+	if extended.After(w.LeaseEnds) {
+		return extended, "a lease proxy may extend its lease"
+	}
+	return w.LeaseEnds, "its lease has not expired"
+}
+
 // leaseExpired reports whether everything on the worker has certainly been killed.
 func (w *Worker) leaseExpired(now time.Time) bool {
-	return now.After(w.LeaseEnds) && now.After(w.leaseExtension.until) && now.After(w.leaseExtension.earlierUntil)
+	until, _ := w.heldUntil()
+	return now.After(until)
 }
 
 // NeedsStop reports whether the task of that run may be alive on the worker or may still start there.
