term, group: runs end once another worker answers at their worker's address

The crashed machine was back after 3.1 s as a worker with another ID at the same address. Cause: only the worker's list and the end of its lease end a run. The new worker refuses each call to the crashed one (421 to Expected-Instance), and polls and orders took that for a failed call. Fix: such a refusal ends the runs that were ordered on the worker before the call was sent, with a line `workerReplaced`. It is ignored if the worker has answered a later poll, or if its address or incarnation is no longer that of the call. Why it is safe: one address is served by one process at a time, a worker ends all its tasks when it ends, and a refused call has done nothing. That a worker has left the list or refuses connections still ends nothing: it may be cut off and run on.

--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -80,7 +80,8 @@
 	NoRoom
 	// Unhealthy means that the worker accepts no work at the moment.
 	Unhealthy
-	// Restarted means that the worker has restarted and is another incarnation than the target.
+	// Restarted means that another incarnation than the target has taken its address, maybe under another ID, so the target
+	// has ended with all its tasks.
 	Restarted // otherLife
 	// Invalid means that the worker rejected the call as malformed, or gave a reason that is not known here.
 	Invalid
--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -42,9 +42,11 @@
 			continue
 		}
 		call, done := context.WithTimeout(ctx, orderTimeout)
+		sent := t.Now()
 		err := t.Agent.Start(call, to, start)
 		done()
 		release()
+		t.checkReplaced(to, err, sent)
 		var lost *agent.LostError
 		if errors.As(err, &lost) {
 			t.suspect(ctx, order.Worker)
@@ -208,9 +210,11 @@
 			return
 		}
 		call, done := context.WithTimeout(ctx, orderTimeout)
+		sent := t.Now()
 		err := t.Agent.Stop(call, to, agent.Stop{Task: order.Task, Run: order.Run, Token: t.token})
 		done()
 		release()
+		t.checkReplaced(to, err, sent)
 		outcome := "acknowledged"
 		if err != nil {
 			outcome = err.Error()
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -214,6 +214,7 @@
 	t.Meter.Count("worker.looks")
 	now := t.Now()
 	if err != nil {
+		t.checkReplaced(to, err, sent)
 		s.pollFailed(ctx, err, now)
 		return
 	}
@@ -232,6 +233,20 @@
 	}
 }
 
+// checkReplaced ends the runs on the target of a call that was sent at sentAt if the call reached another worker at its address:
+// two workers can't serve one address, so the target has ended, and its tasks with it.
+func (t *term) checkReplaced(to agent.Target, err error, sentAt time.Time) {
+	var refused *agent.RefusedError
+	if !errors.As(err, &refused) || refused.Refusal != agent.Restarted {
+		return
+	}
+	t.state.Lock()
+	defer t.state.Unlock()
+	if w := t.engine.Worker(to.Worker); w != nil && targetOf(w) == to && t.engine.WorkerReplaced(to.Worker, sentAt, t.Now()) {
+		t.notify()
+	}
+}
+
 func (s *session) pollFailed(ctx context.Context, err error, now time.Time) {
 	t := s.term
 	var refused *agent.RefusedError
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -40,6 +40,8 @@
 	WorkerRestarted
 	// RunHeld means that a task of a silent worker counts as alive until its lease has certainly expired.
 	RunHeld
+	// WorkerReplaced means that another worker has taken the address of one, so what ran there has ended.
+	WorkerReplaced
 )
 
 //go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Cause -transform=title-lower
--- a/internal/place/group/decisionkind_enumer.go
+++ b/internal/place/group/decisionkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestartedrunHeld"
+const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestartedrunHeldworkerReplaced"
 
-var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90, 97}
+var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90, 97, 111}
 
-const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestartedrunheld"
+const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestartedrunheldworkerreplaced"
 
 func (i DecisionKind) String() string {
 	if i < 0 || i >= DecisionKind(len(_DecisionKindIndex)-1) {
@@ -34,31 +34,34 @@
 	_ = x[WorkerLapsed-(7)]
 	_ = x[WorkerRestarted-(8)]
 	_ = x[RunHeld-(9)]
+	_ = x[WorkerReplaced-(10)]
 }
 
-var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted, RunHeld}
+var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted, RunHeld, WorkerReplaced}
 
 var _DecisionKindNameToValueMap = map[string]DecisionKind{
-	_DecisionKindName[0:9]:        RunPlaced,
-	_DecisionKindLowerName[0:9]:   RunPlaced,
-	_DecisionKindName[9:19]:       RunStopped,
-	_DecisionKindLowerName[9:19]:  RunStopped,
-	_DecisionKindName[19:28]:      RunBroken,
-	_DecisionKindLowerName[19:28]: RunBroken,
-	_DecisionKindName[28:35]:      RunDone,
-	_DecisionKindLowerName[28:35]: RunDone,
-	_DecisionKindName[35:42]:      JobOver,
-	_DecisionKindLowerName[35:42]: JobOver,
-	_DecisionKindName[42:50]:      JobWaits,
-	_DecisionKindLowerName[42:50]: JobWaits,
-	_DecisionKindName[50:63]:      WorkerAvoided,
-	_DecisionKindLowerName[50:63]: WorkerAvoided,
-	_DecisionKindName[63:75]:      WorkerLapsed,
-	_DecisionKindLowerName[63:75]: WorkerLapsed,
-	_DecisionKindName[75:90]:      WorkerRestarted,
-	_DecisionKindLowerName[75:90]: WorkerRestarted,
-	_DecisionKindName[90:97]:      RunHeld,
-	_DecisionKindLowerName[90:97]: RunHeld,
+	_DecisionKindName[0:9]:         RunPlaced,
+	_DecisionKindLowerName[0:9]:    RunPlaced,
+	_DecisionKindName[9:19]:        RunStopped,
+	_DecisionKindLowerName[9:19]:   RunStopped,
+	_DecisionKindName[19:28]:       RunBroken,
+	_DecisionKindLowerName[19:28]:  RunBroken,
+	_DecisionKindName[28:35]:       RunDone,
+	_DecisionKindLowerName[28:35]:  RunDone,
+	_DecisionKindName[35:42]:       JobOver,
+	_DecisionKindLowerName[35:42]:  JobOver,
+	_DecisionKindName[42:50]:       JobWaits,
+	_DecisionKindLowerName[42:50]:  JobWaits,
+	_DecisionKindName[50:63]:       WorkerAvoided,
+	_DecisionKindLowerName[50:63]:  WorkerAvoided,
+	_DecisionKindName[63:75]:       WorkerLapsed,
+	_DecisionKindLowerName[63:75]:  WorkerLapsed,
+	_DecisionKindName[75:90]:       WorkerRestarted,
+	_DecisionKindLowerName[75:90]:  WorkerRestarted,
+	_DecisionKindName[90:97]:       RunHeld,
+	_DecisionKindLowerName[90:97]:  RunHeld,
+	_DecisionKindName[97:111]:      WorkerReplaced,
+	_DecisionKindLowerName[97:111]: WorkerReplaced,
 }
 
 var _DecisionKindNames = []string{
@@ -72,6 +75,7 @@
 	_DecisionKindName[63:75],
 	_DecisionKindName[75:90],
 	_DecisionKindName[90:97],
+	_DecisionKindName[97:111],
 }
 
 // DecisionKindString retrieves an enum value from the enum constants string name.
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -227,6 +227,28 @@
 	}
 }
 
+// WorkerReplaced ends what was ordered to run on the worker before sentAt, when a call to it was sent that another worker
+// answered at its address; it reports whether anything ended. A call that the worker itself has answered since is newer.
+func (e *Engine) WorkerReplaced(id string, sentAt, now time.Time) bool {
+	w := e.workers[id]
+	if w == nil || !sentAt.After(w.LastSeen) {
+		return false
+	}
+	w.suspectedAt = now
+	ended := len(w.orphans) > 0
+	clear(w.orphans)
+	for _, m := range w.sortedMembers() {
+		if m.State != Planned && m.mayRun() && m.orderedAt.Before(sentAt) {
+			e.endMember(m, Lost, "", now)
+			ended = true
+		}
+	}
+	if ended {
+		e.emit(Decision{Kind: WorkerReplaced, Worker: w.ID, Text: "another worker answers at " + w.Address})
+	}
+	return ended
+}
+
 // sortedMembers returns the members in a fixed order, so that decisions are reproducible. Later changes do not modify the
 // returned slice.
 func (w *Worker) sortedMembers() []*Member {
