--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -220,6 +220,7 @@
 	t.Meter.Count("worker.looks")
 	now := t.Now()
 	if err != nil {
+		t.checkReplaced(to, err, sent)
 		s.pollFailed(ctx, err, sent, now)
 		return
 	}
@@ -241,6 +242,20 @@
 	}
 }
 
+// checkReplaced ends the runs on the target of a call that was sent at sentAt if the call reached another worker at its address:
+// two workers can't serve one address, so the target has ended, and its tasks with it.
+func (t *term) checkReplaced(to agent.Target, err error, sentAt time.Time) {
+	var refused *agent.RefusedError
+	if !errors.As(err, &refused) || refused.Refusal != agent.Restarted {
+		return
+	}
+	t.state.Lock()
+	defer t.state.Unlock()
+	if w := t.engine.Worker(to.Worker); w != nil && targetOf(w) == to && t.engine.WorkerReplaced(to.Worker, sentAt, t.Now()) {
+		t.notify()
+	}
+}
+
 // pollFailed records that a poll that was sent at sentAt had no answer, and waits before the next one.
 func (s *session) pollFailed(ctx context.Context, err error, sentAt, now time.Time) {
 	t := s.term
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -118,6 +118,7 @@
 // applyMissing ends or resends members that the worker did not report although it should have.
 func (e *Engine) applyMissing(w *Worker, running []RunningEntry, sentAt, now time.Time) {
 	for _, m := range w.sortedMembers() {
+		m.heldReported = false
 		switch {
 		case m.listedIn(running):
 		case m.State == Inherited:
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -292,6 +292,28 @@
 	return slices.ContainsFunc(running, func(entry RunningEntry) bool { return entry.Task == m.task && entry.Run == m.Run.Number })
 }
 
+// WorkerReplaced ends what was ordered to run on the worker before sentAt, when a call to it was sent that another worker
+// answered at its address; it reports whether anything ended. A call that the worker itself has answered since is newer.
+func (e *Engine) WorkerReplaced(id string, sentAt, now time.Time) bool {
+	w := e.workers[id]
+	if w == nil || !sentAt.After(w.LastSeen) {
+		return false
+	}
+	w.suspectedAt = now
+	ended := len(w.orphans) > 0
+	clear(w.orphans)
+	for _, m := range w.sortedMembers() {
+		if m.State != Planned && m.mayRun() && m.orderedAt.Before(sentAt) {
+			e.endMember(m, Lost, "", now)
+			ended = true
+		}
+	}
+	if ended {
+		e.emit(Decision{Kind: WorkerReplaced, Worker: w.ID, Text: "another worker answers at " + w.Address})
+	}
+	return ended
+}
+
 // sortedMembers returns the members in a fixed order, so that decisions are reproducible. Later changes do not modify the
 // returned slice.
 func (w *Worker) sortedMembers() []*Member {
@@ -363,9 +385,19 @@
 	return b
 }
 
+// heldUntil returns until when anything on the worker may be alive, and what allows that.
+func (w *Worker) heldUntil() (until time.Time, holder string) {
+	extended := latest(w.leaseExtension.until, w.leaseExtension.earlierUntil)
+	if extended.After(w.LeaseEnds) {
+		return extended, "a lease proxy may extend its lease"
+	}
+	return w.LeaseEnds, "its lease has not expired"
+}
+
 // leaseExpired reports whether everything on the worker has certainly been killed.
 func (w *Worker) leaseExpired(now time.Time) bool {
-	return now.After(w.LeaseEnds) && now.After(w.leaseExtension.until) && now.After(w.leaseExtension.earlierUntil)
+	until, _ := w.heldUntil()
+	return now.After(until)
 }
 
 // NeedsStop reports whether the task of that run may be alive on the worker or may still start there.
