group: crashes of workers that come back under other IDs count

There a crashed machine comes back as a worker with another ID at the same address. Cause: only a restart under the same ID counted as a crash. Change: once another worker answers at a worker's address, that worker has certainly ended; unless it was draining, it crashed under the runs that it had confirmed.

--- a/internal/place/group/crash_test.go
+++ b/internal/place/group/crash_test.go
@@ -1,6 +1,8 @@
 package group_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +121,62 @@
 	}
 	assert.Equal(t, lapsed, 6)
 }
+
+// replace lets the worker crash and its machine come back as a worker with another ID at the same address.
+func (c *cluster) replace(id, as string) {
+	c.silent[id] = true
+	c.engine.PollFailed(id, c.now)
+	c.now = c.now.Add(time.Second)
+	delete(c.running, id)
+	info := c.info(id)
+	info.ID, info.Incarnation = as, info.Incarnation+1
+	c.infos = append(c.without(id), info)
+	c.running[as] = make(map[string]group.RunningEntry)
+	c.engine.SetWorkers(c.infos, c.now)
+	c.engine.WorkerReplaced(id, c.now, c.now)
+	c.advanceTime(time.Second)
+}
+
+// info returns the worker's entry.
+func (c *cluster) info(id string) group.WorkerInfo {
+	return c.infos[slices.IndexFunc(c.infos, func(info group.WorkerInfo) bool { return info.ID == id })]
+}
+
+// Guards against BUDGET: the machines that a task crashes come back as workers with other IDs at the same addresses.
+func TestTaskThatCrashesWorkersThatComeBackUnderOtherIDsIsGivenUp(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	job := c.submit("deadly", batchQueue, "beta", work.Step{Count: 2, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute})
+	c.step()
+	starts := 0
+	for range 10 {
+		worker := c.workerOf("deadly.0.0.0")
+		if worker == "" {
+			break
+		}
+		starts++
+		c.replace(worker, fmt.Sprintf("again-%d", starts))
+	}
+	assert.Equal(t, job.Record.Phase, work.Failed)
+	assert.Assert(t, starts >= 2 && starts <= 5, "%d starts", starts)
+}
+
+// Guards against jobs that are shown as failed without cause: a worker that shut down as planned has not crashed.
+func TestWorkersThatLeaveAreNoCrashes(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	job := c.submit("sound", batchQueue, "beta", work.Step{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: 2 * time.Second})
+	c.step()
+	for n := range 6 {
+		worker := c.workerOf("sound.0.0.0")
+		assert.Assert(t, worker != "")
+		for i := range c.infos {
+			c.infos[i].Draining = c.infos[i].ID == worker
+		}
+		c.engine.SetWorkers(c.infos, c.now)
+		c.poll(worker)
+		for i := range c.infos {
+			c.infos[i].Draining = false
+		}
+		c.replace(worker, fmt.Sprintf("again-%d", n))
+	}
+	assert.Equal(t, job.Record.Phase, work.Running)
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -302,8 +302,12 @@
 	w.suspectedAt = now
 	ended := len(w.orphans) > 0
 	clear(w.orphans)
+	lastAlive := w.lastAlive()
 	for _, m := range w.sortedMembers() {
 		if m.State != Planned && m.mayRun() && m.orderedAt.Before(sentAt) {
+			if m.State == Started && !w.Draining {
+				e.recordCrash(m, m.suspectOfCrash(lastAlive), now)
+			}
 			e.endMember(m, Lost, "", now)
 			ended = true
 		}
