group: no stop is sent to a worker that another has replaced

Cause: starts that were given up without a response wait for an acknowledged stop, also on a worker that has certainly ended. Change: they are settled when another worker answers at the address.

--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -312,6 +312,7 @@
 			ended = true
 		}
 	}
+	clear(w.abandoned)
 	if ended {
 		e.emit(Decision{Kind: WorkerReplaced, Worker: w.ID, Text: "another worker answers at " + w.Address})
 	}
