group: crashes are counted for each task of a gang

Cause: crashes were counted for the task group. One worker crashed under task 0 of the gang in run 3, another under task 1 in run 4, and the job failed, though no task had lost two workers. Change: the record counts crashes by task of the group; the limits hold for each task. Evidence: TestCrashesUnderDifferentTasksOfAGangDoNotAddUp failed before and passes now.

--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/state/work"
@@ -9,10 +10,10 @@
 
 const (
 	// crashWindow is how long before its worker's last sign of life a task may have started to be a suspect of the crash.
-	crashWindow = 500 * time.Millisecond
-	// maxSuspectedCrashes is how many crashes a task group may be a suspect of before its job fails.
+	crashWindow = time.Second
+	// maxSuspectedCrashes is how many crashes a task may be a suspect of before its job fails.
 	maxSuspectedCrashes = 2
-	// maxCrashes is how many workers may crash under a task group before its job fails, whether it is a suspect or not.
+	// maxCrashes is how many workers may crash under a task before its job fails, whether it is a suspect or not.
 	maxCrashes = 4
 )
 
@@ -28,22 +29,18 @@
 // recordCrash counts a crash of the worker under a member that ran there, once for each run, and fails the job after too many.
 // Only certain crashes count: what ran on a worker that is cut off may be sound.
 func (e *Engine) recordCrash(m *Member, suspect bool, now time.Time) {
-	g := m.Run.Group
-	rec := g.record()
-	if rec.CrashedRun == m.Run.Number || rec.Done {
+	rec := m.Run.Group.record()
+	task := slices.Index(m.Run.Members, m)
+	if rec.Done || rec.CrashesOf(task).Run == m.Run.Number {
 		return
 	}
-	rec.CrashedRun = m.Run.Number
-	rec.Crashes++
-	if suspect {
-		rec.SuspectedCrashes++
-	}
-	j := g.Job
+	crashes := rec.AddCrash(task, m.Run.Number, suspect)
+	j := m.Run.Group.Job
 	e.markChanged(j)
 	e.emit(Decision{
-		Kind: WorkerCrashed, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number, Crashes: rec.Crashes, Suspected: rec.SuspectedCrashes,
+		Kind: WorkerCrashed, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number, Crashes: crashes.Count, Suspected: crashes.Suspected,
 	})
-	if (rec.SuspectedCrashes >= maxSuspectedCrashes || rec.Crashes >= maxCrashes) && !j.Record.Phase.Final() {
-		e.finishJob(j, work.Failed, fmt.Sprintf("%d workers crashed under task %s", rec.Crashes, m.task), now)
+	if (crashes.Suspected >= maxSuspectedCrashes || crashes.Count >= maxCrashes) && !j.Record.Phase.Final() {
+		e.finishJob(j, work.Failed, fmt.Sprintf("%d workers crashed under task %s", crashes.Count, m.task), now)
 	}
 }
--- a/internal/place/group/crash_test.go
+++ b/internal/place/group/crash_test.go
@@ -134,7 +134,6 @@
 	c.running[as] = make(map[string]group.RunningEntry)
 	c.engine.SetWorkers(c.infos, c.now)
 	c.engine.WorkerReplaced(id, c.now, c.now)
-	c.advanceTime(time.Second)
 }
 
 // info returns the worker's entry.
@@ -155,6 +154,7 @@
 		}
 		starts++
 		c.replace(worker, fmt.Sprintf("again-%d", starts))
+		c.advanceTime(time.Second)
 	}
 	assert.Equal(t, job.Record.Phase, work.Failed)
 	assert.Assert(t, starts >= 2 && starts <= 5, "%d starts", starts)
@@ -177,6 +177,20 @@
 			c.infos[i].Draining = false
 		}
 		c.replace(worker, fmt.Sprintf("again-%d", n))
+		c.advanceTime(time.Second)
+	}
+	assert.Equal(t, job.Record.Phase, work.Running)
+}
+
+// Guards against jobs that are shown as failed without cause: workers crash under different tasks of a gang, under each once.
+func TestCrashesUnderDifferentTasksOfAGangDoNotAddUp(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	job := c.submit("gang", batchQueue, "beta", gang(3, 8))
+	c.step()
+	for n := range 3 {
+		c.replace(c.workerOf(fmt.Sprintf("gang.0.0.%d", n)), fmt.Sprintf("again-%d", n))
+		c.advanceTime(400 * time.Millisecond)
+		assert.Equal(t, len(c.workersOf("gang")), 3)
 	}
 	assert.Equal(t, job.Record.Phase, work.Running)
 }
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 //go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Phase -json -text -transform=title-lower
@@ -27,20 +28,52 @@
 	// Run is the number of the last run, one attempt to run the task group; zero before the first.
 	Run int `json:"run,omitempty"`
 	// Failures is the number of failed runs; FailedRun is the last one counted, so that each run counts once.
-	Failures  int `json:"failures,omitempty"`
-	FailedRun int `json:"failedRun,omitempty"`
-	// Crashes is the number of runs that ended as a worker crashed under them, SuspectedCrashes the number of those that may
-	// have caused the crash; CrashedRun is the last one counted.
-	Crashes          int  `json:"crashes,omitempty"`
-	SuspectedCrashes int  `json:"suspectedCrashes,omitempty"`
-	CrashedRun       int  `json:"crashedRun,omitempty"`
-	Done             bool `json:"done,omitempty"`
+	Failures  int  `json:"failures,omitempty"`
+	FailedRun int  `json:"failedRun,omitempty"`
+	Done      bool `json:"done,omitempty"`
 	// Checkpoint is the last known checkpoint.
 	Checkpoint string `json:"saved,omitempty"`
 	// StartedFrom is the checkpoint that the members of the run in Workers started from.
 	StartedFrom string `json:"from,omitempty"`
 	// Workers holds the worker of each member while the run may be alive there; otherwise it is empty.
 	Workers []string `json:"on,omitempty"`
+	// Crashes has an entry for each task of the group under which a worker has crashed.
+	Crashes []TaskCrashes `json:"crashes,omitempty"`
+}
+
+// TaskCrashes counts the workers that have crashed under one task.
+type TaskCrashes struct {
+	// Task is the task's index in its group.
+	Task int `json:"task,omitempty"`
+	// Count is the number of crashes, Suspected the number of those that the task may have caused.
+	Count     int `json:"count"`
+	Suspected int `json:"suspected,omitempty"`
+	// Run is the last run counted, so that each run counts once.
+	Run int `json:"run"`
+}
+
+// CrashesOf returns the crashes under the task with that index, all zero if there were none.
+func (g *GroupRecord) CrashesOf(task int) TaskCrashes {
+	for _, crashes := range g.Crashes {
+		if crashes.Task == task {
+			return crashes
+		}
+	}
+	return TaskCrashes{Task: task}
+}
+
+// AddCrash counts a crash under the task with that index in the given run, and returns the task's crashes. Copies of the
+// record that were made before don't change.
+func (g *GroupRecord) AddCrash(task, run int, suspected bool) TaskCrashes {
+	crashes := g.CrashesOf(task)
+	crashes.Count++
+	crashes.Run = run
+	if suspected {
+		crashes.Suspected++
+	}
+	list := slices.DeleteFunc(slices.Clone(g.Crashes), func(c TaskCrashes) bool { return c.Task == task })
+	g.Crashes = append(list, crashes)
+	return crashes
 }
 
 // Record is the owner's durable state of a job; each change replaces it as a whole.
