group: tasks suspected of a crash are tried on workers of their own

What callers saw: jobs shown as failed beside deadly ones. All tasks of a crashed worker begin again at the same moment, on the fullest workers first, so mostly together: the deadly task crashed them again, and all were suspects twice. Cause: when a task began tells it from its neighbours only if they did not begin with it. Two suspects never share a worker. Evidence: TestSuspectsOfACrashAreTriedOnWorkersOfTheirOwn and TestNothingIsPlacedBesideASuspectOnProbation failed before and pass now.

--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -44,3 +44,36 @@
 		e.finishJob(j, work.Failed, fmt.Sprintf("%d workers crashed under task %s", crashes.Count, m.task), now)
 	}
 }
+
+// suspected reports whether any task of the group may have crashed a worker and has not run for long enough since.
+func (g *Group) suspected() bool {
+	return slices.ContainsFunc(g.record().Crashes, func(c work.TaskCrashes) bool { return c.Suspected > 0 })
+}
+
+// beginProbation keeps all else off the workers of a suspected group's run until it has run for a while: a worker that crashes
+// tells which of several suspects is the cause only if it ran one of them.
+func (r *Run) beginProbation() {
+	r.onProbation = true
+	for _, m := range r.Members {
+		m.Worker.probation = r
+		m.Worker.open = false
+	}
+}
+
+// onProbation reports whether the worker runs a task group that may have crashed another worker.
+func (w *Worker) onProbation() bool {
+	return w.probation != nil && w.probation.onProbation && w.probation.aliveMembers > 0
+}
+
+// endProbation clears the group of suspicion once its run has lasted longer than a suspect's.
+func (e *Engine) endProbation(r *Run, now time.Time) {
+	if !r.onProbation || !r.complete() {
+		return
+	}
+	if slices.ContainsFunc(r.Members, func(m *Member) bool { return now.Sub(m.orderedAt) <= crashWindow }) {
+		return
+	}
+	r.onProbation = false
+	r.Group.record().ClearSuspicion()
+	e.markChanged(r.Group.Job)
+}
--- a/internal/place/group/crash_test.go
+++ b/internal/place/group/crash_test.go
@@ -194,3 +194,45 @@
 	}
 	assert.Equal(t, job.Record.Phase, work.Running)
 }
+
+// Guards against jobs that are shown as failed without cause: all tasks of a crashed worker begin again at the same moment, and
+// if they were placed together, the deadly one among them would make suspects of the others again.
+func TestSuspectsOfACrashAreTriedOnWorkersOfTheirOwn(t *testing.T) {
+	c := newCluster(t, 2, 4)
+	step := work.Step{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute}
+	deadly := c.submit("deadly", batchQueue, "beta", step)
+	sound := []*group.Job{c.submit("sound-a", batchQueue, "beta", step), c.submit("sound-b", batchQueue, "beta", step)}
+	c.step()
+	first := c.workerOf("deadly.0.0.0")
+	assert.Equal(t, len(c.running[first]), 3)
+	for n := range 3 {
+		if worker := c.workerOf("deadly.0.0.0"); worker != "" {
+			c.replace(worker, fmt.Sprintf("again-%d", n))
+			c.step()
+			c.step()
+		}
+	}
+	assert.Equal(t, deadly.Record.Phase, work.Failed)
+	c.advanceTime(2 * time.Second)
+	for _, job := range sound {
+		assert.Equal(t, job.Record.Phase, work.Running)
+		assert.Equal(t, len(c.workersOf(job.ID())), 1)
+		assert.Equal(t, job.Record.Groups[0].CrashesOf(0).Suspected, 0, "it has run for longer than a deadly task would have")
+	}
+}
+
+// Guards against work lost beside a suspect: nothing is placed on its worker until it has run for a while.
+func TestNothingIsPlacedBesideASuspectOnProbation(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.submit("suspect", batchQueue, "beta", work.Step{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute})
+	c.step()
+	c.replace(c.workerOf("suspect.0.0.0"), "again")
+	c.advanceTime(200 * time.Millisecond)
+	worker := c.workerOf("suspect.0.0.0")
+	c.submit("wide", planQueue, "beta", gang(2, 7))
+	c.step()
+	assert.Equal(t, len(c.workersOf("wide")), 0)
+	assert.Equal(t, len(c.running[worker]), 1)
+	c.advanceTime(2 * time.Second)
+	assert.Equal(t, len(c.workersOf("wide")), 2)
+}
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -369,6 +369,9 @@
 		run.Members = append(run.Members, m)
 		w.attach(m)
 	}
+	if g.suspected() {
+		run.beginProbation()
+	}
 	g.Job.urgent = true
 	e.markChanged(g.Job)
 	g.Job.Waiting = ""
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -94,6 +94,7 @@
 		if entry.Percent != m.Percent || !m.Run.complete() {
 			m.Percent, m.progressedAt = entry.Percent, now
 		}
+		e.endProbation(m.Run, now)
 		if entry.Checkpoint != "" && m.Run.Group.step().Checkpoints {
 			m.Run.Group.record().Checkpoint = entry.Checkpoint
 		}
--- a/internal/place/group/filter.go
+++ b/internal/place/group/filter.go
@@ -14,6 +14,8 @@
 	// quickRacksToo is true if the group may use racks that are set aside for quick jobs: the other racks could not hold it
 	// even if they were empty, or utilization is low and the group has waited longer than quickRackDelay.
 	quickRacksToo bool
+	// emptiestFirst is true if the group prefers empty workers, as it may crash them.
+	emptiestFirst bool
 	// sameRack is true if the group must stay within one rack, as some rack could hold it if it were empty. For a while this
 	// includes workers that are only temporarily unavailable, as right after a change of owner.
 	sameRack bool
@@ -48,7 +50,7 @@
 func (e *Engine) newFilter(g *Group, p *pass, now time.Time) filter {
 	step := g.step()
 	mustShareRack := step.SameRack && g.Count > 1
-	f := filter{dataRackOnly: e.dataRackOnly(g, now)}
+	f := filter{dataRackOnly: e.dataRackOnly(g, now), emptiestFirst: g.suspected()}
 	capacity := e.emptyCapacity(g, p, mustShareRack && e.worthWaiting(g, now), f.dataRackOnly)
 	withRun := 0
 	if g.Count == 1 && step.MaxPerWorker > 0 {
--- a/internal/place/group/find.go
+++ b/internal/place/group/find.go
@@ -32,7 +32,7 @@
 	if list.totalFits < g.Count {
 		return nil
 	}
-	return list.chooseWorkers(g)
+	return list.chooseWorkers(g, f)
 }
 
 // listFreeSlots lists the workers that have room for a task of the group now; the result is valid until the next search.
@@ -102,13 +102,13 @@
 }
 
 // chooseWorkers returns a worker for each task of the group, or nil if not all tasks fit.
-func (list *slotList) chooseWorkers(g *Group) []*Worker {
+func (list *slotList) chooseWorkers(g *Group, f filter) []*Worker {
 	for _, choice := range choicesBySpeed(g, list.slots, g.Job.queue.Priority == 0) {
 		workers := []*Worker(nil)
 		if list.sameRack {
-			workers = fillTightestRack(g, choice)
+			workers = fillTightestRack(g, choice, f)
 		} else {
-			workers = fillSlots(choice, g.Count)
+			workers = fillSlots(choice, g.Count, f)
 		}
 		if workers != nil {
 			return workers
@@ -143,7 +143,7 @@
 }
 
 // fillTightestRack uses the rack with the fewest free accelerators that holds the whole group, or returns nil.
-func fillTightestRack(g *Group, slots []slot) []*Worker {
+func fillTightestRack(g *Group, slots []slot, f filter) []*Worker {
 	var best []slot
 	smallest := 0
 	for _, rackSlots := range splitByRack(slots) {
@@ -156,11 +156,11 @@
 			best, smallest = rackSlots, free
 		}
 	}
-	return fillSlots(best, g.Count)
+	return fillSlots(best, g.Count, f)
 }
 
-// fillSlots uses the fullest workers first, so that empty ones stay free for large tasks.
-func fillSlots(slots []slot, count int) []*Worker {
+// fillSlots uses the slots in the filter's order.
+func fillSlots(slots []slot, count int, f filter) []*Worker {
 	total := 0
 	for _, sl := range slots {
 		total += sl.fits
@@ -168,7 +168,7 @@
 	if total < count {
 		return nil
 	}
-	slices.SortStableFunc(slots, fullestFirst)
+	slices.SortStableFunc(slots, f.compare)
 	workers := make([]*Worker, 0, count)
 	for _, sl := range slots {
 		for range min(sl.fits, count-len(workers)) {
@@ -178,6 +178,14 @@
 	return workers
 }
 
+// compare orders the fullest workers first, so that empty ones stay free for large tasks, or the emptiest.
+func (f filter) compare(a, b slot) int {
+	if f.emptiestFirst {
+		return fullestFirst(b, a)
+	}
+	return fullestFirst(a, b)
+}
+
 // fullestFirst orders slots by free accelerators, then free cores.
 func fullestFirst(a, b slot) int {
 	return cmp.Or(cmp.Compare(a.free.Accelerators, b.free.Accelerators), cmp.Compare(a.free.MilliCores, b.free.MilliCores))
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -145,6 +145,8 @@
 	checkpoint string
 	// stopReason is why the run is being stopped, or empty.
 	stopReason string
+	// onProbation is true while nothing else is placed on the workers of the run, as its group is suspected of a crash.
+	onProbation bool
 	// brokenAt is when the first member ended without success.
 	brokenAt     time.Time
 	aliveMembers int
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -88,7 +88,7 @@
 	for _, v := range best.victims {
 		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID(), now)
 	}
-	e.addReservation(g, &reservation{workers: best.chooseWorkers(g), until: now.Add(e.cfg.StopTimeout + reservationSlack)})
+	e.addReservation(g, &reservation{workers: best.chooseWorkers(g, f), until: now.Add(e.cfg.StopTimeout + reservationSlack)})
 	g.Job.Waiting = "waits until preempted runs have stopped"
 	e.emit(Decision{Kind: JobWaits, Job: g.Job.ID(), Task: g.taskName(0), Cause: StopAwaited, CoreSeconds: best.wastedCoreSeconds, Text: g.Job.Waiting})
 	return true
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -32,7 +32,7 @@
 			clear(searches)
 			continue
 		}
-		if interchangeable && len(g.failedOn) == 0 {
+		if interchangeable && len(g.failedOn) == 0 && !f.emptiestFirst {
 			return
 		}
 	}
@@ -59,7 +59,7 @@
 }
 
 // searchTaskSlots searches for room for the tasks of the group's step. The fullest workers come first, so that empty ones
-// stay free for large tasks; for quick jobs, fast workers come before all others.
+// stay free for large tasks, unless the group is suspected of a crash; for quick jobs, fast workers come before all others.
 func (e *Engine) searchTaskSlots(g *Group, f filter) *taskSlots {
 	// The search includes workers on which this task has failed, as they may suit the other tasks.
 	sibling := &Group{Job: g.Job, Step: g.Step, occ: g.occ, Count: g.Count, recordIndex: g.recordIndex}
@@ -73,7 +73,7 @@
 			}
 			return 1
 		}
-		return fullestFirst(a, b)
+		return f.compare(a, b)
 	})
 	return &taskSlots{slots: slots, anyRoom: list.anyRoom}
 }
@@ -89,7 +89,7 @@
 		if sl.fits == 0 || slices.Contains(g.failedOn, sl.worker) {
 			continue
 		}
-		if sl.worker.slotFor(g).fits == 0 {
+		if !sl.worker.open || sl.worker.slotFor(g).fits == 0 {
 			sl.fits = 0
 			continue
 		}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -66,6 +66,9 @@
 	pendingExits    []pendingExit
 	reportedDurable int64
 
+	// probation is the last run of a suspected task group here.
+	probation *Run
+
 	members map[runKey]*Member
 	// orphans are runs that the worker reports and the ledger does not know as alive.
 	orphans map[runKey]bool
@@ -130,7 +133,7 @@
 		return false
 	case now.Sub(w.LastSeen) > e.cfg.SeenWithin || w.LastSeen.IsZero() || w.suspect():
 		return false
-	case len(w.orphans) > 0 || len(w.abandoned) > 0:
+	case len(w.orphans) > 0 || len(w.abandoned) > 0 || w.onProbation():
 		return false
 	default:
 		return !now.Before(w.AvoidUntil)
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -62,6 +62,15 @@
 	return TaskCrashes{Task: task}
 }
 
+// ClearSuspicion records that no task of the group is suspected of a crash any more. Copies of the record that were made before
+// don't change.
+func (g *GroupRecord) ClearSuspicion() {
+	g.Crashes = slices.Clone(g.Crashes)
+	for i := range g.Crashes {
+		g.Crashes[i].Suspected = 0
+	}
+}
+
 // AddCrash counts a crash under the task with that index in the given run, and returns the task's crashes. Copies of the
 // record that were made before don't change.
 func (g *GroupRecord) AddCrash(task, run int, suspected bool) TaskCrashes {
