group: beside a suspect on probation no other task is blamed for a crash

Cause: a task that began on a worker within a second before a suspect was tried there became a suspect itself when the suspect crashed it. Change: while a run on probation is alive on a worker, a crash makes suspects of its tasks only. Evidence: TestOnlyTheSuspectOnProbationIsBlamed failed before and passes now.

--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -17,13 +17,19 @@
 	maxCrashes = 4
 )
 
-// lastAlive is when the worker last answered a poll or acknowledged a start.
-func (w *Worker) lastAlive() time.Time { return latest(w.answeredAt, w.startAckedAt) }
-
-// suspectOfCrash reports whether the member started shortly before its worker, last alive at the given time, crashed. Tasks
-// that had run there for longer are less likely to be the cause.
-func (m *Member) suspectOfCrash(lastAlive time.Time) bool {
-	return !m.orderedAt.Before(lastAlive.Add(-crashWindow))
+// crashSuspects returns the members that may have caused a crash of the worker: those of the run on probation, if there is one,
+// otherwise those that had started shortly before. Tasks that had run there for longer are less likely to be the cause.
+func (w *Worker) crashSuspects() map[*Member]bool {
+	suspects := make(map[*Member]bool)
+	since := latest(w.answeredAt, w.startAckedAt).Add(-crashWindow)
+	for _, m := range w.members {
+		if w.onProbation() {
+			suspects[m] = m.Run == w.probation
+			continue
+		}
+		suspects[m] = !m.orderedAt.Before(since)
+	}
+	return suspects
 }
 
 // recordCrash counts a crash of the worker under a member that ran there, once for each run, and fails the job after too many.
--- a/internal/place/group/crash_test.go
+++ b/internal/place/group/crash_test.go
@@ -236,3 +236,19 @@
 	c.advanceTime(2 * time.Second)
 	assert.Equal(t, len(c.workersOf("wide")), 2)
 }
+
+// Guards against jobs that are shown as failed without cause: a suspect is tried beside a task that began shortly before.
+func TestOnlyTheSuspectOnProbationIsBlamed(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	step := work.Step{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute}
+	deadly := c.submit("deadly", batchQueue, "beta", step)
+	c.step()
+	c.replace("w0-0", "again")
+	c.poll("again")
+	sound := c.submit("a-sound", quickQueue, "beta", step)
+	c.step()
+	assert.Equal(t, len(c.running["again"]), 2)
+	c.replace("again", "again-2")
+	assert.Equal(t, deadly.Record.Phase, work.Failed)
+	assert.DeepEqual(t, sound.Record.Groups[0].CrashesOf(0), work.TaskCrashes{Count: 1, Run: 1})
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -258,9 +258,9 @@
 	w.Incarnation, w.incarnationSeenAt, w.LastExit, w.speed = incarnation, now, 0, 1
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
-	lastAlive := w.lastAlive()
+	suspects := w.crashSuspects()
 	for _, m := range w.sortedMembers() {
-		e.memberRestarted(m, m.listedIn(running), m.suspectOfCrash(lastAlive), now)
+		e.memberRestarted(m, m.listedIn(running), suspects[m], now)
 	}
 }
 
@@ -305,11 +305,11 @@
 	w.suspectedAt = now
 	ended := len(w.orphans) > 0
 	clear(w.orphans)
-	lastAlive := w.lastAlive()
+	suspects := w.crashSuspects()
 	for _, m := range w.sortedMembers() {
 		if m.State != Planned && m.mayRun() && m.orderedAt.Before(sentAt) {
 			if m.State == Started && !w.Draining {
-				e.recordCrash(m, m.suspectOfCrash(lastAlive), now)
+				e.recordCrash(m, suspects[m], now)
 			}
 			e.endMember(m, Lost, "", now)
 			ended = true
