--- a/internal/node/term/decision_log.go
+++ b/internal/node/term/decision_log.go
@@ -15,7 +15,7 @@
 			fields[name] = text
 		}
 	}
-	for name, duration := range map[string]time.Duration{"waited": d.Waited, "took": d.Took, "estimate": d.Estimate, "overdue": d.Overdue} {
+	for name, duration := range map[string]time.Duration{"waited": d.Waited, "took": d.Took, "estimate": d.Estimate, "overdue": d.Overdue, "remaining": d.Remaining} {
 		if duration != 0 {
 			fields[name] = duration.String()
 		}
@@ -33,6 +33,9 @@
 			fields[name] = number
 		}
 	}
+	if d.Kind == group.WorkerCrashed {
+		fields["crashes"], fields["suspected"] = d.Crashes, d.Suspected
+	}
 	if d.Kind == group.WorkerRestarted {
 		fields["born"], fields["previous"] = d.Incarnation, d.Previous
 	}
--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -42,13 +42,16 @@
 			continue
 		}
 		call, done := context.WithTimeout(ctx, orderTimeout)
+		sent := t.Now()
 		err := t.Agent.Start(call, to, start)
 		done()
 		release()
+		t.checkReplaced(to, err, sent)
 		var lost *agent.LostError
 		if errors.As(err, &lost) {
 			t.suspect(ctx, order.Worker)
 			mayHaveArrived = mayHaveArrived || !lost.Unsent
+			t.markUnanswered(order.Member, lost)
 		}
 		if t.applyStartAnswer(order, to, err, mayHaveArrived) {
 			t.notify()
@@ -58,6 +61,16 @@
 	}
 }
 
+// markUnanswered records that a start may have arrived although it had no response.
+func (t *term) markUnanswered(m *group.Member, lost *agent.LostError) {
+	if lost.Unsent {
+		return
+	}
+	t.state.Lock()
+	m.MarkUnanswered()
+	t.state.Unlock()
+}
+
 // acquireOrderSlot waits until an order may be sent to the worker; the caller calls the returned function after the order.
 func (t *term) acquireOrderSlot(ctx context.Context, worker string) (release func()) {
 	t.state.Lock()
@@ -100,7 +113,7 @@
 	if w.NothingStarted() {
 		lease = min(lease, firstLease)
 	}
-	deadline, known := s.deadline(now, lease)
+	deadline, known := s.deadline(w.Incarnation, now, lease)
 	if !known {
 		return agent.Target{}, agent.Start{}, true
 	}
@@ -212,9 +225,11 @@
 			return
 		}
 		call, done := context.WithTimeout(ctx, orderTimeout)
+		sent := t.Now()
 		err := t.Agent.Stop(call, to, agent.Stop{Task: order.Task, Run: order.Run, Token: t.token})
 		done()
 		release()
+		t.checkReplaced(to, err, sent)
 		outcome := "acknowledged"
 		if err != nil {
 			outcome = err.Error()
@@ -227,9 +242,11 @@
 		}
 		if err == nil {
 			t.state.Lock()
-			t.engine.StopAcknowledged(order.Worker, order.Task, order.Run, t.Now())
+			settled := t.engine.StopAcknowledged(order.Worker, to.Incarnation, order.Task, order.Run, t.Now())
 			t.state.Unlock()
-			return
+			if settled {
+				return
+			}
 		}
 		pause.For(ctx, wait)
 	}
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -9,6 +9,7 @@
 	"github.com/lentildeck/lentildeck/internal/edge/agent"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
+	"github.com/lentildeck/lentildeck/internal/place/group"
 )
 
 const (
@@ -41,18 +42,23 @@
 	orderSlots chan struct{}
 
 	mu sync.Mutex
-	// workerClock is the reading of the worker's own clock in the answer that came at workerClockAt.
-	workerClock   time.Duration
-	workerClockAt time.Time
-	acked         int64
-	silent        bool
+	// clock is the last reading of the worker's own clock.
+	clock  clockReading
+	silent bool
 	// missedPolls counts the polls since the last answer.
 	missedPolls int
 	seenAt      time.Time
-	incarnation int64
 	ackChanged  chan struct{}
 }
 
+// clockReading is a reading of the clock of one incarnation of a worker, in the answer that came at the given time; that is
+// zero while it is not known which incarnation is up.
+type clockReading struct {
+	incarnation int64
+	reading     time.Duration
+	at          time.Time
+}
+
 // openSessions starts a session with each worker that has an address and no session.
 func (t *term) openSessions(ctx context.Context) {
 	t.state.Lock()
@@ -61,7 +67,7 @@
 		if t.sessions[w.ID] != nil || w.Address == "" {
 			continue
 		}
-		s := &session{term: t, id: w.ID, orderSlots: make(chan struct{}, maxOrdersPerWorker), seenAt: t.Now(), acked: w.DurableExit(), ackChanged: make(chan struct{}, 1)}
+		s := &session{term: t, id: w.ID, orderSlots: make(chan struct{}, maxOrdersPerWorker), seenAt: t.Now(), ackChanged: make(chan struct{}, 1)}
 		t.sessions[w.ID] = s
 		t.components.Go("session", func() { s.run(ctx) })
 	}
@@ -83,20 +89,21 @@
 	return silent, all
 }
 
-func (s *session) acknowledge(number int64) {
-	s.mu.Lock()
-	s.acked = max(s.acked, number)
-	s.mu.Unlock()
+// wake ends the wait for exits to become durable.
+func (s *session) wake() {
 	select {
 	case s.ackChanged <- struct{}{}:
 	default:
 	}
 }
 
-func (s *session) acknowledged() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.acked
+// acknowledgeable returns the number of the last exit that the worker may forget, or zero while its incarnation is not known.
+// The caller holds t.state.
+func (s *session) acknowledgeable(w *group.Worker) int64 {
+	if !s.knows(w.Incarnation) {
+		return 0
+	}
+	return w.DurableExit()
 }
 
 func (s *session) lastSeen() time.Time {
@@ -105,16 +112,30 @@
 	return s.seenAt
 }
 
-// deadline returns the end of a lease of the given length on the worker's clock, or false while that clock is not known.
+// deadline returns the end of a lease of the given length on the clock of the worker's incarnation, or false while that clock
+// is not known.
 //
 // The clock was read before the answer came, and counts as read when it came, so the deadline is never later than intended.
-func (s *session) deadline(now time.Time, lease time.Duration) (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.workerClockAt.IsZero() {
+func (s *session) deadline(incarnation int64, now time.Time, lease time.Duration) (time.Duration, bool) {
+	if !s.knows(incarnation) {
 		return 0, false
 	}
-	return s.workerClock + now.Sub(s.workerClockAt) + lease, true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clock.reading + now.Sub(s.clock.at) + lease, true
+}
+
+// knows reports whether the last answer came from the incarnation and no poll has failed since.
+func (s *session) knows(incarnation int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.clock.at.IsZero() && s.clock.incarnation == incarnation
+}
+
+func (s *session) setClock(clock clockReading) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock = clock
 }
 
 // run polls the worker until the term ends or the worker needs no session.
@@ -139,27 +160,28 @@
 		return false
 	}
 	to := targetOf(w)
-	busy, processed := w.Busy(), w.LastExit
-	s.setIncarnation(w.Incarnation)
+	busy, processed, known := w.Busy(), w.LastExit, s.knows(w.Incarnation)
 	extend := busy && now.Before(t.validUntil.Add(extendPastLapse)) && now.Sub(s.lastSeen()) < silentAfter
-	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledged(), Wait: idlePollWait}
+	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w), Wait: idlePollWait}
 	if extend {
 		lease := t.Limits.MaxLease
 		if w.Draining {
 			lease = min(lease, drainingLease)
 		}
-		if deadline, ok := s.deadline(now, lease); ok {
+		if deadline, ok := s.deadline(w.Incarnation, now, lease); ok {
 			request.Deadline = deadline
 			t.engine.LeaseRenewed(s.id, now.Add(worstCaseLease(lease)))
 		}
 	}
 	t.state.Unlock()
-	if processed > request.Acknowledged {
+	if known && processed > request.Acknowledged {
 		s.waitForCommit(ctx)
-		request.Acknowledged = s.acknowledged()
+		t.state.Lock()
+		request.Acknowledged = s.acknowledgeable(w)
+		t.state.Unlock()
 	}
 	switch {
-	case s.clockUnknown() || processed > request.Acknowledged:
+	case !known || processed > request.Acknowledged:
 		request.Wait = 0
 	case busy:
 		request.Wait = busyPollWait
@@ -175,28 +197,12 @@
 	for _, other := range t.engine.SuspectDataCentre(id, t.Now()) {
 		if s, w := t.sessions[other], t.engine.Worker(other); s != nil {
 			to := targetOf(w)
-			request := agent.Poll{Token: t.token, Acknowledged: s.acknowledged()}
+			request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w)}
 			t.components.Go("session", func() { s.sendPoll(ctx, to, request) })
 		}
 	}
 }
 
-func (s *session) clockUnknown() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.workerClockAt.IsZero()
-}
-
-// setIncarnation resets the acknowledged exits and the clock if the worker has restarted.
-func (s *session) setIncarnation(incarnation int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.incarnation != 0 && incarnation != s.incarnation {
-		s.acked, s.workerClockAt = 0, time.Time{}
-	}
-	s.incarnation = incarnation
-}
-
 func (s *session) waitForCommit(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -214,25 +220,44 @@
 	t.Meter.Count("worker.looks")
 	now := t.Now()
 	if err != nil {
-		s.pollFailed(ctx, err, now)
+		t.checkReplaced(to, err, sent)
+		s.pollFailed(ctx, err, sent, now)
 		return
 	}
 	s.mu.Lock()
 	recovered := s.silent
-	s.workerClock, s.workerClockAt, s.seenAt, s.silent, s.missedPolls = answer.Clock, now, now, false, 0
+	s.seenAt, s.silent, s.missedPolls = now, false, 0
 	s.mu.Unlock()
 	if recovered {
 		t.Log.Emit(event.WorkerAnswers, event.Fields{"worker": s.id, "born": answer.Incarnation})
 	}
 	t.state.Lock()
 	t.engine.ApplyListing(s.id, answer.Listing, sent, now)
+	if w := t.engine.Worker(s.id); w != nil && (answer.Incarnation == w.Incarnation || answer.Incarnation == 0) {
+		s.setClock(clockReading{incarnation: w.Incarnation, reading: answer.Clock, at: now})
+	}
 	t.state.Unlock()
 	if recovered || len(answer.Exits) > 0 || request.Wait == 0 {
 		t.notify()
 	}
 }
 
-func (s *session) pollFailed(ctx context.Context, err error, now time.Time) {
+// checkReplaced ends the runs on the target of a call that was sent at sentAt if the call reached another worker at its address:
+// two workers can't serve one address, so the target has ended, and its tasks with it.
+func (t *term) checkReplaced(to agent.Target, err error, sentAt time.Time) {
+	var refused *agent.RefusedError
+	if !errors.As(err, &refused) || refused.Refusal != agent.Restarted {
+		return
+	}
+	t.state.Lock()
+	defer t.state.Unlock()
+	if w := t.engine.Worker(to.Worker); w != nil && targetOf(w) == to && t.engine.WorkerReplaced(to.Worker, sentAt, t.Now()) {
+		t.notify()
+	}
+}
+
+// pollFailed records that a poll that was sent at sentAt had no answer, and waits before the next one.
+func (s *session) pollFailed(ctx context.Context, err error, sentAt, now time.Time) {
 	t := s.term
 	var refused *agent.RefusedError
 	if errors.As(err, &refused) && refused.Refusal == agent.OldToken {
@@ -241,12 +266,19 @@
 	}
 	s.mu.Lock()
 	s.missedPolls++
+	// The worker may have restarted; its next answer shows which incarnation it is.
+	if !s.clock.at.After(sentAt) {
+		s.clock = clockReading{}
+	}
 	wait := min(time.Duration(s.missedPolls)*pollRetryDelay, maxPollRetryDelay)
 	becameSilent := !s.silent && now.Sub(s.seenAt) > silentAfter
 	if becameSilent {
 		s.silent = true
 	}
 	s.mu.Unlock()
+	t.state.Lock()
+	t.engine.PollFailed(s.id, sentAt)
+	t.state.Unlock()
 	if becameSilent && ctx.Err() == nil {
 		t.Log.Emit(event.WorkerSilent, event.Fields{"worker": s.id, "error": err.Error()})
 	}
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -38,6 +38,12 @@
 	WorkerAvoided
 	WorkerLapsed
 	WorkerRestarted
+	// WorkerCrashed means that a worker crashed under a task.
+	WorkerCrashed
+	// RunHeld means that a task of a silent worker counts as alive until its lease has certainly expired.
+	RunHeld
+	// WorkerReplaced means that another worker has taken the address of one, so what ran there has ended.
+	WorkerReplaced
 )
 
 //go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Cause -transform=title-lower
@@ -96,9 +102,14 @@
 	// worker of the run, 1 for an average one.
 	Overdue time.Duration
 	Speed   float64
+	// Remaining is the time until a held task counts as dead.
+	Remaining time.Duration
 	// Incarnation and Previous are the incarnations of a restarted worker after and before the restart.
 	Incarnation int64
 	Previous    int64
+	// Crashes is how many workers have crashed under the task, Suspected how many of these crashes it may have caused.
+	Crashes   int
+	Suspected int
 	// CoreSeconds is the work that was discarded.
 	CoreSeconds float64
 	Text        string
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -32,20 +32,24 @@
 }
 
 // ApplyListing applies a worker's answer to a poll that was sent at sentAt; an answer of an earlier incarnation is ignored.
+//
+// Incarnations are start times by the worker's time of day, which may jump, so a lower one is a later one if its answer was
+// requested after the present one was seen.
 func (e *Engine) ApplyListing(id string, list Listing, sentAt, now time.Time) {
 	w := e.workers[id]
 	if w == nil {
 		return
 	}
 	if list.Incarnation != 0 && w.Incarnation != 0 && list.Incarnation != w.Incarnation {
-		if list.Incarnation < w.Incarnation {
+		if w.pastIncarnations[list.Incarnation] || list.Incarnation < w.Incarnation && !sentAt.After(w.incarnationSeenAt) {
 			return
 		}
-		e.workerRestarted(w, list.Incarnation, "its own listing", now)
+		e.workerRestarted(w, list.Incarnation, "its own listing", list.Running, now)
 	}
 	if list.Incarnation != 0 {
-		w.Incarnation = list.Incarnation
+		w.Incarnation, w.incarnationSeenAt = list.Incarnation, now
 	}
+	w.answeredAt = now
 	if sentAt.After(w.LastSeen) {
 		w.seenBefore, w.LastSeen = w.LastSeen, sentAt
 	}
@@ -78,6 +82,7 @@
 			e.emit(StopOrder{Worker: w.ID, Task: entry.Task, Run: entry.Run})
 			continue
 		}
+		m.incarnation, m.restarted = w.Incarnation, false
 		if m.State != Started {
 			e.markStarted(m, now)
 		}
@@ -89,6 +94,7 @@
 		if entry.Percent != m.Percent || !m.Run.complete() {
 			m.Percent, m.progressedAt = entry.Percent, now
 		}
+		e.endProbation(m.Run, now)
 		if entry.Checkpoint != "" && m.Run.Group.step().Checkpoints {
 			m.Run.Group.record().Checkpoint = entry.Checkpoint
 		}
@@ -113,21 +119,32 @@
 // applyMissing ends or resends members that the worker did not report although it should have.
 func (e *Engine) applyMissing(w *Worker, running []RunningEntry, sentAt, now time.Time) {
 	for _, m := range w.sortedMembers() {
-		listed := slices.ContainsFunc(running, func(entry RunningEntry) bool {
-			return entry.Task == m.task && entry.Run == m.Run.Number
-		})
+		m.heldReported = false
 		switch {
-		case listed:
+		case m.listedIn(running):
 		case m.State == Inherited:
 			e.inheritedMissing(m, now)
-		case !m.startAckedAt.IsZero() && m.startAckedAt.Before(sentAt):
-			e.endMember(m, Lost, "", now)
 		case !m.stopAckedAt.IsZero() && m.stopAckedAt.Before(sentAt):
-			e.endMember(m, Stopped, "", now)
+			e.endMissing(m, Stopped, now)
+		case m.stopSent && m.stopAckedAt.IsZero():
+			e.emit(StopOrder{Worker: w.ID, Task: m.task, Run: m.Run.Number})
+		case m.startAckedAt.IsZero() || !m.startAckedAt.Before(sentAt):
+		case m.mayStartLate():
+			e.stopRun(m.Run, StartUnanswered, "a start without a response may still be executed", now)
+		default:
+			e.endMissing(m, Lost, now)
 		}
 	}
 }
 
+// endMissing ends a member that its worker does not list; one that an earlier incarnation ran ended in a crash.
+func (e *Engine) endMissing(m *Member, status ExitStatus, now time.Time) {
+	if m.restarted {
+		e.recordCrash(m, m.crashSuspect, now)
+	}
+	e.endMember(m, status, "", now)
+}
+
 // inheritedMissing resends a start that an earlier owner recorded but that never reached the worker, or ends the member if
 // it should not or can't start any more.
 //
@@ -144,7 +161,7 @@
 
 // orderStart emits the start order of one member.
 func (e *Engine) orderStart(m *Member, now time.Time) {
-	m.State, m.orderedAt, m.incarnation, m.progressedAt = Ordered, now, m.Worker.Incarnation, now
+	m.State, m.orderedAt, m.progressedAt = Ordered, now, now
 	e.emit(StartOrder{Member: m, Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number,
 		Payload: m.Run.Group.Job.Spec.Payload, Checkpoint: m.Run.checkpoint})
 }
@@ -194,7 +211,7 @@
 		return
 	}
 	if result == Accepted {
-		m.startAckedAt = now
+		m.startAckedAt, m.Worker.startAckedAt = now, now
 		if m.State == Ordered {
 			e.markStarted(m, now)
 		}
@@ -218,16 +235,21 @@
 	w.AvoidUntil = latest(w.AvoidUntil, until)
 }
 
-// StopAcknowledged records that the worker has acknowledged the stop of a run.
-func (e *Engine) StopAcknowledged(id, task string, run int, now time.Time) {
+// StopAcknowledged records that the worker has acknowledged the stop of a run, and reports false if the stop must be sent
+// again: one that was meant for an earlier incarnation is no evidence of what the present one runs.
+func (e *Engine) StopAcknowledged(id string, incarnation int64, task string, run int, now time.Time) bool {
 	w := e.workers[id]
 	if w == nil {
-		return
+		return true
+	}
+	if w.Incarnation != incarnation {
+		return false
 	}
 	delete(w.abandoned, runKey{task, run})
 	if m := w.members[runKey{task, run}]; m != nil && m.stopAckedAt.IsZero() {
 		m.stopAckedAt = now
 	}
+	return true
 }
 
 // Cancel ends a job on its caller's request; unknown, cancelled and final jobs are unaffected.
@@ -266,7 +288,7 @@
 		return
 	}
 	run, g := m.Run, m.Run.Group
-	if status == Lost && m.startAckedAt.IsZero() && m.State == Ordered && m.startSent {
+	if status == Lost && (m.mayStartLate() || m.startAckedAt.IsZero() && m.State == Ordered && m.startSent) {
 		m.Worker.abandoned[runKey{m.task, run.Number}] = true
 	}
 	discarded := m.unsavedCoreSeconds(now)
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -145,6 +145,8 @@
 	checkpoint string
 	// stopReason is why the run is being stopped, or empty.
 	stopReason string
+	// onProbation is true while nothing else is placed on the workers of the run, as its group is suspected of a crash.
+	onProbation bool
 	// brokenAt is when the first member ended without success.
 	brokenAt     time.Time
 	aliveMembers int
@@ -188,16 +190,24 @@
 	// Percent is the progress last reported.
 	Percent int
 	task    string
-	// incarnation is that of the worker when the start was ordered.
+	// incarnation is that of the worker whose listing showed the member; zero until one has.
 	incarnation int64
+	// restarted is true if the worker has restarted since it confirmed the start, and its present incarnation has not listed
+	// the member; crashSuspect is true if the member started shortly before.
+	restarted    bool
+	crashSuspect bool
 	// orderedAt is when the start was ordered; startAckedAt and stopAckedAt are when the worker acknowledged start and stop.
 	orderedAt    time.Time
 	startAckedAt time.Time
 	stopAckedAt  time.Time
-	// startSent is true once the start may have been sent.
-	startSent bool
+	// startSent is true once the start may have been sent, startUnanswered once a start has had no response: it may have been
+	// executed, or may still be, also by a later incarnation of the worker.
+	startSent       bool
+	startUnanswered bool
 	// stopSent is true once a stop was ordered.
 	stopSent bool
+	// heldReported is true once RunHeld was logged, until the worker answers again.
+	heldReported bool
 	// progressedAt is when Percent last changed.
 	progressedAt time.Time
 	// rate is the last measured progress in percent per second, and rateUnused is true until it was used; the next
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -35,6 +35,9 @@
 	Listed bool
 	// listedIncarnation is the incarnation that the worker's last entry describes; zero if it is unknown.
 	listedIncarnation int64
+	// pastIncarnations are those before the present one, which was last seen at incarnationSeenAt.
+	pastIncarnations  map[int64]bool
+	incarnationSeenAt time.Time
 	// Used is the room of all members that may be alive on the worker.
 	Used Resources
 	// LastSeen is when the last poll that the worker answered was sent.
@@ -43,6 +46,11 @@
 	seenBefore time.Time
 	// suspectedAt is when an order to the worker, or to another one in its data centre, was left unanswered.
 	suspectedAt time.Time
+	// answeredAt is when the last answer to a poll came, failedPollSentAt when the last poll that failed was sent.
+	answeredAt       time.Time
+	failedPollSentAt time.Time
+	// startAckedAt is when the worker last acknowledged a start.
+	startAckedAt time.Time
 	// LeaseEnds is when everything on the worker has certainly been killed, unless its lease is renewed or extended.
 	LeaseEnds time.Time
 	// leaseExtension is until when tasks may live because a lease proxy may extend their leases for the owner.
@@ -58,6 +66,9 @@
 	pendingExits    []pendingExit
 	reportedDurable int64
 
+	// probation is the last run of a suspected task group here.
+	probation *Run
+
 	members map[runKey]*Member
 	// orphans are runs that the worker reports and the ledger does not know as alive.
 	orphans map[runKey]bool
@@ -91,7 +102,8 @@
 func newWorker(info WorkerInfo, leaseEnds time.Time) *Worker {
 	return &Worker{
 		WorkerInfo: info, Listed: true, listedIncarnation: info.Incarnation, speed: 1, LeaseEnds: leaseEnds,
-		members: make(map[runKey]*Member), orphans: make(map[runKey]bool), abandoned: make(map[runKey]bool),
+		pastIncarnations: make(map[int64]bool),
+		members:          make(map[runKey]*Member), orphans: make(map[runKey]bool), abandoned: make(map[runKey]bool),
 	}
 }
 
@@ -121,15 +133,24 @@
 		return false
 	case now.Sub(w.LastSeen) > e.cfg.SeenWithin || w.LastSeen.IsZero() || w.suspect():
 		return false
-	case len(w.orphans) > 0 || len(w.abandoned) > 0:
+	case len(w.orphans) > 0 || len(w.abandoned) > 0 || w.onProbation():
 		return false
 	default:
 		return !now.Before(w.AvoidUntil)
 	}
 }
 
-// suspect reports whether the worker has answered no poll since an order was left unanswered.
-func (w *Worker) suspect() bool { return w.suspectedAt.After(w.LastSeen) }
+// suspect reports whether the worker has answered no poll since an order was left unanswered or a poll that failed was sent.
+func (w *Worker) suspect() bool {
+	return w.suspectedAt.After(w.LastSeen) || w.failedPollSentAt.After(w.answeredAt)
+}
+
+// PollFailed records that a poll of the worker failed that was sent at sentAt; it gets no new tasks until it answers again.
+func (e *Engine) PollFailed(id string, sentAt time.Time) {
+	if w := e.workers[id]; w != nil {
+		w.failedPollSentAt = latest(w.failedPollSentAt, sentAt)
+	}
+}
 
 // SuspectDataCentre marks all workers of the worker's data centre as suspect and returns their IDs, or nil if this was done
 // less than Config.SuspectInterval ago; each gets no new tasks until it answers again.
@@ -162,10 +183,13 @@
 			e.addWorker(w)
 			continue
 		}
-		if w.Incarnation != 0 && info.Incarnation > w.Incarnation {
-			e.workerRestarted(w, info.Incarnation, "the worker list", now)
+		if w.Incarnation != 0 && info.Incarnation > w.Incarnation && !w.pastIncarnations[info.Incarnation] {
+			e.workerRestarted(w, info.Incarnation, "the worker list", nil, now)
+		}
+		w.listedIncarnation = info.Incarnation
+		if w.Incarnation != 0 {
+			info.Incarnation = w.Incarnation
 		}
-		w.listedIncarnation, info.Incarnation = info.Incarnation, max(info.Incarnation, w.Incarnation)
 		e.racksStale = e.racksStale || w.Rack != info.Rack
 		w.WorkerInfo, w.Listed = info, true
 		w.updateLeavesAt(now)
@@ -175,7 +199,7 @@
 			continue
 		}
 		w.Listed = false
-		if !w.Busy() {
+		if e.forgettableWorker(w, now) {
 			delete(e.workers, id)
 			// Reservations on it are dropped in the next decision.
 			w.open, w.freeIndex = false, nil
@@ -185,6 +209,19 @@
 	}
 }
 
+// abandonedRetention is how long an unlisted worker is kept for the sake of starts that were given up without a response; late
+// orders arrive within seconds.
+const abandonedRetention = 30 * time.Second
+
+// forgettableWorker reports whether nothing may be alive on an unlisted worker, its exits are durable, and no start that was
+// given up may still be executed there.
+func (e *Engine) forgettableWorker(w *Worker, now time.Time) bool {
+	if w.Busy() || w.DurableExit() < w.LastExit {
+		return false
+	}
+	return len(w.abandoned) == 0 || now.Sub(latest(w.answeredAt, w.LeaseEnds)) > abandonedRetention
+}
+
 // updateLeavesAt computes when the worker shuts down. The earliest time counts, as a stale list entry that is read again
 // would postpone it.
 func (w *Worker) updateLeavesAt(now time.Time) {
@@ -213,18 +250,76 @@
 	e.sortedWorkers = slices.Insert(e.sortedWorkers, at, w)
 }
 
-// workerRestarted ends all members that the worker ran in an earlier incarnation; source is where the new one was read.
-func (e *Engine) workerRestarted(w *Worker, incarnation int64, source string, now time.Time) {
+// workerRestarted ends the members that the worker's listings have shown in an earlier incarnation, as they ended with it;
+// source is where the new one was read, running is what the new one lists, if that is known.
+func (e *Engine) workerRestarted(w *Worker, incarnation int64, source string, running []RunningEntry, now time.Time) {
 	e.emit(Decision{Kind: WorkerRestarted, Worker: w.ID, Incarnation: incarnation, Previous: w.Incarnation, Text: "read from " + source})
-	w.Incarnation, w.LastExit, w.speed = incarnation, 0, 1
+	w.pastIncarnations[w.Incarnation] = true
+	w.Incarnation, w.incarnationSeenAt, w.LastExit, w.speed = incarnation, now, 0, 1
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
-	clear(w.abandoned)
+	suspects := w.crashSuspects()
 	for _, m := range w.sortedMembers() {
-		if m.State != Planned && m.incarnation != incarnation {
+		e.memberRestarted(m, m.listedIn(running), suspects[m], now)
+	}
+}
+
+// memberRestarted applies a restart of its worker to the member; listed is true if the new incarnation has listed it.
+//
+// Orders name a worker and not its incarnation, so the new one may have executed those that the earlier one has not listed:
+// its own listing decides about the members that were acknowledged, and a stop about those without a response.
+func (e *Engine) memberRestarted(m *Member, listed, crashSuspect bool, now time.Time) {
+	switch {
+	case m.State == Planned || m.State == Inherited || m.State == Ended:
+		return
+	case listed:
+	case m.State == Ordered && !m.startSent:
+		e.endMember(m, Void, "", now)
+		return
+	case m.incarnation != 0 && !m.startUnanswered:
+		e.recordCrash(m, crashSuspect, now)
+		e.endMember(m, Lost, "", now)
+		return
+	}
+	// The lease that the new incarnation granted may be longer than intended, as its clock differs.
+	m.Worker.LeaseEnds = latest(m.Worker.LeaseEnds, now.Add(e.cfg.InheritedLease))
+	m.restarted, m.crashSuspect = m.State == Started, crashSuspect
+	m.incarnation, m.stopSent, m.stopAckedAt = 0, false, time.Time{}
+	if !listed && (m.State == Ordered || m.startUnanswered) || m.Run.stopReason != "" {
+		e.stopRun(m.Run, StartUnanswered, "its worker restarted before the start was confirmed", now)
+	}
+}
+
+// listedIn reports whether the member is among the running tasks.
+func (m *Member) listedIn(running []RunningEntry) bool {
+	return slices.ContainsFunc(running, func(entry RunningEntry) bool { return entry.Task == m.task && entry.Run == m.Run.Number })
+}
+
+// WorkerReplaced ends what was ordered to run on the worker before sentAt, when a call to it was sent that another worker
+// answered at its address; it reports whether anything ended. A call that the worker itself has answered since is newer.
+func (e *Engine) WorkerReplaced(id string, sentAt, now time.Time) bool {
+	w := e.workers[id]
+	if w == nil || !sentAt.After(w.LastSeen) {
+		return false
+	}
+	w.suspectedAt = now
+	ended := len(w.orphans) > 0
+	clear(w.orphans)
+	suspects := w.crashSuspects()
+	for _, m := range w.sortedMembers() {
+		if m.State != Planned && m.mayRun() && m.orderedAt.Before(sentAt) {
+			if m.State == Started && !w.Draining {
+				e.recordCrash(m, suspects[m], now)
+			}
 			e.endMember(m, Lost, "", now)
+			ended = true
 		}
 	}
+	clear(w.abandoned)
+	if ended {
+		e.emit(Decision{Kind: WorkerReplaced, Worker: w.ID, Text: "another worker answers at " + w.Address})
+	}
+	return ended
 }
 
 // sortedMembers returns the members in a fixed order, so that decisions are reproducible. Later changes do not modify the
@@ -298,9 +393,19 @@
 	return b
 }
 
+// heldUntil returns until when anything on the worker may be alive, and what allows that.
+func (w *Worker) heldUntil() (until time.Time, holder string) {
+	extended := latest(w.leaseExtension.until, w.leaseExtension.earlierUntil)
+	if extended.After(w.LeaseEnds) {
+		return extended, "a lease proxy may extend its lease"
+	}
+	return w.LeaseEnds, "its lease has not expired"
+}
+
 // leaseExpired reports whether everything on the worker has certainly been killed.
 func (w *Worker) leaseExpired(now time.Time) bool {
-	return now.After(w.LeaseEnds) && now.After(w.leaseExtension.until) && now.After(w.leaseExtension.earlierUntil)
+	until, _ := w.heldUntil()
+	return now.After(until)
 }
 
 // NeedsStop reports whether the task of that run may be alive on the worker or may still start there.
@@ -323,6 +428,15 @@
 	e.endMember(m, Void, "", now)
 }
 
+// mayStartLate reports whether an order without a response may still be executed: the worker's present incarnation has not
+// listed the member, so it would not refuse the order.
+func (m *Member) mayStartLate() bool {
+	return m.startUnanswered && (m.incarnation == 0 || m.incarnation != m.Worker.Incarnation)
+}
+
+// MarkUnanswered records that a start order had no response and may have been executed, or may still be.
+func (m *Member) MarkUnanswered() { m.startUnanswered = true }
+
 // MarkSent records that the start order is about to be sent.
 func (m *Member) MarkSent() { m.startSent = true }
 
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 //go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Phase -json -text -transform=title-lower
@@ -36,6 +37,52 @@
 	StartedFrom string `json:"from,omitempty"`
 	// Workers holds the worker of each member while the run may be alive there; otherwise it is empty.
 	Workers []string `json:"on,omitempty"`
+	// Crashes has an entry for each task of the group under which a worker has crashed.
+	Crashes []TaskCrashes `json:"crashes,omitempty"`
+}
+
+// TaskCrashes counts the workers that have crashed under one task.
+type TaskCrashes struct {
+	// Task is the task's index in its group.
+	Task int `json:"task,omitempty"`
+	// Count is the number of crashes, Suspected the number of those that the task may have caused.
+	Count     int `json:"count"`
+	Suspected int `json:"suspected,omitempty"`
+	// Run is the last run counted, so that each run counts once.
+	Run int `json:"run"`
+}
+
+// CrashesOf returns the crashes under the task with that index, all zero if there were none.
+func (g *GroupRecord) CrashesOf(task int) TaskCrashes {
+	for _, crashes := range g.Crashes {
+		if crashes.Task == task {
+			return crashes
+		}
+	}
+	return TaskCrashes{Task: task}
+}
+
+// ClearSuspicion records that no task of the group is suspected of a crash any more. Copies of the record that were made before
+// don't change.
+func (g *GroupRecord) ClearSuspicion() {
+	g.Crashes = slices.Clone(g.Crashes)
+	for i := range g.Crashes {
+		g.Crashes[i].Suspected = 0
+	}
+}
+
+// AddCrash counts a crash under the task with that index in the given run, and returns the task's crashes. Copies of the
+// record that were made before don't change.
+func (g *GroupRecord) AddCrash(task, run int, suspected bool) TaskCrashes {
+	crashes := g.CrashesOf(task)
+	crashes.Count++
+	crashes.Run = run
+	if suspected {
+		crashes.Suspected++
+	}
+	list := slices.DeleteFunc(slices.Clone(g.Crashes), func(c TaskCrashes) bool { return c.Task == task })
+	g.Crashes = append(list, crashes)
+	return crashes
 }
 
 // Record is the owner's durable state of a job; each change replaces it as a whole.
