--- a/internal/edge/agent/agent.go
+++ b/internal/edge/agent/agent.go
@@ -8,12 +8,12 @@
 	"github.com/lentildeck/lentildeck/internal/place/group"
 )
 
-// Target is the incarnation of a worker that a call is meant for.
+// Target is the worker that a call is meant for.
 type Target struct {
 	Worker  string
 	Address string
-	// Incarnation is the one that the caller last saw, or zero; another one may take the call.
-	Incarnation int64 `cbor:",omitempty"`
+	// Incarnation is the one that the caller last saw, or zero; a later one may execute the call.
+	Incarnation int64 `cbor:"-"`
 }
 
 // Start is an order to start one task.
--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -54,7 +54,7 @@
 	t.state.Lock()
 	t.commitsInFlight--
 	t.commitFailed = failed
-	t.acknowledge()
+	t.wakeSessions()
 	actions := t.engine.Actions()
 	t.state.Unlock()
 	t.dispatch(ctx, actions)
@@ -86,8 +86,9 @@
 	}
 }
 
-// acknowledge wakes the sessions of the workers whose exits have become durable, so that they acknowledge them. The caller holds t.state.
-func (t *term) acknowledge() {
+// wakeSessions wakes the sessions of the workers whose exits have become durable, so that they acknowledge them. The caller
+// holds t.state.
+func (t *term) wakeSessions() {
 	for id := range t.engine.NewlyDurableExits() {
 		if s := t.sessions[id]; s != nil {
 			s.wake()
--- a/internal/node/term/session_test.go
+++ b/internal/node/term/session_test.go
@@ -78,7 +78,7 @@
 	s := newSession(t, a)
 	ctx := endedContext(t)
 	s.poll(ctx)
-	s.term.acknowledge()
+	s.term.wakeSessions()
 	s.poll(ctx)
 	assert.Equal(t, a.lastPoll().Acknowledged, int64(3))
 	_, known := s.deadline(1, s.term.Now(), time.Second)
@@ -102,7 +102,7 @@
 	s.poll(ctx)
 	a.listing = group.Listing{Incarnation: 2, Exits: exits(1)}
 	s.poll(ctx)
-	s.term.acknowledge()
+	s.term.wakeSessions()
 	for range 3 {
 		s.poll(ctx)
 	}
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -241,7 +241,7 @@
 	for updates := t.nextUpdates(now); len(updates) > 0; updates = t.nextUpdates(now) {
 		batches = append(batches, updates)
 	}
-	t.acknowledge()
+	t.wakeSessions()
 	actions := t.engine.Actions()
 	silent, all := t.countSilent(now)
 	t.state.Unlock()
