owner: a worker's lease is counted from the last call that may have renewed it

What callers would see: two attempts of one task at the same time, on installations without the platform. Cause: each call renews a worker's lease, but the owner counted the lease from the last response. With responses lost for 4.5 s and then a cut, the second attempt began while the first was alive. The wait of a new owner for silent workers had the same fault. Change: the lease is counted from the last call; a worker that has been silent for half of its lease is not called until the lease has certainly expired. A worker whose responses are lost for longer now loses its tasks, as they could not be told from lost ones. Evidence: TestLeaseIsCountedFromTheLastCallThatMayHaveRenewedIt failed before (attempt 1 running) and passes now; node/owner, node/local, node/daemon and proof/fault pass with -race.

--- a/internal/node/owner/launch.go
+++ b/internal/node/owner/launch.go
@@ -216,6 +216,11 @@
 func (o *Owner) call(t *term, request worker.Request) (worker.Response, error) {
 	ctx, cancel := context.WithTimeout(o.callCtx, workerCallTimeout)
 	defer cancel()
+	o.mu.Lock()
+	if s := t.byName[request.Worker]; s != nil {
+		s.lastCall = o.cfg.Now()
+	}
+	o.mu.Unlock()
 	request.Epoch = t.epoch
 	request.Lease = span.Of(o.cfg.WorkerLease)
 	return o.cfg.Link.Sync(ctx, request)
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -92,6 +92,7 @@
 	clock   *clock
 	kv      *fake.KV
 	workers *fake.Workers
+	link    *lossyLink
 	doc     *config.Document
 	ids     int
 	mu      sync.Mutex
@@ -114,6 +115,7 @@
 	env := &testEnv{t: t, clock: &clock{current: time.Unix(1_000_000, 0)}}
 	env.kv = fake.NewKV(env.clock.now)
 	env.workers = fake.NewWorkers(env.clock.now)
+	env.link = &lossyLink{Workers: env.workers}
 	size := shape.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128}
 	env.doc = &config.Document{
 		Revision: 1, DataCentres: []fleet.DataCentreSpec{{Name: "plovdiv", Racks: []fleet.RackSpec{{Name: "plv-1", Workers: 4, Resources: size}}}},
@@ -140,7 +142,7 @@
 	i.conf.Offer(env.doc, config.FromStore, env.clock.now())
 	i.Owner = owner.New(owner.Config{
 		Instance: name, Centre: "plovdiv", Policy: policy, WorkerLease: 5 * time.Second, PollInterval: time.Second, Holder: i.holder,
-		Ledger: i.ledger, Configuration: i.conf, Link: env.workers, Permits: i.permit, Log: event.Discard(), Now: env.clock.now, Pause: env.clock.pause,
+		Ledger: i.ledger, Configuration: i.conf, Link: env.link, Permits: i.permit, Log: event.Discard(), Now: env.clock.now, Pause: env.clock.pause,
 	})
 	env.t.Cleanup(i.ledger.Close)
 	return i
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -12,9 +12,12 @@
 func (o *Owner) pollWorkers(t *term, now time.Time) {
 	t.dropUnconfigured()
 	for _, s := range t.sessions {
-		if !s.lost && now.Sub(s.lastSeen) > o.cfg.WorkerLease+workerLostMargin {
+		if !s.lost && o.leaseExpired(s, now) {
 			o.workerLost(t, s, now)
 		}
+		if o.letsLeaseExpire(s, now) {
+			continue
+		}
 		if s.busy || (!s.hasOrders() && now.Sub(s.lastPoll) < o.cfg.PollInterval) {
 			continue
 		}
@@ -25,6 +28,21 @@
 	}
 }
 
+// letsLeaseExpire reports whether the worker has been silent for so long that no call may renew its lease any more, as its tasks
+// could otherwise never count as lost.
+func (o *Owner) letsLeaseExpire(s *session, now time.Time) bool {
+	return !s.lost && now.Sub(s.lastSeen) > o.cfg.WorkerLease/2
+}
+
+// leaseExpired reports whether the worker's lease has certainly expired, also if calls without a response have renewed it.
+func (o *Owner) leaseExpired(s *session, now time.Time) bool {
+	renewedAt := s.lastSeen
+	if s.lastCall.After(renewedAt) {
+		renewedAt = s.lastCall
+	}
+	return now.Sub(renewedAt) > o.cfg.WorkerLease+workerLostMargin
+}
+
 // poll calls the worker in the background with all its pending orders.
 func (o *Owner) poll(t *term, s *session, now time.Time) {
 	request := worker.Request{Worker: s.name, Stop: s.pendingStops, Ack: s.pendingAcks, OmitSpecs: t.workersKnown}
--- a/internal/node/owner/term.go
+++ b/internal/node/owner/term.go
@@ -21,9 +21,11 @@
 type session struct {
 	name string
 	// index is the worker's index in the engine's fleet, or unconfigured.
-	index        int
-	lastSeen     time.Time
-	lastPoll     time.Time
+	index    int
+	lastSeen time.Time
+	lastPoll time.Time
+	// lastCall is when the last call was sent; each may have renewed the worker's lease.
+	lastCall     time.Time
 	busy         bool
 	lost         bool
 	pendingStops []worker.StopOrder
@@ -182,11 +184,9 @@
 	if t.workersKnown {
 		return true
 	}
-	if now.Sub(t.startedAt) <= o.cfg.WorkerLease+workerLostMargin {
-		for _, s := range t.sessions {
-			if !s.lastSeen.After(t.startedAt) {
-				return false
-			}
+	for _, s := range t.sessions {
+		if !s.lastSeen.After(t.startedAt) && !s.lost && !o.leaseExpired(s, now) {
+			return false
 		}
 	}
 	t.workersKnown = true
