--- a/internal/node/server/worker_sizes.go
+++ b/internal/node/server/worker_sizes.go
@@ -33,6 +33,7 @@
 	// store holds the sizes at work.SizesKey, as an instance may start while workers have shrunk for a while.
 	store store.Transactor
 	reads *event.Dependency
+	log   *event.Log
 	now   func() time.Time
 
 	mu      sync.Mutex
@@ -66,15 +67,22 @@
 		return false
 	}
 	if data := s.merge(workers, decodeSizes(item.Data), sent); data != nil {
-		// If this fails, another instance has stored its sizes, or the next read tries again.
-		_, _ = s.store.Commit(call, store.Transaction{
-			Expected: []store.Expectation{{Key: work.SizesKey, Revision: item.Revision}},
-			Writes:   []store.Write{{Key: work.SizesKey, Data: data}},
-		})
+		s.save(call, data, item.Revision)
 	}
 	return true
 }
 
+// save stores the sizes if the stored ones are still of the given revision; the next read tries again if that fails.
+func (s *workerSizes) save(ctx context.Context, data []byte, revision int64) {
+	tx := store.Transaction{
+		Expected: []store.Expectation{{Key: work.SizesKey, Revision: revision}},
+		Writes:   []store.Write{{Key: work.SizesKey, Data: data}},
+	}
+	if _, err := s.store.Commit(ctx, tx); err != nil {
+		s.log.Emit(event.StoreLost, event.Fields{"call": "sizes", "error": err.Error()})
+	}
+}
+
 // size is the stored form of the largest capacity of a service's workers.
 type size struct {
 	MilliCores   int `json:"milliCores"`
--- a/internal/node/server/worker_sizes_test.go
+++ b/internal/node/server/worker_sizes_test.go
@@ -34,7 +34,7 @@
 
 // newSizes returns the sizes as known to an instance that has just started.
 func newSizes(lister *countingLister, kvStore store.Transactor, now *time.Time) *workerSizes {
-	return &workerSizes{lister: lister, store: kvStore, reads: event.ListReads(event.Discard(), "workers"), now: func() time.Time { return *now }}
+	return &workerSizes{lister: lister, store: kvStore, reads: event.ListReads(event.Discard(), "workers"), log: event.Discard(), now: func() time.Time { return *now }}
 }
 
 func TestTaskLargerThanAnyWorkerIsUnservable(t *testing.T) {
