group, term: a task lost soon after its start is tried as a suspect, with a full lease

Cause: the first lease on an idle worker is 2.5 s. The deadly task crashed idle workers 10 ms after its start; its run expired 2.65 s later, and the machine was back, and so the crash certain, after 3.1 s. What has expired counts no crash. Trying suspects on the emptiest workers had made this frequent. A successor that found only the intent on record, and another worker at the address, learned nothing either. Change: a run that is lost within a second of its start, or of which only the intent is known, makes a suspect of its group without counting a crash; and a suspect's first lease is not shortened, so that the machine is back before it expires.

--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -110,7 +110,7 @@
 		return agent.Target{}, agent.Start{}, true
 	}
 	lease := t.Limits.MaxLease
-	if w.NothingStarted() {
+	if w.NothingStarted() && !order.Member.SuspectedOfCrash() {
 		lease = min(lease, firstLease)
 	}
 	deadline, known := s.deadline(w.Incarnation, now, lease)
--- a/internal/node/term/shrunk_worker_test.go
+++ b/internal/node/term/shrunk_worker_test.go
@@ -35,6 +35,14 @@
 	s.sessions["w"] = &session{term: s.term, id: "w", clock: clockReading{incarnation: 1, reading: time.Minute, at: s.now}}
 	step := work.Step{Count: 1, MilliCores: 1000, Accelerators: 4, Estimate: time.Second}
 	s.engine.Load(&work.Spec{Job: "0000000000000001", Queue: "plan", Steps: []work.Step{step}}, nil, 0, s.now, s.now)
+	s.decide(t)
+	return s
+}
+
+// decide takes one decision, which must order a start.
+func (s *startOnOneWorker) decide(t *testing.T) {
+	t.Helper()
+	s.order = group.StartOrder{}
 	s.engine.Decide(true, s.now)
 	for _, u := range s.engine.Updates(math.MaxInt, s.now) {
 		s.engine.Committed(u, s.now)
@@ -45,7 +53,6 @@
 		}
 	}
 	assert.Assert(t, s.order.Member != nil)
-	return s
 }
 
 // listCapacity applies a list in which the worker has that many accelerators.
--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -51,9 +51,22 @@
 	}
 }
 
+// suspectLost makes a suspect of the group of a member that was lost soon after its start, or of which the start is not known,
+// on a worker that may have crashed. No crash is counted, as it is not certain.
+func (e *Engine) suspectLost(m *Member, suspect bool) {
+	if m.Run.Group.mayCrash || !suspect || m.Worker.Draining {
+		return
+	}
+	m.Run.Group.mayCrash = true
+}
+
+// SuspectedOfCrash reports whether the member's group may have crashed a worker. Its lease must outlast the time in which a
+// machine is back after a crash, as only that shows the crash.
+func (m *Member) SuspectedOfCrash() bool { return m.Run.Group.suspected() }
+
 // suspected reports whether any task of the group may have crashed a worker and has not run for long enough since.
 func (g *Group) suspected() bool {
-	return slices.ContainsFunc(g.record().Crashes, func(c work.TaskCrashes) bool { return c.Suspected > 0 })
+	return g.mayCrash || slices.ContainsFunc(g.record().Crashes, func(c work.TaskCrashes) bool { return c.Suspected > 0 })
 }
 
 // beginProbation keeps all else off the workers of a suspected group's run until it has run for a while: a worker that crashes
@@ -80,6 +93,7 @@
 		return
 	}
 	r.onProbation = false
+	r.Group.mayCrash = false
 	r.Group.record().ClearSuspicion()
 	e.markChanged(r.Group.Job)
 }
--- a/internal/place/group/crash_test.go
+++ b/internal/place/group/crash_test.go
@@ -252,3 +252,36 @@
 	assert.Equal(t, deadly.Record.Phase, work.Failed)
 	assert.DeepEqual(t, sound.Record.Groups[0].CrashesOf(0), work.TaskCrashes{Count: 1, Run: 1})
 }
+
+// Guards against BUDGET: a task crashes idle workers, and what it ran under has expired before a crash is certain. It is no crash
+// that counts, but the next run is tried as a suspect's.
+func TestTaskLostSoonAfterItsStartIsASuspect(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	job := c.submit("deadly", batchQueue, "beta", work.Step{Count: 1, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute})
+	c.step()
+	first := c.workerOf("deadly.0.0.0")
+	c.silent[first] = true
+	delete(c.running[first], "deadly.0.0.0")
+	for len(c.workersOf("deadly")) == 0 {
+		c.advanceTime(200 * time.Millisecond)
+	}
+	assert.Equal(t, len(job.Record.Groups[0].Crashes), 0)
+	second := c.workerOf("deadly.0.0.0")
+	c.submit("wide", planQueue, "beta", gang(2, 7))
+	c.step()
+	assert.Equal(t, len(c.workersOf("wide")), 0, "nothing is placed beside a suspect")
+	assert.Equal(t, len(c.running[second]), 1)
+}
+
+// Guards against BUDGET with the owner lost: the successor knows only that the run was recorded, and another worker answers at
+// the address.
+func TestInheritedTaskOfAReplacedWorkerIsASuspect(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	entry := c.inherit("w0-0")
+	c.now = c.now.Add(time.Millisecond)
+	c.replace("w0-0", "again")
+	c.poll("again")
+	order := c.lastStartOrder()
+	assert.Equal(t, order.Task, entry.Task)
+	assert.Assert(t, order.Member.SuspectedOfCrash())
+}
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -111,6 +111,9 @@
 	nextBackfillAt    time.Time
 	// slowWorkerMoves counts the runs that were stopped because a worker had become slow.
 	slowWorkerMoves int
+	// mayCrash is true if a run of the group was lost as if its worker had crashed, which is not certain, and none has run for
+	// long enough since.
+	mayCrash bool
 	// failedOn are the workers on which a run of the group failed.
 	failedOn []*Worker
 }
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -311,6 +311,7 @@
 			if m.State == Started && !w.Draining {
 				e.recordCrash(m, suspects[m], now)
 			}
+			e.suspectLost(m, m.State == Inherited)
 			e.endMember(m, Lost, "", now)
 			ended = true
 		}
