term: an owner grants leases of six seconds at most

Fix: an owner and its lease proxies grant 6 s at most, with which running tasks still outlive a store outage of eight seconds (1.2 s of the owner's lease, 2 s past it, and the lease). A successor counts on leases as long as the installation allows, as before: an owner of an earlier release may have granted them.

--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -94,7 +94,7 @@
 		t.notify()
 		return agent.Target{}, agent.Start{}, false
 	}
-	lease := t.Limits.MaxLease
+	lease := t.leaseDuration()
 	if w.NothingStarted() {
 		lease = min(lease, firstLease)
 	}
--- a/internal/node/term/proxy.go
+++ b/internal/node/term/proxy.go
@@ -14,7 +14,7 @@
 
 const (
 	// proxyExtension is how long after the owner's last request a proxy may extend leases. Tasks in a data centre that is
-	// cut off live for that time and MaxLease; a successor already waits as long because of extendPastLapse.
+	// cut off live for that time and their lease; a successor already waits as long because of extendPastLapse.
 	proxyExtension = extendPastLapse
 	// proxyInterval is the time between requests to the proxy of a data centre; the proxy acts after two missed requests.
 	proxyInterval = 400 * time.Millisecond
@@ -117,7 +117,7 @@
 		return nil, false
 	}
 	p.number++
-	request := &extend.Request{Life: p.incarnation, Token: t.token, Number: p.number, Lease: t.Limits.MaxLease}
+	request := &extend.Request{Life: p.incarnation, Token: t.token, Number: p.number, Lease: t.leaseDuration()}
 	if p.incarnation == 0 {
 		return request, true
 	}
@@ -128,7 +128,7 @@
 			continue
 		}
 		request.Workers = append(request.Workers, agent.Target{Worker: w.ID, Address: w.Address})
-		t.engine.AllowExtension(w.ID, p.id(), now.Add(worstCaseLease(proxyExtension)+worstCaseLease(t.Limits.MaxLease)))
+		t.engine.AllowExtension(w.ID, p.id(), now.Add(worstCaseLease(proxyExtension)+worstCaseLease(t.leaseDuration())))
 	}
 	return request, true
 }
@@ -137,7 +137,7 @@
 func (p *proxy) id() string { return p.address + "/" + time.Duration(p.incarnation).String() }
 
 // releaseOthers records that the proxy, which has the request, no longer extends the leases of other workers. A lease that
-// it has extended lasts for MaxLease from that extension.
+// it has extended lasts for leaseDuration from that extension.
 func (t *term) releaseOthers(centre string, p *proxy, request *extend.Request, reply *extend.Reply, now time.Time) {
 	allowed := make(map[string]bool, len(request.Workers))
 	for _, to := range request.Workers {
@@ -151,7 +151,7 @@
 		}
 		leaseEnds := time.Time{}
 		if ago, extended := reply.Prolonged[w.ID]; extended {
-			leaseEnds = now.Add(worstCaseLease(t.Limits.MaxLease) - ago)
+			leaseEnds = now.Add(worstCaseLease(t.leaseDuration()) - ago)
 		}
 		t.engine.EndExtension(w.ID, p.id(), leaseEnds)
 	}
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -144,7 +144,7 @@
 	extend := busy && now.Before(t.validUntil.Add(extendPastLapse)) && now.Sub(s.lastSeen()) < silentAfter
 	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledged(), Wait: idlePollWait}
 	if extend {
-		lease := t.Limits.MaxLease
+		lease := t.leaseDuration()
 		if w.Draining {
 			lease = min(lease, drainingLease)
 		}
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -23,8 +23,11 @@
 	maxBatchDelay = 60 * time.Millisecond
 	// listInterval is how often the list of workers is read: three times within its maximum age.
 	listInterval = 400 * time.Millisecond
+	// longestLease limits the leases that an owner grants, as tasks on a worker that is lost for good wait for its lease to
+	// expire.
+	longestLease = 6 * time.Second
 	// extendPastLapse is how long a term keeps renewing workers' leases after its own lease may have lapsed. Running tasks
-	// then live for MaxLease more, so a store outage of eight seconds stops none. A successor must wait as long before it
+	// then live for their lease more, so a store outage of eight seconds stops none. A successor must wait as long before it
 	// restarts tasks that ran on workers that it can't reach.
 	extendPastLapse = 2 * time.Second
 	// cutOffAfter is how long most workers must be silent before the owner resigns so that another instance can take over.
@@ -111,7 +114,8 @@
 	cfg.StopTimeout = e.Limits.StopTimeout
 	cfg.Retention = e.Limits.Retention
 	cfg.RemoteFactor = e.Limits.RemoteFactor
-	// An earlier owner may have renewed leases until extendPastLapse after its own lease lapsed, each for MaxLease.
+	// An earlier owner, possibly of a release that knows no longestLease, may have renewed leases until extendPastLapse after
+	// its own lease lapsed, each for MaxLease.
 	cfg.InheritedLease = extendPastLapse + worstCaseLease(e.Limits.MaxLease)
 	return &term{
 		Elector: e, lease: lease, token: token, startedAt: e.Now(), engine: group.New(cfg), validUntil: sent.Add(leaseTTL - leaseMargin),
@@ -120,6 +124,9 @@
 	}
 }
 
+// leaseDuration returns the duration of the leases that this owner grants.
+func (t *term) leaseDuration() time.Duration { return min(t.Limits.MaxLease, longestLease) }
+
 // worstCaseLease returns the longest time on this instance's clock that a lease of a worker can last.
 func worstCaseLease(lease time.Duration) time.Duration {
 	return time.Duration(float64(lease)*clockDriftFactor) + expiryMargin
