--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -109,7 +109,7 @@
 		// The next decision withdraws the start, unless it was sent before: then the worker's listing shows whether it arrived.
 		return agent.Target{}, agent.Start{}, true
 	}
-	lease := t.Limits.MaxLease
+	lease := t.leaseDuration()
 	if w.NothingStarted() && !order.Member.SuspectedOfCrash() {
 		lease = min(lease, firstLease)
 	}
