session: acknowledge exits only right after an answer

What callers would see: a task that runs again after it was done. Cause: while a session waits up to 300 ms for a commit it has no poll open, so a crash breaks nothing that it would notice. If the worker is back before the wait ends, the next poll acknowledges the exits of the earlier incarnation, and the new one forgets its own, which are numbered from one again: the owner never learns that the task is done, counts it as lost and starts it again. TestNothingIsAcknowledgedLongAfterTheLastAnswer failed before (3 acknowledged) and passes. Why it works: an exit of a new incarnation needs a crash, a return and a task's whole run after the last answer. Up to 50 ms after the answer was applied, that is excluded; later, the poll acknowledges nothing and does not wait, and the one after it acknowledges. That poll more is sent only if a commit takes over 50 ms.

--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -32,6 +32,9 @@
 	// maxCommitWait is how long a session waits for exits to become durable before it polls again. A worker answers at once
 	// while it has exits to list, so polls every few milliseconds would only delay the owner's commits.
 	maxCommitWait = 300 * time.Millisecond
+	// maxAckDelay is how long after an answer was applied a poll may acknowledge exits: no worker crashes, comes back under its
+	// ID and runs a task to its end in that time.
+	maxAckDelay = 50 * time.Millisecond
 )
 
 // session polls one worker and keeps the state of the exchange with it.
@@ -46,7 +49,9 @@
 	// incarnation of the worker, and so its clock, is not known.
 	workerClock   time.Duration
 	workerClockAt time.Time
-	silent        bool
+	// appliedAt is when the last answer was applied.
+	appliedAt time.Time
+	silent    bool
 	// missedPolls counts the polls since the last answer.
 	missedPolls int
 	seenAt      time.Time
@@ -92,10 +97,12 @@
 	}
 }
 
-// acknowledgeable returns the number of the last exit that the worker may forget, or zero while its incarnation is not known.
-// The caller holds t.state.
-func (s *session) acknowledgeable(w *group.Worker) int64 {
-	if s.clockUnknown() {
+// acknowledgeable returns the number of the last exit that the worker may forget. It is zero while the worker's incarnation
+// is not known, and if the worker may have restarted since its last answer. The caller holds t.state.
+func (s *session) acknowledgeable(w *group.Worker, now time.Time) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.workerClockAt.IsZero() || now.Sub(s.appliedAt) > maxAckDelay {
 		return 0
 	}
 	return w.DurableExit()
@@ -144,7 +151,7 @@
 	busy, processed := w.Busy(), w.LastExit
 	s.setIncarnation(w.Incarnation)
 	extend := busy && now.Before(t.validUntil.Add(extendPastLapse)) && now.Sub(s.lastSeen()) < silentAfter
-	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w), Wait: idlePollWait}
+	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w, now), Wait: idlePollWait}
 	if extend {
 		lease := t.Limits.MaxLease
 		if w.Draining {
@@ -158,8 +165,9 @@
 	t.state.Unlock()
 	if processed > request.Acknowledged && !s.clockUnknown() {
 		s.waitForCommit(ctx)
+		now = t.Now()
 		t.state.Lock()
-		request.Acknowledged = s.acknowledgeable(w)
+		request.Acknowledged = s.acknowledgeable(w, now)
 		t.state.Unlock()
 	}
 	switch {
@@ -179,7 +187,7 @@
 	for _, other := range t.engine.SuspectDataCentre(id, t.Now()) {
 		if s, w := t.sessions[other], t.engine.Worker(other); s != nil {
 			to := targetOf(w)
-			request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w)}
+			request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w, t.Now())}
 			t.components.Go("session", func() { s.sendPoll(ctx, to, request) })
 		}
 	}
@@ -231,11 +239,19 @@
 	t.state.Lock()
 	t.engine.ApplyListing(s.id, answer.Listing, sent, now)
 	t.state.Unlock()
+	s.applied(t.Now())
 	if recovered || len(answer.Exits) > 0 || request.Wait == 0 {
 		t.notify()
 	}
 }
 
+// applied records when the last answer was applied.
+func (s *session) applied(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appliedAt = now
+}
+
 func (s *session) pollFailed(ctx context.Context, err error, now time.Time) {
 	t := s.term
 	var refused *agent.RefusedError
--- a/internal/node/term/session_test.go
+++ b/internal/node/term/session_test.go
@@ -101,3 +101,19 @@
 	}
 	assert.Equal(t, a.lastPoll().Acknowledged, int64(1))
 }
+
+// Guards against tasks that run again after they are done: a worker crashes and comes back while the session waits for a
+// commit, without a poll that fails, and the numbers of its earlier incarnation make the new one forget its exits.
+func TestNothingIsAcknowledgedLongAfterTheLastAnswer(t *testing.T) {
+	a := &scriptedAgent{listing: group.Listing{Incarnation: 1, Exits: exits(1, 2, 3)}}
+	s := newSession(t, a)
+	ctx := endedContext(t)
+	s.poll(ctx)
+	s.term.acknowledge()
+	now := s.term.Now().Add(200 * time.Millisecond)
+	s.term.Now = func() time.Time { return now }
+	s.poll(ctx)
+	assert.DeepEqual(t, a.lastPoll(), agent.Poll{Token: 1})
+	s.poll(ctx)
+	assert.Equal(t, a.lastPoll().Acknowledged, int64(3))
+}
