group: a successor starts no member of a gang before all its workers have answered

What callers would see: a start of a gang that has ended as done. Cause: a new owner starts a member of an inherited gang again as soon as the member's worker does not list it. If that worker has restarted since the gang ended as done, and the worker of another member, which lists the end, has not answered the new owner yet, the start is sent, and the end is recorded and acknowledged while it is on its way. TestInheritedGangThatIsDoneIsNotStartedAgain failed before (one member started) and passes now; TestInheritedGangStartsOnceAllItsWorkersHaveAnswered shows that members that never started do start. Why it works: one member's end as done represents the gang, so the listings of all its workers decide.

--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -50,6 +50,8 @@
 	run := m.Run
 	switch {
 	case m.stopSent || m.State == Ended:
+	case m.State == Inherited && m.missing:
+		e.inheritedMissing(m, now)
 	case !run.brokenAt.IsZero():
 		e.stopRun(run, MemberEnded, "another member ended without success", now)
 	case m.State == Ordered && now.Sub(m.orderedAt) > e.startTimeout(m):
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -136,6 +136,10 @@
 //
 // The recorded runs may need more than the worker has: the exit that freed room for a later run may not have been recorded.
 func (e *Engine) inheritedMissing(m *Member, now time.Time) {
+	m.missing = true
+	if m.Run.unseenWorker() {
+		return
+	}
 	g := m.Run.Group
 	if g.Job.Cancelled || g.Job.Record.Phase.Final() || g.record().Done || g.record().FailedRun == m.Run.Number ||
 		m.Run.stopReason != "" || !m.Run.brokenAt.IsZero() || !e.usable(m.Worker, now) || m.Worker.overcommitted() {
@@ -145,6 +149,11 @@
 	e.orderStart(m, now)
 }
 
+// unseenWorker reports whether the listing of a member's worker is still awaited: it may show that the gang has ended.
+func (r *Run) unseenWorker() bool {
+	return slices.ContainsFunc(r.Members, func(m *Member) bool { return m.State == Inherited && m.Worker.LastSeen.IsZero() })
+}
+
 // orderStart emits the start order of one member.
 func (e *Engine) orderStart(m *Member, now time.Time) {
 	m.State, m.orderedAt, m.progressedAt = Ordered, now, now
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -200,6 +200,8 @@
 	startUnanswered bool
 	// stopSent is true once a stop was ordered.
 	stopSent bool
+	// missing is true if the worker's listing did not show the inherited member.
+	missing bool
 	// progressedAt is when Percent last changed.
 	progressedAt time.Time
 	// rate is the last measured progress in percent per second, and rateUnused is true until it was used; the next
