group: the start of a member is not sent again once its gang is done

What callers would see: a start of a gang that has ended as done. Cause: a start without a response is repeated until it is answered. A gang works only when all its members are there, so the end of one member as done says that the others had started, but the repetition went on: a worker that restarts after the end takes it. TestStartOfAGangThatIsDoneIsNotSentAgain failed before (the start was still wanted) and passes now. Why it works: no start of a run that is done is wanted. The member counts until its worker lists its exit, or acknowledges the stop that follows a start that is not answered in time.

--- a/internal/place/group/inherited_gang_test.go
+++ b/internal/place/group/inherited_gang_test.go
@@ -46,3 +46,16 @@
 	c.step()
 	assert.DeepEqual(t, c.workersOf("job-a"), map[string]int{"new-0": 1, "new-1": 1})
 }
+
+// Guards against a start of a gang that is done: one member's start had no response, and its worker restarts after the end.
+func TestStartOfAGangThatIsDoneIsNotSentAgain(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.submit("job-a", planQueue, "beta", gang(2, 8), gang(1, 8))
+	last := c.lastStartOrder()
+	last.Member.MarkSent()
+	last.Member.MarkUnanswered()
+	assert.Assert(t, last.Member.StartWanted())
+	first := last.Member.Run.Members[0]
+	c.poll(first.Worker.ID, group.ExitEntry{Number: 1, Task: first.Task(), Run: last.Run, Status: group.Done})
+	assert.Assert(t, !last.Member.StartWanted())
+}
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -215,8 +215,10 @@
 // Task returns the member's name on the worker.
 func (m *Member) Task() string { return m.task }
 
-// StartWanted reports whether the start should still be sent.
-func (m *Member) StartWanted() bool { return m.State == Ordered && !m.stopSent }
+// StartWanted reports whether the start should still be sent; the end of one member of a gang as done represents all.
+func (m *Member) StartWanted() bool {
+	return m.State == Ordered && !m.stopSent && !m.Run.Group.record().Done
+}
 
 // Load adds a job from the ledger, or returns it if it is already loaded; record is nil for a job that no owner has seen.
 // age is the time since the job was accepted, and wall the wall-clock time at now, which only repeating jobs need.
