--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -32,6 +32,9 @@
 	// maxCommitWait is how long a session waits for exits to become durable before it polls again. A worker answers at once
 	// while it has exits to list, so polls every few milliseconds would only delay the owner's commits.
 	maxCommitWait = 300 * time.Millisecond
+	// maxAckDelay is how long after an answer was applied a poll may acknowledge exits: no worker crashes, comes back under its
+	// ID and runs a task to its end in that time.
+	maxAckDelay = 50 * time.Millisecond
 )
 
 // session polls one worker and keeps the state of the exchange with it.
@@ -42,9 +45,10 @@
 	orderSlots chan struct{}
 
 	mu sync.Mutex
-	// clock is the last reading of the worker's own clock.
-	clock  clockReading
-	silent bool
+	// clock is the last reading of the worker's own clock, appliedAt when the last answer was applied.
+	clock     clockReading
+	appliedAt time.Time
+	silent    bool
 	// missedPolls counts the polls since the last answer.
 	missedPolls int
 	seenAt      time.Time
@@ -97,10 +101,10 @@
 	}
 }
 
-// acknowledgeable returns the number of the last exit that the worker may forget, or zero while its incarnation is not known.
-// The caller holds t.state.
-func (s *session) acknowledgeable(w *group.Worker) int64 {
-	if !s.knows(w.Incarnation) {
+// acknowledgeable returns the number of the last exit that the worker may forget. It is zero while the worker's incarnation
+// is not known, and if the worker may have restarted since its last answer. The caller holds t.state.
+func (s *session) acknowledgeable(w *group.Worker, now time.Time) int64 {
+	if !s.knows(w.Incarnation) || !s.answeredWithin(maxAckDelay, now) {
 		return 0
 	}
 	return w.DurableExit()
@@ -162,7 +166,7 @@
 	to := targetOf(w)
 	busy, processed, known := w.Busy(), w.LastExit, s.knows(w.Incarnation)
 	extend := busy && now.Before(t.validUntil.Add(extendPastLapse)) && now.Sub(s.lastSeen()) < silentAfter
-	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w), Wait: idlePollWait}
+	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w, now), Wait: idlePollWait}
 	if extend {
 		lease := t.leaseDuration()
 		if w.Draining {
@@ -176,8 +180,9 @@
 	t.state.Unlock()
 	if known && processed > request.Acknowledged {
 		s.waitForCommit(ctx)
+		now = t.Now()
 		t.state.Lock()
-		request.Acknowledged = s.acknowledgeable(w)
+		request.Acknowledged = s.acknowledgeable(w, now)
 		t.state.Unlock()
 	}
 	switch {
@@ -197,7 +202,7 @@
 	for _, other := range t.engine.SuspectDataCentre(id, t.Now()) {
 		if s, w := t.sessions[other], t.engine.Worker(other); s != nil {
 			to := targetOf(w)
-			request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w)}
+			request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w, t.Now())}
 			t.components.Go("session", func() { s.sendPoll(ctx, to, request) })
 		}
 	}
@@ -237,11 +242,26 @@
 		s.setClock(clockReading{incarnation: w.Incarnation, reading: answer.Clock, at: now})
 	}
 	t.state.Unlock()
+	s.applied(t.Now())
 	if recovered || len(answer.Exits) > 0 || request.Wait == 0 {
 		t.notify()
 	}
 }
 
+// applied records when the last answer was applied.
+func (s *session) applied(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appliedAt = now
+}
+
+// answeredWithin reports whether the last answer was applied at most that long ago.
+func (s *session) answeredWithin(limit time.Duration, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.appliedAt) <= limit
+}
+
 // checkReplaced ends the runs on the target of a call that was sent at sentAt if the call reached another worker at its address:
 // two workers can't serve one address, so the target has ended, and its tasks with it.
 func (t *term) checkReplaced(to agent.Target, err error, sentAt time.Time) {
--- a/internal/node/term/session_test.go
+++ b/internal/node/term/session_test.go
@@ -148,3 +148,19 @@
 	s.pollFailed(ctx, &agent.LostError{Worker: "w", Cause: errors.New("timeout")}, sent, s.term.Now())
 	assert.Assert(t, s.knows(1))
 }
+
+// Guards against tasks that run again after they are done: a worker crashes and comes back while the session waits for a
+// commit, without a poll that fails, and the numbers of its earlier incarnation make the new one forget its exits.
+func TestNothingIsAcknowledgedLongAfterTheLastAnswer(t *testing.T) {
+	a := &scriptedAgent{listing: group.Listing{Incarnation: 1, Exits: exits(1, 2, 3)}}
+	s := newSession(t, a)
+	ctx := endedContext(t)
+	s.poll(ctx)
+	s.term.wakeSessions()
+	now := s.term.Now().Add(200 * time.Millisecond)
+	s.term.Now = func() time.Time { return now }
+	s.poll(ctx)
+	assert.DeepEqual(t, a.lastPoll(), agent.Poll{Token: 1})
+	s.poll(ctx)
+	assert.Equal(t, a.lastPoll().Acknowledged, int64(3))
+}
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -211,6 +211,8 @@
 	stopSent bool
 	// heldReported is true once RunHeld was logged, until the worker answers again.
 	heldReported bool
+	// missing is true if the worker's listing did not show the inherited member.
+	missing bool
 	// progressedAt is when Percent last changed.
 	progressedAt time.Time
 	// rate is the last measured progress in percent per second, and rateUnused is true until it was used; the next
@@ -224,8 +226,10 @@
 // Task returns the member's name on the worker.
 func (m *Member) Task() string { return m.task }
 
-// StartWanted reports whether the start should still be sent.
-func (m *Member) StartWanted() bool { return m.State == Ordered && !m.stopSent }
+// StartWanted reports whether the start should still be sent; the end of one member of a gang as done represents all.
+func (m *Member) StartWanted() bool {
+	return m.State == Ordered && !m.stopSent && !m.Run.Group.record().Done
+}
 
 // Load adds a job from the ledger, or returns it if it is already loaded; record is nil for a job that no owner has seen.
 // age is the time since the job was accepted, and wall the wall-clock time at now, which only repeating jobs need.
