group, term: a crash counts against a task only if its exit would have been heard

What callers would see: LOST, a job shown as failed though not two workers had crashed under one of its tasks. Cause: a task was done, or stopped, and its worker crashed before the owner heard of it: the answer was lost or slow, or no poll was open. The crash counted as one under the task. Short tasks are always suspects, so two such crashes were enough. Change: a crash is certain for a task only if a poll was open until the connection broke, but for 100 ms; it counts against a task that was acknowledged within 250 ms before the connection broke. A task that had started within a second before stays a suspect: it is tried alone, with a full lease, and that is now on record, so a successor knows it.

--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -226,7 +226,7 @@
 	now := t.Now()
 	if err != nil {
 		t.checkReplaced(to, err, sent)
-		s.pollFailed(ctx, err, sent, now)
+		s.pollFailed(ctx, err, request.Wait, sent, now)
 		return
 	}
 	s.mu.Lock()
@@ -276,8 +276,9 @@
 	}
 }
 
-// pollFailed records that a poll that was sent at sentAt had no answer, and waits before the next one.
-func (s *session) pollFailed(ctx context.Context, err error, sentAt, now time.Time) {
+// pollFailed records that a poll that was sent at sentAt and allowed the worker to wait had no answer, and waits before the
+// next one.
+func (s *session) pollFailed(ctx context.Context, err error, allowed time.Duration, sentAt, now time.Time) {
 	t := s.term
 	var refused *agent.RefusedError
 	if errors.As(err, &refused) && refused.Refusal == agent.OldToken {
@@ -297,7 +298,12 @@
 	}
 	s.mu.Unlock()
 	t.state.Lock()
-	t.engine.PollFailed(s.id, sentAt)
+	silence := now.Sub(sentAt)
+	if silence < allowed {
+		// The worker could still have waited, so the connection broke.
+		silence = 0
+	}
+	t.engine.PollFailed(s.id, sentAt, silence, now)
 	t.state.Unlock()
 	if becameSilent && ctx.Err() == nil {
 		t.Log.Emit(event.WorkerSilent, event.Fields{"worker": s.id, "error": err.Error()})
--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -9,39 +9,64 @@
 )
 
 const (
-	// crashWindow is how long before its worker's last sign of life a task may have started to be a suspect of the crash.
+	// crashWindow is how long before its worker's last sign of life a task may have started to be a suspect of the crash, and
+	// how long a suspect must run to be cleared.
 	crashWindow = time.Second
-	// maxSuspectedCrashes is how many crashes a task may be a suspect of before its job fails.
+	// blameWindow is how long before a crash a task may have started for the crash to count against it.
+	blameWindow = 250 * time.Millisecond
+	// maxSuspectedCrashes is how many crashes may count against a task before its job fails.
 	maxSuspectedCrashes = 2
-	// maxCrashes is how many workers may crash under a task before its job fails, whether it is a suspect or not.
+	// maxCrashes is how many workers may crash under a task before its job fails, whenever it had started.
 	maxCrashes = 4
+	// maxUnheard is for how long exits may have gone unheard before a crash for it to be certain that a task was alive.
+	maxUnheard = 100 * time.Millisecond
 )
 
-// crashSuspects returns the members that may have caused a crash of the worker: those of the run on probation, if there is one,
-// otherwise those that had started shortly before. Tasks that had run there for longer are less likely to be the cause.
-func (w *Worker) crashSuspects() map[*Member]bool {
-	suspects := make(map[*Member]bool)
+// crashEvidence is what a crash of its worker says of a member.
+type crashEvidence struct {
+	// certain is true if the member was alive on the worker as it crashed: its exit would have been heard.
+	certain bool
+	// suspect is true if the member may have caused the crash, blamed if it is likely enough to count.
+	suspect bool
+	blamed  bool
+}
+
+// crashEvidence returns what a crash of the worker says of its members. Suspects are those of the run on probation, if there
+// is one, otherwise those that had started shortly before: tasks that had run there for longer are less likely to be the cause.
+func (w *Worker) crashEvidence() map[*Member]crashEvidence {
+	evidence := make(map[*Member]crashEvidence)
 	since := latest(w.answeredAt, w.startAckedAt).Add(-crashWindow)
+	heard := w.failedPollSentAt.After(w.answeredAt) && w.unheard <= maxUnheard
 	for _, m := range w.members {
+		suspect := !m.orderedAt.Before(since)
 		if w.onProbation() {
-			suspects[m] = m.Run == w.probation
-			continue
+			suspect = m.Run == w.probation
+		}
+		evidence[m] = crashEvidence{
+			certain: heard && m.State == Started && !w.Draining, suspect: suspect && !w.Draining,
+			blamed: suspect && w.brokenAt.Sub(m.startAckedAt) <= blameWindow,
 		}
-		suspects[m] = !m.orderedAt.Before(since)
 	}
-	return suspects
+	return evidence
 }
 
 // recordCrash counts a crash of the worker under a member that ran there, once for each run, and fails the job after too many.
-// Only certain crashes count: what ran on a worker that is cut off may be sound.
-func (e *Engine) recordCrash(m *Member, suspect bool, now time.Time) {
+// If it is not certain that the member was alive, nothing is counted, but its group may be suspected.
+func (e *Engine) recordCrash(m *Member, evidence crashEvidence, now time.Time) {
 	rec := m.Run.Group.record()
 	task := slices.Index(m.Run.Members, m)
 	if rec.Done || rec.CrashesOf(task).Run == m.Run.Number {
 		return
 	}
-	crashes := rec.AddCrash(task, m.Run.Number, suspect)
 	j := m.Run.Group.Job
+	if evidence.suspect && !rec.MayCrash {
+		rec.MayCrash = true
+		e.markChanged(j)
+	}
+	if !evidence.certain {
+		return
+	}
+	crashes := rec.AddCrash(task, m.Run.Number, evidence.blamed)
 	e.markChanged(j)
 	e.emit(Decision{
 		Kind: WorkerCrashed, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number, Crashes: crashes.Count, Suspected: crashes.Suspected,
@@ -51,23 +76,12 @@
 	}
 }
 
-// suspectLost makes a suspect of the group of a member that was lost soon after its start, or of which the start is not known,
-// on a worker that may have crashed. No crash is counted, as it is not certain.
-func (e *Engine) suspectLost(m *Member, suspect bool) {
-	if m.Run.Group.mayCrash || !suspect || m.Worker.Draining {
-		return
-	}
-	m.Run.Group.mayCrash = true
-}
-
 // SuspectedOfCrash reports whether the member's group may have crashed a worker. Its lease must outlast the time in which a
 // machine is back after a crash, as only that shows the crash.
 func (m *Member) SuspectedOfCrash() bool { return m.Run.Group.suspected() }
 
-// suspected reports whether any task of the group may have crashed a worker and has not run for long enough since.
-func (g *Group) suspected() bool {
-	return g.mayCrash || slices.ContainsFunc(g.record().Crashes, func(c work.TaskCrashes) bool { return c.Suspected > 0 })
-}
+// suspected reports whether a task of the group may have crashed a worker and the group has not run for long enough since.
+func (g *Group) suspected() bool { return g.record().MayCrash }
 
 // beginProbation keeps all else off the workers of a suspected group's run until it has run for a while: a worker that crashes
 // tells which of several suspects is the cause only if it ran one of them.
@@ -93,7 +107,6 @@
 		return
 	}
 	r.onProbation = false
-	r.Group.mayCrash = false
 	r.Group.record().ClearSuspicion()
 	e.markChanged(r.Group.Job)
 }
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -33,16 +33,17 @@
 			// The runs in the worker's last listing are dead, as their leases have expired.
 			clear(w.orphans)
 		}
-		var suspects map[*Member]bool
+		var crash map[*Member]crashEvidence
 		if leaseExpired && len(w.members) > 0 {
-			suspects = w.crashSuspects()
+			crash = w.crashEvidence()
 		}
 		for _, m := range w.sortedMembers() {
 			switch {
 			case m.State == Planned || m.State == Ended:
 			case leaseExpired && m.mayRun():
 				e.emit(Decision{Kind: WorkerLapsed, Worker: w.ID, Job: m.Run.Group.Job.ID(), Task: m.task, Run: m.Run.Number})
-				e.suspectLost(m, suspects[m])
+				// A worker that is cut off may run on, so this is no certain crash.
+				e.recordCrash(m, crashEvidence{suspect: crash[m].suspect}, now)
 				e.endMember(m, Lost, "", now)
 			default:
 				if silent && m.mayRun() && now.Sub(m.Run.PlannedAt) > silentAfter {
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -140,7 +140,7 @@
 // endMissing ends a member that its worker does not list; one that an earlier incarnation ran ended in a crash.
 func (e *Engine) endMissing(m *Member, status ExitStatus, now time.Time) {
 	if m.restarted {
-		e.recordCrash(m, m.crashSuspect, now)
+		e.recordCrash(m, m.crash, now)
 	}
 	e.endMember(m, status, "", now)
 }
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -111,9 +111,6 @@
 	nextBackfillAt    time.Time
 	// slowWorkerMoves counts the runs that were stopped because a worker had become slow.
 	slowWorkerMoves int
-	// mayCrash is true if a run of the group was lost as if its worker had crashed, which is not certain, and none has run for
-	// long enough since.
-	mayCrash bool
 	// failedOn are the workers on which a run of the group failed.
 	failedOn []*Worker
 }
@@ -196,9 +193,9 @@
 	// incarnation is that of the worker whose listing showed the member; zero until one has.
 	incarnation int64
 	// restarted is true if the worker has restarted since it confirmed the start, and its present incarnation has not listed
-	// the member; crashSuspect is true if the member started shortly before.
-	restarted    bool
-	crashSuspect bool
+	// the member; crash is what the crash says of the member.
+	restarted bool
+	crash     crashEvidence
 	// orderedAt is when the start was ordered; startAckedAt and stopAckedAt are when the worker acknowledged start and stop.
 	orderedAt    time.Time
 	startAckedAt time.Time
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -49,6 +49,10 @@
 	// answeredAt is when the last answer to a poll came, failedPollSentAt when the last poll that failed was sent.
 	answeredAt       time.Time
 	failedPollSentAt time.Time
+	// unheard is for how long no poll was open, or an open one was silent, until the first poll since answeredAt failed.
+	unheard time.Duration
+	// brokenAt is when the first poll since answeredAt failed.
+	brokenAt time.Time
 	// startAckedAt is when the worker last acknowledged a start.
 	startAckedAt time.Time
 	// LeaseEnds is when everything on the worker has certainly been killed, unless its lease is renewed or extended.
@@ -145,11 +149,17 @@
 	return w.suspectedAt.After(w.LastSeen) || w.failedPollSentAt.After(w.answeredAt)
 }
 
-// PollFailed records that a poll of the worker failed that was sent at sentAt; it gets no new tasks until it answers again.
-func (e *Engine) PollFailed(id string, sentAt time.Time) {
-	if w := e.workers[id]; w != nil {
-		w.failedPollSentAt = latest(w.failedPollSentAt, sentAt)
+// PollFailed records that a poll of the worker that was sent at sentAt has failed, and for how long it was silent before; that is
+// zero if its connection broke. The worker gets no new tasks until it answers again.
+func (e *Engine) PollFailed(id string, sentAt time.Time, silence time.Duration, now time.Time) {
+	w := e.workers[id]
+	if w == nil {
+		return
+	}
+	if !w.failedPollSentAt.After(w.answeredAt) {
+		w.unheard, w.brokenAt = sentAt.Sub(w.answeredAt)+silence, now
 	}
+	w.failedPollSentAt = latest(w.failedPollSentAt, sentAt)
 }
 
 // SuspectDataCentre marks all workers of the worker's data centre as suspect and returns their IDs, or nil if this was done
@@ -258,9 +268,9 @@
 	w.Incarnation, w.incarnationSeenAt, w.LastExit, w.speed = incarnation, now, 0, 1
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
-	suspects := w.crashSuspects()
+	crash := w.crashEvidence()
 	for _, m := range w.sortedMembers() {
-		e.memberRestarted(m, m.listedIn(running), suspects[m], now)
+		e.memberRestarted(m, m.listedIn(running), crash[m], now)
 	}
 }
 
@@ -268,7 +278,7 @@
 //
 // Orders name a worker and not its incarnation, so the new one may have executed those that the earlier one has not listed:
 // its own listing decides about the members that were acknowledged, and a stop about those without a response.
-func (e *Engine) memberRestarted(m *Member, listed, crashSuspect bool, now time.Time) {
+func (e *Engine) memberRestarted(m *Member, listed bool, crash crashEvidence, now time.Time) {
 	switch {
 	case m.State == Planned || m.State == Inherited || m.State == Ended:
 		return
@@ -277,13 +287,13 @@
 		e.endMember(m, Void, "", now)
 		return
 	case m.incarnation != 0 && !m.startUnanswered:
-		e.recordCrash(m, crashSuspect, now)
+		e.recordCrash(m, crash, now)
 		e.endMember(m, Lost, "", now)
 		return
 	}
 	// The lease that the new incarnation granted may be longer than intended, as its clock differs.
 	m.Worker.LeaseEnds = latest(m.Worker.LeaseEnds, now.Add(e.cfg.InheritedLease))
-	m.restarted, m.crashSuspect = m.State == Started, crashSuspect
+	m.restarted, m.crash = m.State == Started, crash
 	m.incarnation, m.stopSent, m.stopAckedAt = 0, false, time.Time{}
 	if !listed && (m.State == Ordered || m.startUnanswered) || m.Run.stopReason != "" {
 		e.stopRun(m.Run, StartUnanswered, "its worker restarted before the start was confirmed", now)
@@ -305,13 +315,12 @@
 	w.suspectedAt = now
 	ended := len(w.orphans) > 0
 	clear(w.orphans)
-	suspects := w.crashSuspects()
+	crash := w.crashEvidence()
 	for _, m := range w.sortedMembers() {
 		if m.State != Planned && m.mayRun() && m.orderedAt.Before(sentAt) {
-			if m.State == Started && !w.Draining {
-				e.recordCrash(m, suspects[m], now)
-			}
-			e.suspectLost(m, m.State == Inherited)
+			evidence := crash[m]
+			evidence.suspect = evidence.suspect || m.State == Inherited
+			e.recordCrash(m, evidence, now)
 			e.endMember(m, Lost, "", now)
 			ended = true
 		}
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -37,6 +37,8 @@
 	StartedFrom string `json:"from,omitempty"`
 	// Workers holds the worker of each member while the run may be alive there; otherwise it is empty.
 	Workers []string `json:"on,omitempty"`
+	// MayCrash is true if a task of the group may have crashed a worker, and no run has lasted long enough since.
+	MayCrash bool `json:"mayCrash,omitempty"`
 	// Crashes has an entry for each task of the group under which a worker has crashed.
 	Crashes []TaskCrashes `json:"crashes,omitempty"`
 }
@@ -45,7 +47,7 @@
 type TaskCrashes struct {
 	// Task is the task's index in its group.
 	Task int `json:"task,omitempty"`
-	// Count is the number of crashes, Suspected the number of those that the task may have caused.
+	// Count is the number of crashes, Suspected the number of those that count against the task.
 	Count     int `json:"count"`
 	Suspected int `json:"suspected,omitempty"`
 	// Run is the last run counted, so that each run counts once.
@@ -65,6 +67,7 @@
 // ClearSuspicion records that no task of the group is suspected of a crash any more. Copies of the record that were made before
 // don't change.
 func (g *GroupRecord) ClearSuspicion() {
+	g.MayCrash = false
 	g.Crashes = slices.Clone(g.Crashes)
 	for i := range g.Crashes {
 		g.Crashes[i].Suspected = 0
