--- a/internal/proof/fake/fleet_checks.go
+++ b/internal/proof/fake/fleet_checks.go
@@ -88,12 +88,18 @@
 			continue
 		}
 		f.note("%s/%d forgets exit %d of %s run %d", at.worker.id, at.number, entry.Number, entry.Task, entry.Run)
-		for _, task := range append([]string{entry.Task}, f.cfg.Task(entry.Task).Gang...) {
+		f.checkDone(at, entry.Task, endedAt)
+		for _, member := range f.cfg.Task(entry.Task).Gang {
 			// The end of one member represents the whole gang.
-			f.checks.doneAcknowledged[task] = true
-		}
-		if f.checks.lastStart[entry.Task].After(endedAt) {
-			f.breach("TWICE", entry.Task, "an exit as done on %s is acknowledged after the task was started again", at.worker.id)
+			f.checkDone(at, member, endedAt)
 		}
 	}
 }
+
+// checkDone checks that a task has not begun since it ended as done, which is acknowledged now. The caller holds f.mu.
+func (f *Fleet) checkDone(at *incarnation, task string, endedAt time.Time) {
+	if !f.checks.doneAcknowledged[task] && f.checks.lastStart[task].After(endedAt) {
+		f.breach("TWICE", task, "an exit as done on %s is acknowledged after the task was started again", at.worker.id)
+	}
+	f.checks.doneAcknowledged[task] = true
+}
