group: a crash under a task that is being stopped does not count, nor one 150 ms after its start against it

Change: what is being stopped is not certain to be alive; a crash counts against a task for 150 ms, not 250, after the acknowledgement of its start. Evidence: TestCrashUnderATaskThatIsBeingStoppedDoesNotCount failed before. A task done within 150 ms of its start, unheard, twice, can still be given up.

--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -13,7 +13,7 @@
 	// how long a suspect must run to be cleared.
 	crashWindow = time.Second
 	// blameWindow is how long before a crash a task may have started for the crash to count against it.
-	blameWindow = 250 * time.Millisecond
+	blameWindow = 150 * time.Millisecond
 	// maxSuspectedCrashes is how many crashes may count against a task before its job fails.
 	maxSuspectedCrashes = 2
 	// maxCrashes is how many workers may crash under a task before its job fails, whenever it had started.
@@ -24,7 +24,8 @@
 
 // crashEvidence is what a crash of its worker says of a member.
 type crashEvidence struct {
-	// certain is true if the member was alive on the worker as it crashed: its exit would have been heard.
+	// certain is true if the member was alive on the worker as it crashed: it was not being stopped, and its exit would have
+	// been heard.
 	certain bool
 	// suspect is true if the member may have caused the crash, blamed if it is likely enough to count.
 	suspect bool
@@ -43,7 +44,7 @@
 			suspect = m.Run == w.probation
 		}
 		evidence[m] = crashEvidence{
-			certain: heard && m.State == Started && !w.Draining, suspect: suspect && !w.Draining,
+			certain: heard && m.State == Started && !m.stopSent && !w.Draining, suspect: suspect && !w.Draining,
 			blamed: suspect && w.brokenAt.Sub(m.startAckedAt) <= blameWindow,
 		}
 	}
--- a/internal/place/group/crash_test.go
+++ b/internal/place/group/crash_test.go
@@ -303,3 +303,18 @@
 	assert.Equal(t, job.Record.Phase, work.Running)
 	assert.Equal(t, len(job.Record.Groups[0].Crashes), 0)
 }
+
+// Guards against jobs that are shown as failed without cause: a task that is being stopped may have ended before its worker
+// crashed.
+func TestCrashUnderATaskThatIsBeingStoppedDoesNotCount(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	plain := work.Step{Count: 1, MilliCores: 1000, Accelerators: 8, Estimate: time.Minute}
+	job := c.submit("stopped", batchQueue, "beta", plain)
+	c.step()
+	c.silent["w0-0"] = true
+	c.submit("quick", quickQueue, "alpha", gang(1, 8))
+	c.step()
+	assert.Equal(t, len(c.stops), 1)
+	c.crash("w0-0")
+	assert.Equal(t, len(job.Record.Groups[0].Crashes), 0)
+}
