--- a/internal/place/group/crash_test.go
+++ b/internal/place/group/crash_test.go
@@ -35,6 +35,13 @@
 // Guards against BUDGET: a task that crashes each worker that starts it is started again and again.
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
 	c := newCluster(t, 2, 3)
+	c.assertGivenUp(func(worker string, _ int) { c.crash(worker) })
+	assert.Equal(t, len(c.workersOf("deadly")), 0)
+}
+
+// assertGivenUp runs a task under which each worker crashes, and checks that it is given up before its sixth start.
+func (c *cluster) assertGivenUp(crash func(worker string, start int)) {
+	c.t.Helper()
 	job := c.submit("deadly", batchQueue, "beta", work.Step{Count: 2, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute})
 	c.step()
 	starts := 0
@@ -44,11 +51,10 @@
 			break
 		}
 		starts++
-		c.crash(worker)
+		crash(worker, starts)
 	}
-	assert.Equal(t, job.Record.Phase, work.Failed)
-	assert.Assert(t, starts >= 2 && starts <= 5, "%d starts", starts)
-	assert.Equal(t, len(c.workersOf("deadly")), 0)
+	assert.Equal(c.t, job.Record.Phase, work.Failed)
+	assert.Assert(c.t, starts >= 2 && starts <= 5, "%d starts", starts)
 }
 
 // Guards against BUDGET with the owner lost between two crashes: the count is part of the job's record.
@@ -144,20 +150,10 @@
 // Guards against BUDGET: the machines that a task crashes come back as workers with other IDs at the same addresses.
 func TestTaskThatCrashesWorkersThatComeBackUnderOtherIDsIsGivenUp(t *testing.T) {
 	c := newCluster(t, 2, 3)
-	job := c.submit("deadly", batchQueue, "beta", work.Step{Count: 2, MilliCores: 1000, Accelerators: 1, Estimate: time.Minute})
-	c.step()
-	starts := 0
-	for range 10 {
-		worker := c.workerOf("deadly.0.0.0")
-		if worker == "" {
-			break
-		}
-		starts++
-		c.replace(worker, fmt.Sprintf("again-%d", starts))
+	c.assertGivenUp(func(worker string, start int) {
+		c.replace(worker, fmt.Sprintf("again-%d", start))
 		c.advanceTime(time.Second)
-	}
-	assert.Equal(t, job.Record.Phase, work.Failed)
-	assert.Assert(t, starts >= 2 && starts <= 5, "%d starts", starts)
+	})
 }
 
 // Guards against jobs that are shown as failed without cause: a worker that shut down as planned has not crashed.
--- a/internal/place/group/restart_test.go
+++ b/internal/place/group/restart_test.go
@@ -163,15 +163,20 @@
 	return order
 }
 
+// restartAndFallSilent restarts the worker as incarnation 2, which answers one poll and nothing after it.
+func (c *cluster) restartAndFallSilent(worker string) {
+	c.restart(worker, 2)
+	c.now = c.now.Add(500 * time.Millisecond)
+	c.poll(worker)
+	c.silent[worker] = true
+}
+
 // Guards against two runs of one task: a start is repeated, the worker crashes under the repetition, and the first order, which
 // had no response, is executed by the new incarnation.
 func TestRepeatedStartIsSettledByAStopAfterARestart(t *testing.T) {
 	c := newCluster(t, 1, 2)
 	order := c.startRepeated()
-	c.restart(order.Worker, 2)
-	c.now = c.now.Add(500 * time.Millisecond)
-	c.poll(order.Worker)
-	c.silent[order.Worker] = true
+	c.restartAndFallSilent(order.Worker)
 	c.step()
 	assert.Equal(t, len(c.workersOf("job-a")), 0)
 	assert.Assert(t, c.engine.Worker(order.Worker).NeedsStop(order.Task, order.Run))
@@ -188,10 +193,7 @@
 func TestUnansweredStartIsStoppedAfterTheLeaseOfANewIncarnation(t *testing.T) {
 	c := newCluster(t, 1, 2)
 	order := c.startRepeated()
-	c.restart(order.Worker, 2)
-	c.now = c.now.Add(500 * time.Millisecond)
-	c.poll(order.Worker)
-	c.silent[order.Worker] = true
+	c.restartAndFallSilent(order.Worker)
 	c.advanceTime(20 * time.Second)
 	assert.Assert(t, c.engine.Worker(order.Worker).NeedsStop(order.Task, order.Run))
 }
