term: a new owner logs what it inherits and what it decides while it loads

The logs could not tell whether a successor knew a cancelled job's runs, nor whether it decided to stop them: jobSeen had no count of them, and the decisions taken while a term loads were dropped. jobSeen now has inherited, and these decisions are logged; orders are dropped as before. No decision changes; tests of node/term, place/group and oper pass.

--- a/internal/node/term/decision_log.go
+++ b/internal/node/term/decision_log.go
@@ -7,6 +7,20 @@
 	"github.com/lentildeck/lentildeck/internal/place/group"
 )
 
+// logDecisions logs the decisions among the actions.
+func (t *term) logDecisions(actions []group.Action) {
+	for _, action := range actions {
+		if d, ok := action.(group.Decision); ok {
+			t.logDecision(d)
+		}
+	}
+}
+
+func (t *term) logDecision(d group.Decision) {
+	t.Log.Emit(event.RunChanged, t.decisionFields(d))
+	t.Meter.Count("run." + d.Kind.String())
+}
+
 // decisionFields returns the fields of a decision's log line; those that don't apply are left out.
 func (t *term) decisionFields(d group.Decision) event.Fields {
 	fields := event.Fields{"what": d.Kind.String(), "job": d.Job, "token": t.token}
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -82,7 +82,7 @@
 	}
 	t.loadJobs(specs, known)
 	t.loadedRevision = asOf
-	t.engine.Actions()
+	t.logDecisions(t.engine.Actions())
 	return nil
 }
 
@@ -109,7 +109,7 @@
 		loaded := t.engine.Load(spec, known[job], age, now, wall)
 		queue := loaded.Queue()
 		t.Log.Emit(event.JobSeen, event.Fields{
-			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "phase": loaded.Record.Phase.String(), "steps": spec.Steps,
+			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "phase": loaded.Record.Phase.String(), "steps": spec.Steps, "inherited": loaded.AliveMembers(),
 			"repeat": spec.Repeat, "priority": queue.Priority, "stretch": queue.Stretch, "target": queue.Target.String(), "token": t.token,
 		})
 		if t.earlyCancels[job] {
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -284,8 +284,7 @@
 		case group.StopOrder:
 			t.requestStop(ctx, a)
 		case group.Decision:
-			t.Log.Emit(event.RunChanged, t.decisionFields(a))
-			t.Meter.Count("run." + a.Kind.String())
+			t.logDecision(a)
 		}
 	}
 }
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -228,10 +228,11 @@
 }
 
 func (e *Engine) forgettable(j *Job, now time.Time) bool {
-	return j.Record.Phase.Final() && now.Sub(j.endedAt) > e.cfg.Retention && j.aliveMembers() == 0
+	return j.Record.Phase.Final() && now.Sub(j.endedAt) > e.cfg.Retention && j.AliveMembers() == 0
 }
 
-func (j *Job) aliveMembers() int {
+// AliveMembers returns the number of tasks of the job that run, are about to, or may do so as far as this owner knows.
+func (j *Job) AliveMembers() int {
 	n := 0
 	for _, g := range j.groups {
 		if g.Run != nil {
