group: runs of jobs that have ended are stopped by each owner

What callers saw: a task ran on to its own end after the cancel of its job had been acknowledged (UNASKED). Cause: runs were stopped at the moment in which the phase became final, but the phase is durable before the stops reach the workers. A successor that loads a final phase inherits the runs and stopped none of them; a phase failed had the same effect. The record's intent was taken for its effect.

--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -70,12 +70,16 @@
 	})
 }
 
-// checkMember stops the member's run if another member ended without success, if the start is unanswered for too long, if
-// the worker leaves too soon, or if the member makes no progress.
+// checkMember stops the member's run if its job has ended, if another member ended without success, if the start is unanswered
+// for too long, if the worker leaves too soon, or if the member makes no progress.
 func (e *Engine) checkMember(m *Member, now time.Time) {
 	run := m.Run
+	phase := run.Group.Job.Record.Phase
 	switch {
 	case m.stopSent || m.State == Ended:
+	case phase.Final():
+		// The owner that recorded the phase may have been lost before it stopped the run.
+		e.stopRun(run, endCause(phase), "its job was recorded as "+phase.String(), now)
 	case m.State == Inherited && m.missing:
 		e.inheritedMissing(m, now)
 	case !run.brokenAt.IsZero():
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -278,19 +278,23 @@
 func (e *Engine) finishJob(j *Job, phase work.Phase, why string, now time.Time) {
 	j.Record.Phase, j.endedAt, j.urgent = phase, now, true
 	e.markChanged(j)
-	cause := JobFinished
-	if phase == work.Cancelled {
-		cause = Cancel
-	}
 	for _, g := range j.groups {
 		e.dropReservation(g)
 		if g.Run != nil {
-			e.stopRun(g.Run, cause, why, now)
+			e.stopRun(g.Run, endCause(phase), why, now)
 		}
 	}
 	e.emit(Decision{Job: j.ID(), Kind: JobOver, Text: phase.String() + ": " + why})
 }
 
+// endCause returns the cause with which the runs of a job are stopped that has ended with the phase.
+func endCause(phase work.Phase) Cause {
+	if phase == work.Cancelled {
+		return Cancel
+	}
+	return JobFinished
+}
+
 // endMember marks a member as ended, frees its room, and ends its run with the last member.
 func (e *Engine) endMember(m *Member, status ExitStatus, checkpoint string, now time.Time) {
 	if m.State == Ended {
