group: an inherited gang with a recorded failure is stopped at once

After a change of owner a gang of which a member has failed keeps its room, and is not started again, until the worker of the failed member answers or its lease has expired (up to 12 s). Cause: that a run is broken was known only in the memory of the owner that heard the end (Run.brokenAt). The record says the same (FailedRun is the run), but only the listing of the failed member's worker made the successor act on it. Why it works: whether a run is broken is derived from brokenAt or the record in each decision, so it does not matter who wrote the record or which worker answers.

--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -82,7 +82,7 @@
 		e.stopRun(run, endCause(phase), "its job was recorded as "+phase.String(), now)
 	case m.State == Inherited && m.missing:
 		e.inheritedMissing(m, now)
-	case !run.brokenAt.IsZero():
+	case run.broken():
 		e.stopRun(run, MemberEnded, "another member ended without success", now)
 	case m.State == Ordered && now.Sub(m.orderedAt) > e.startTimeout(m):
 		m.Worker.avoid(now.Add(e.cfg.RefusalPause[Refused]))
--- a/internal/place/group/disruption_budget.go
+++ b/internal/place/group/disruption_budget.go
@@ -46,7 +46,7 @@
 
 // available reports whether all tasks of the group are past their startup (100 percent) and none is being stopped.
 func (g *Group) available() bool {
-	if g.Run == nil || g.Run.stopReason != "" || !g.Run.brokenAt.IsZero() {
+	if g.Run == nil || g.Run.stopReason != "" || g.Run.broken() {
 		return false
 	}
 	for _, m := range g.Run.Members {
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -155,8 +155,8 @@
 		return
 	}
 	g := m.Run.Group
-	if g.Job.Cancelled || g.Job.Record.Phase.Final() || g.record().Done || g.record().FailedRun == m.Run.Number ||
-		m.Run.stopReason != "" || !m.Run.brokenAt.IsZero() || !e.usable(m.Worker, now) || m.Worker.overcommitted() {
+	if g.Job.Cancelled || g.Job.Record.Phase.Final() || g.record().Done || m.Run.broken() || m.Run.stopReason != "" ||
+		!e.usable(m.Worker, now) || m.Worker.overcommitted() {
 		e.endMember(m, Void, "", now)
 		return
 	}
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -182,6 +182,11 @@
 	Lost
 )
 
+// broken reports whether a member has ended without success, under this owner or, as the record of a failure shows, an earlier one.
+func (r *Run) broken() bool {
+	return !r.brokenAt.IsZero() || r.Group.record().FailedRun == r.Number
+}
+
 // Member is one task of a run, on one worker.
 type Member struct {
 	Run    *Run
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -218,7 +218,7 @@
 			if g.Job.queue.Priority != 0 && !e.cheapToMove(other, g) || !budgets.deduct(other) {
 				continue
 			}
-			if run := other.Run; run != nil && run.stopReason == "" && run.brokenAt.IsZero() && run.complete() {
+			if run := other.Run; run != nil && run.stopReason == "" && !run.broken() && run.complete() {
 				wasted := wastedCoreSeconds(run, now)
 				list = append(list, victim{run: run, priority: j.queue.Priority, wastedCoreSeconds: wasted, wastePerCore: wasted / other.totalNeed().Cores()})
 			}
