group: room of an ended gang does not wait for the gang's silent workers

After a change of owner, room of a gang that has ended stays taken for up to 12 s on workers that have answered and list nothing, while another worker of the gang is silent. Cause: inheritedMissing awaits the listings of all workers of the gang, since one may show that the gang is done. That only matters before a member is started again. Evidence: the test fails before: the worker that has answered still counts 8 accelerators as used. Why it works: a run that must not start again, by the record or by a decision of this owner, needs no such listing. The worker has answered this owner, so it refuses late starts of the earlier one by their token.

--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -151,16 +151,21 @@
 // The recorded runs may need more than the worker has: the exit that freed room for a later run may not have been recorded.
 func (e *Engine) inheritedMissing(m *Member, now time.Time) {
 	m.missing = true
-	if m.Run.unseenWorker() {
-		return
-	}
-	g := m.Run.Group
-	if g.Job.Cancelled || g.Job.Record.Phase.Final() || g.record().Done || m.Run.broken() || m.Run.stopReason != "" ||
-		!e.usable(m.Worker, now) || m.Worker.overcommitted() {
+	switch {
+	case !m.Run.wanted():
 		e.endMember(m, Void, "", now)
-		return
+	case m.Run.unseenWorker():
+	case !e.usable(m.Worker, now) || m.Worker.overcommitted():
+		e.endMember(m, Void, "", now)
+	default:
+		e.orderStart(m, now)
 	}
-	e.orderStart(m, now)
+}
+
+// wanted reports whether tasks of the run may still start: it is neither done, broken nor being stopped, and its job is open.
+func (r *Run) wanted() bool {
+	j := r.Group.Job
+	return !j.Cancelled && !j.Record.Phase.Final() && !r.Group.record().Done && !r.broken() && r.stopReason == ""
 }
 
 // unseenWorker reports whether the listing of a member's worker is still awaited: it may show that the gang has ended.
--- a/internal/place/group/inherited_failure_test.go
+++ b/internal/place/group/inherited_failure_test.go
@@ -20,3 +20,15 @@
 	c.step()
 	assert.Equal(t, len(c.running["w0-1"]), 0)
 }
+
+// Guards against room that stays taken although its worker lists nothing: the job has ended, and another worker of its gang does
+// not answer the successor.
+func TestRoomOfAnEndedGangIsFreeThoughOneOfItsWorkersIsSilent(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	job := c.inheritGang()
+	job.Record.Phase = work.Failed
+	c.poll("new-0")
+	c.step()
+	assert.Equal(t, c.engine.Worker("new-0").Used, group.Resources{})
+	assert.Equal(t, c.engine.Worker("new-1").Used.Accelerators, 8)
+}
