group: suspects of a crash stay on probation after a change of owner

Tasks are placed beside a task that may have crashed a worker, and are lost with the next worker that it crashes; and the suspicion is never cleared while the run lasts, so its next run is tried on a worker of its own without need. Cause: the suspicion is on record, but a run was put on probation only by the owner that planned it. The record's intent was taken for its effect.

--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -94,6 +94,9 @@
 	}
 }
 
+// probationSince returns when the member's probation began: when its start was ordered, or when this owner loaded the run.
+func (m *Member) probationSince() time.Time { return latest(m.orderedAt, m.Run.PlannedAt) }
+
 // onProbation reports whether the worker runs a task group that may have crashed another worker.
 func (w *Worker) onProbation() bool {
 	return w.probation != nil && w.probation.onProbation && w.probation.aliveMembers > 0
@@ -104,7 +107,7 @@
 	if !r.onProbation || !r.complete() {
 		return
 	}
-	if slices.ContainsFunc(r.Members, func(m *Member) bool { return now.Sub(m.orderedAt) <= crashWindow }) {
+	if slices.ContainsFunc(r.Members, func(m *Member) bool { return now.Sub(m.probationSince()) <= crashWindow }) {
 		return
 	}
 	r.onProbation = false
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -155,7 +155,7 @@
 	case !m.Run.wanted():
 		e.endMember(m, Void, "", now)
 	case m.Run.unseenWorker():
-	case !e.usable(m.Worker, now) || m.Worker.overcommitted():
+	case !e.mayStartOn(m.Worker, now) || m.Worker.overcommitted():
 		e.endMember(m, Void, "", now)
 	default:
 		e.orderStart(m, now)
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -317,6 +317,9 @@
 			run.Members = append(run.Members, m)
 			w.attach(m)
 		}
+		if g.suspected() {
+			run.beginProbation()
+		}
 	}
 }
 
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -131,13 +131,16 @@
 func (w *Worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
 
 // usable reports whether new tasks may be placed on the worker now.
-func (e *Engine) usable(w *Worker, now time.Time) bool {
+func (e *Engine) usable(w *Worker, now time.Time) bool { return !w.onProbation() && e.mayStartOn(w, now) }
+
+// mayStartOn is usable for the tasks of a run that is placed there already, perhaps on probation.
+func (e *Engine) mayStartOn(w *Worker, now time.Time) bool {
 	switch {
 	case !w.Listed || w.Draining || e.evacuated[w.DataCentre] || w.entryOutdated():
 		return false
 	case now.Sub(w.LastSeen) > e.cfg.SeenWithin || w.LastSeen.IsZero() || w.suspect():
 		return false
-	case len(w.orphans) > 0 || len(w.abandoned) > 0 || w.onProbation():
+	case len(w.orphans) > 0 || len(w.abandoned) > 0:
 		return false
 	default:
 		return !now.Before(w.AvoidUntil)
