--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -131,7 +131,9 @@
 func (w *Worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
 
 // usable reports whether new tasks may be placed on the worker now.
-func (e *Engine) usable(w *Worker, now time.Time) bool { return !w.onProbation() && e.mayStartOn(w, now) }
+func (e *Engine) usable(w *Worker, now time.Time) bool {
+	return !w.onProbation() && e.mayStartOn(w, now)
+}
 
 // mayStartOn is usable for the tasks of a run that is placed there already, perhaps on probation.
 func (e *Engine) mayStartOn(w *Worker, now time.Time) bool {
