group: tasks that last count as stopping until an earlier owner's stops have ended

Right after a change of owner, the successor may preempt one more task of a long-running service than MaxUnavailable allows (AVAIL): the job that preempted under the earlier owner still waits, as the stop takes up to StopTimeout, so it preempts again. Cause: that a task is being stopped was known only in the memory of the owner that ordered it; the worker lists the task as running until it has ended. Why it works: a worker that has listed an inherited task to this owner refuses the earlier owner's orders from then on, so StopTimeout later no such stop is under way. Until then the task counts as unavailable in the budgets, as one in its startup does. Other tasks and drains are not affected.

--- a/internal/place/group/disruption_budget.go
+++ b/internal/place/group/disruption_budget.go
@@ -1,5 +1,7 @@
 package group
 
+import "time"
+
 // occurrenceStep identifies one step of one occurrence.
 type occurrenceStep struct {
 	occ  *occurrence
@@ -10,7 +12,7 @@
 type disruptionBudgets map[occurrenceStep]int
 
 // disruptionBudgets returns the MaxUnavailable limits of the job's steps less the tasks that are unavailable for any reason.
-func (j *Job) disruptionBudgets() disruptionBudgets {
+func (j *Job) disruptionBudgets(now time.Time) disruptionBudgets {
 	if !j.longRunning {
 		return nil
 	}
@@ -24,7 +26,7 @@
 		if _, known := budgets[key]; !known {
 			budgets[key] = limit
 		}
-		if !g.available() {
+		if !g.available(now) {
 			budgets[key] -= g.Count
 		}
 	}
@@ -32,25 +34,26 @@
 }
 
 // deduct reports whether the task group may be stopped and, if so, deducts its tasks from the budget.
-func (b disruptionBudgets) deduct(g *Group) bool {
+func (b disruptionBudgets) deduct(g *Group, now time.Time) bool {
 	if g.step().MaxUnavailable == 0 {
 		return true
 	}
 	key := occurrenceStep{g.occ, g.Step}
-	if !g.available() || b[key] < g.Count {
+	if !g.available(now) || b[key] < g.Count {
 		return false
 	}
 	b[key] -= g.Count
 	return true
 }
 
-// available reports whether all tasks of the group are past their startup (100 percent) and none is being stopped.
-func (g *Group) available() bool {
+// available reports whether all tasks of the group are past their startup (100 percent) and none is being stopped, as far as is
+// known: an earlier owner's stop may take effect until the member's settledAt.
+func (g *Group) available(now time.Time) bool {
 	if g.Run == nil || g.Run.stopReason != "" || g.Run.broken() {
 		return false
 	}
 	for _, m := range g.Run.Members {
-		if m.State != Started || m.Percent < 100 {
+		if m.State != Started || m.Percent < 100 || now.Before(m.settledAt) {
 			return false
 		}
 	}
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -83,6 +83,10 @@
 			continue
 		}
 		m.incarnation, m.restarted = w.Incarnation, false
+		if m.State == Inherited {
+			// The worker refuses orders of earlier owners from now on.
+			m.settledAt = now.Add(e.cfg.StopTimeout)
+		}
 		if m.State != Started {
 			e.markStarted(m, now)
 		}
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -215,6 +215,8 @@
 	heldReported bool
 	// missing is true if the worker's listing did not show the inherited member.
 	missing bool
+	// settledAt is when a stop by an earlier owner has certainly taken effect; zero for members that this owner started.
+	settledAt time.Time
 	// progressedAt is when Percent last changed.
 	progressedAt time.Time
 	// rate is the last measured progress in percent per second, and rateUnused is true until it was used; the next
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -213,9 +213,9 @@
 		if !preemptible(j, g.Job) {
 			continue
 		}
-		budgets := j.disruptionBudgets()
+		budgets := j.disruptionBudgets(now)
 		for _, other := range j.groups {
-			if g.Job.queue.Priority != 0 && !e.cheapToMove(other, g) || !budgets.deduct(other) {
+			if g.Job.queue.Priority != 0 && !e.cheapToMove(other, g) || !budgets.deduct(other, now) {
 				continue
 			}
 			if run := other.Run; run != nil && run.stopReason == "" && !run.broken() && run.complete() {
