term: orders that are decided while a term loads are sent

If a cancel is read while a term loads, its stops are sent only after the task's worker has answered a poll, so a worker whose answers are lost gets none. Cause: the stops were marked as sent in the engine, and tryLoad dropped all actions. Only a listing of the worker ordered them again. Why it works: the actions stay in the engine, and the first decision of the term sends and logs them like any others. Loading orders no starts.

--- a/internal/node/term/decision_log.go
+++ b/internal/node/term/decision_log.go
@@ -7,15 +7,6 @@
 	"github.com/lentildeck/lentildeck/internal/place/group"
 )
 
-// logDecisions logs the decisions among the actions.
-func (t *term) logDecisions(actions []group.Action) {
-	for _, action := range actions {
-		if d, ok := action.(group.Decision); ok {
-			t.logDecision(d)
-		}
-	}
-}
-
 func (t *term) logDecision(d group.Decision) {
 	t.Log.Emit(event.RunChanged, t.decisionFields(d))
 	t.Meter.Count("run." + d.Kind.String())
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -82,7 +82,6 @@
 	}
 	t.loadJobs(specs, known)
 	t.loadedRevision = asOf
-	t.logDecisions(t.engine.Actions())
 	return nil
 }
 
