term: a job that was deleted while a list was on the way is not loaded again

An ended job that is deleted after its retention, while a list with its spec is on the way to the owner, is loaded as a new one: its record is written again, and its tasks start again (TWICE; of jobs that were cancelled, the stale cancel would stay in earlyCancels). Cause: a spec in a list of the store was taken for a job that is still there, though the owner had deleted it since the list was read. That a task then starts was not shown by a run. Why it works: each list raises the revision as of which all jobs are loaded; a key of an unknown job that is not newer was known and deleted. New jobs, also ones with the same ID, have newer keys. Notifications use the same rule and report a job as taken if it is loaded.

--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -85,16 +85,21 @@
 	return nil
 }
 
-// loadJobs applies the specs of new jobs and cancels; known has the records by earlier owners. The caller holds t.state.
+// loadJobs applies the specs of new jobs and cancels; known has the records by earlier owners. Items of an unknown job that are not
+// newer than loadedRevision are skipped: the job has ended and was deleted since they were read. The caller holds t.state.
 func (t *term) loadJobs(items []store.Item, known map[string]*work.Record) {
 	now := t.Now()
 	for _, item := range items {
 		job, cancel := work.ParseSpecKey(item.Key)
+		loaded := t.engine.Job(job) != nil
+		if !loaded && item.Revision <= t.loadedRevision {
+			continue
+		}
 		if cancel {
 			t.cancelJob(job, now)
 			continue
 		}
-		if t.engine.Job(job) != nil {
+		if loaded {
 			continue
 		}
 		spec, err := work.DecodeSpec(item.Data)
@@ -105,10 +110,10 @@
 		spec.Job = job
 		wall := t.WallNow()
 		age := min(max(wall.Sub(spec.Accepted), 0), maxJobAge)
-		loaded := t.engine.Load(spec, known[job], age, now, wall)
-		queue := loaded.Queue()
+		j := t.engine.Load(spec, known[job], age, now, wall)
+		queue := j.Queue()
 		t.Log.Emit(event.JobSeen, event.Fields{
-			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "phase": loaded.Record.Phase.String(), "steps": spec.Steps, "inherited": loaded.AliveMembers(),
+			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "phase": j.Record.Phase.String(), "steps": spec.Steps, "inherited": j.AliveMembers(),
 			"repeat": spec.Repeat, "priority": queue.Priority, "stretch": queue.Stretch, "target": queue.Target.String(), "token": t.token,
 		})
 		if t.earlyCancels[job] {
@@ -117,17 +122,17 @@
 	}
 }
 
-// loadAccepted loads a job that an instance has just accepted, and reports whether it did. A job from before loadedRevision
-// is ignored: it was loaded with the term, or has ended and was removed.
+// loadAccepted loads a job that an instance has just accepted, and reports whether it is loaded. An unknown job from before
+// loadedRevision is ignored: it has ended and was removed.
 func (t *term) loadAccepted(job *notify.Job) bool {
 	t.state.Lock()
 	defer t.state.Unlock()
-	if t.loadedRevision == 0 || job.Revision <= t.loadedRevision {
+	if t.loadedRevision == 0 {
 		return false
 	}
 	t.loadJobs([]store.Item{{Key: work.SpecKey(job.ID), Data: job.Spec, Revision: job.Revision}}, nil)
 	t.notify()
-	return true
+	return t.engine.Job(job.ID) != nil
 }
 
 func (t *term) cancelJob(job string, now time.Time) {
@@ -236,6 +241,7 @@
 	}
 	t.state.Lock()
 	t.loadJobs(items, nil)
+	t.loadedRevision = asOf
 	t.state.Unlock()
 	t.notify()
 	return asOf, nil
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -87,7 +87,7 @@
 	// earlyCancels has the jobs whose cancel was read before their spec.
 	earlyCancels map[string]bool
 	revisions    map[string]int64
-	// loadedRevision is the store revision as of which all jobs were loaded, zero until they are.
+	// loadedRevision is the store revision as of which all jobs were last loaded, zero until they are.
 	loadedRevision int64
 	// commitsInFlight counts the commits in progress; commitFailed is true if the last one that ended has failed.
 	commitsInFlight int
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -70,11 +70,17 @@
 
 // electWith is the same for an instance that reaches the workers through agents.
 func (s *site) electWith(name string, agents agent.Client, others term.Peers) (stop func()) {
+	s.t.Helper()
+	return s.electOn(name, s.store, agents, others)
+}
+
+// electOn is the same for an instance that reaches the key-value store through kv.
+func (s *site) electOn(name string, kv store.Transactor, agents agent.Client, others term.Peers) (stop func()) {
 	s.t.Helper()
 	holder := policy.NewHolder(fixedPolicy{}, time.Now, func(policy.Snapshot) {})
 	assert.NilError(s.t, holder.Refresh(s.t.Context()))
 	e := &term.Elector{
-		Instance: name, Store: s.store, Agent: agents, Lister: fixedWorkers{"w1", "w2"}, Policy: holder,
+		Instance: name, Store: kv, Agent: agents, Lister: fixedWorkers{"w1", "w2"}, Policy: holder,
 		Limits: term.Limits{MaxLease: 6 * time.Second, StopTimeout: time.Second, PolicyAge: time.Minute, ListAge: time.Minute, Retention: time.Minute, RemoteFactor: 3},
 		Peers:  others, Log: event.Discard(), Meter: meter.New(s.t.Name() + name), Now: time.Now, WallNow: time.Now,
 	}
