owner: a cancel that is read during a start stops the gang

A job that is cancelled while its gang's start is in flight runs on until any job's record changes. Cause: records are applied once for each change of the ledger, and a gang that is still starting was passed over; nothing applied the record again once it ran. Why it works: the end of a start makes the owner apply the records again, as the failure of one does already.

--- a/internal/node/owner/launch.go
+++ b/internal/node/owner/launch.go
@@ -63,6 +63,8 @@
 	if g.stage == starting {
 		g.stage = running
 		g.stageSince = o.cfg.Now()
+		// A cancel that was read during the start is applied now.
+		t.generation = -1
 		o.advance(t, g, o.cfg.Now())
 	}
 }
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -132,6 +132,11 @@
 }
 
 func (env *testEnv) instance(name string) *instance {
+	return env.instanceWith(name, env.link)
+}
+
+// instanceWith returns an instance that reaches the workers through the link.
+func (env *testEnv) instanceWith(name string, link worker.Link) *instance {
 	client := store.NewClient(env.kv, store.NewBudget(1e6, 1e6), env.clock.now, env.newID)
 	policy, err := engine.Policies.Lookup(engine.DefaultPolicy)
 	assert.NilError(env.t, err)
@@ -142,7 +147,7 @@
 	i.conf.Offer(env.doc, config.FromStore, env.clock.now())
 	i.Owner = owner.New(owner.Config{
 		Instance: name, Centre: "plovdiv", Policy: policy, WorkerLease: 5 * time.Second, PollInterval: time.Second, Holder: i.holder,
-		Ledger: i.ledger, Configuration: i.conf, Link: env.link, Permits: i.permit, Log: event.Discard(), Now: env.clock.now, Pause: env.clock.pause,
+		Ledger: i.ledger, Configuration: i.conf, Link: link, Permits: i.permit, Log: event.Discard(), Now: env.clock.now, Pause: env.clock.pause,
 	})
 	env.t.Cleanup(i.ledger.Close)
 	return i
