owner: a gang on removed workers is restored by a new owner, and stopped

If the configuration removes a worker of a running gang and the owner is lost, the successor starts the job again while the first attempt still runs on the removed workers, also a job that must not run twice. Cause: a gang with a worker that is not configured was not restored, so its record, which says that it runs, was taken for a job that waits. Only an owner that saw the change of the configuration kept sessions with such workers and stopped the gang. Why it works: such a gang is restored as stopping, with sessions for all of its workers. As in one term, it ends once each member is reported as stopped or its worker's lease has expired, and only then runs again or, if it must not, is interrupted.

--- a/internal/node/owner/term.go
+++ b/internal/node/owner/term.go
@@ -77,7 +77,7 @@
 	t.engine.SetPermit(0, false)
 	t.setSessions(now)
 	t.applyDrain(active.Document, o.cfg.Centre, now)
-	o.cfg.Ledger.Each(func(r ledger.Record) { t.restoreGang(r, o.cfg.Centre) })
+	o.cfg.Ledger.Each(func(r ledger.Record) { t.restoreGang(r, o.cfg.Centre, now) })
 	return t, nil
 }
 
@@ -127,9 +127,10 @@
 	})
 }
 
-// restoreGang adds a job to the engine that runs here according to the ledger; reports of the workers correct it later.
-func (t *term) restoreGang(r ledger.Record, centre string) {
-	if !r.Open() || r.DataCentre != centre {
+// restoreGang adds a job to the engine that runs here according to the ledger; reports of the workers correct it later. Workers that
+// are no longer configured get a session, as the gang may run there until it is stopped or their leases have expired.
+func (t *term) restoreGang(r ledger.Record, centre string, now time.Time) {
+	if !r.Open() || r.DataCentre != centre || len(r.Workers) != r.Members {
 		return
 	}
 	workers := make([]int, 0, len(r.Workers))
@@ -138,15 +139,19 @@
 			workers = append(workers, w)
 		}
 	}
-	if len(workers) != r.Members {
-		return
-	}
 	if err := t.engine.Resume(r.Spec, r.Submitted, r.Started, r.Attempt, r.Progress.Duration, workers); err != nil {
 		return
 	}
 	g := newGang(r.Spec, r.Submitted, r.Attempt, r.Workers, running)
 	g.restored = true
 	t.gangs[r.Job] = g
+	for _, name := range r.Workers {
+		if t.byName[name] == nil {
+			s := &session{name: name, index: unconfigured, lastSeen: now}
+			t.sessions = append(t.sessions, s)
+			t.byName[name] = s
+		}
+	}
 }
 
 // applyDrain drains or reopens the engine's data centre according to the configuration document.
--- a/internal/place/engine/adopt.go
+++ b/internal/place/engine/adopt.go
@@ -52,8 +52,7 @@
 	workers := e.mapWorkers(old, prev.Workers)
 	complete := len(workers) == len(prev.Workers)
 	if holds && !complete {
-		e.emit(Stop{Job: j.Job, Attempt: j.Attempt, Why: "its worker is no longer configured"})
-		j.Phase = queue.Stopping
+		e.stopIncomplete(&j)
 	}
 	if !holds && e.Check(&j.Spec) != nil {
 		return
@@ -72,6 +71,12 @@
 	e.waiting = append(e.waiting, &j)
 }
 
+// stopIncomplete stops a running job of which a worker is no longer configured.
+func (e *Engine) stopIncomplete(j *queue.Job) {
+	e.emit(Stop{Job: j.Job, Attempt: j.Attempt, Why: "its worker is no longer configured"})
+	j.Phase = queue.Stopping
+}
+
 // mapWorkers maps worker indexes of another engine to indexes of this one and omits workers that do not exist here.
 func (e *Engine) mapWorkers(old *Engine, workers []int) []int {
 	mapped := make([]int, 0, len(workers))
--- a/internal/place/engine/submit.go
+++ b/internal/place/engine/submit.go
@@ -53,7 +53,8 @@
 	return nil
 }
 
-// Resume adds a job that already runs, as a new owner does for the jobs that it takes over.
+// Resume adds a job that already runs, as a new owner does for the jobs that it takes over. One with fewer workers than members is
+// stopped, as the others are no longer configured.
 func (e *Engine) Resume(spec queue.Spec, submitted, started time.Time, attempt int, progress time.Duration, workers []int) error {
 	if err := e.Submit(spec, submitted); err != nil {
 		return err
@@ -62,6 +63,10 @@
 	e.waiting = remove(e.waiting, j)
 	j.Phase, j.Started, j.Attempt, j.Progress = queue.Running, started, attempt, progress
 	e.occupy(j, workers)
+	if len(workers) < j.Members {
+		e.stopIncomplete(j)
+		return nil
+	}
 	e.moveHomeToJob(j)
 	return nil
 }
