--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -83,6 +83,10 @@
 			continue
 		}
 		m.incarnation, m.restarted = w.Incarnation, false
+		if m.State == Inherited {
+			// The worker refuses orders of earlier owners from now on.
+			m.settledAt = now.Add(e.cfg.StopTimeout)
+		}
 		if m.State != Started {
 			e.markStarted(m, now)
 		}
@@ -151,16 +155,21 @@
 // The recorded runs may need more than the worker has: the exit that freed room for a later run may not have been recorded.
 func (e *Engine) inheritedMissing(m *Member, now time.Time) {
 	m.missing = true
-	if m.Run.unseenWorker() {
-		return
-	}
-	g := m.Run.Group
-	if g.Job.Cancelled || g.Job.Record.Phase.Final() || g.record().Done || g.record().FailedRun == m.Run.Number ||
-		m.Run.stopReason != "" || !m.Run.brokenAt.IsZero() || !e.usable(m.Worker, now) || m.Worker.overcommitted() {
+	switch {
+	case !m.Run.wanted():
 		e.endMember(m, Void, "", now)
-		return
+	case m.Run.unseenWorker():
+	case !e.mayStartOn(m.Worker, now) || m.Worker.overcommitted():
+		e.endMember(m, Void, "", now)
+	default:
+		e.orderStart(m, now)
 	}
-	e.orderStart(m, now)
+}
+
+// wanted reports whether tasks of the run may still start: it is neither done, broken nor being stopped, and its job is open.
+func (r *Run) wanted() bool {
+	j := r.Group.Job
+	return !j.Cancelled && !j.Record.Phase.Final() && !r.Group.record().Done && !r.broken() && r.stopReason == ""
 }
 
 // unseenWorker reports whether the listing of a member's worker is still awaited: it may show that the gang has ended.
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -182,6 +182,11 @@
 	Lost
 )
 
+// broken reports whether a member has ended without success, under this owner or, as the record of a failure shows, an earlier one.
+func (r *Run) broken() bool {
+	return !r.brokenAt.IsZero() || r.Group.record().FailedRun == r.Number
+}
+
 // Member is one task of a run, on one worker.
 type Member struct {
 	Run    *Run
@@ -210,6 +215,8 @@
 	heldReported bool
 	// missing is true if the worker's listing did not show the inherited member.
 	missing bool
+	// settledAt is when a stop by an earlier owner has certainly taken effect; zero for members that this owner started.
+	settledAt time.Time
 	// progressedAt is when Percent last changed.
 	progressedAt time.Time
 	// rate is the last measured progress in percent per second, and rateUnused is true until it was used; the next
@@ -312,6 +319,9 @@
 			run.Members = append(run.Members, m)
 			w.attach(m)
 		}
+		if g.suspected() {
+			run.beginProbation()
+		}
 	}
 }
 
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -213,12 +213,12 @@
 		if !preemptible(j, g.Job) {
 			continue
 		}
-		budgets := j.disruptionBudgets()
+		budgets := j.disruptionBudgets(now)
 		for _, other := range j.groups {
-			if g.Job.queue.Priority != 0 && !e.cheapToMove(other, g) || !budgets.deduct(other) {
+			if g.Job.queue.Priority != 0 && !e.cheapToMove(other, g) || !budgets.deduct(other, now) {
 				continue
 			}
-			if run := other.Run; run != nil && run.stopReason == "" && run.brokenAt.IsZero() && run.complete() {
+			if run := other.Run; run != nil && run.stopReason == "" && !run.broken() && run.complete() {
 				wasted := wastedCoreSeconds(run, now)
 				list = append(list, victim{run: run, priority: j.queue.Priority, wastedCoreSeconds: wasted, wastePerCore: wasted / other.totalNeed().Cores()})
 			}
