owner: a gang that would not fit any more is restored by a new owner

If the configuration shrinks so that a running job would not fit, and the owner is lost, no owner stops the job or changes its record, which says that it runs, for good. Cause: restoring a running job checked whether it could be accepted now. An owner that sees the change of the configuration has no such check for running jobs. Evidence: the test fails before: the job is not returned to the queue within 40 s of virtual time ("condition not reached: returned to the queue"). Why it works: what the record says to be running is restored as it is; only jobs that wait are checked.

--- a/internal/node/owner/removed_worker_test.go
+++ b/internal/node/owner/removed_worker_test.go
@@ -64,3 +64,20 @@
 		})
 	}
 }
+
+// Guards against a gang that is never stopped: the owner is lost as the configuration shrinks, so that the job would not fit.
+func TestGangThatNoLongerFitsIsStoppedByANewOwner(t *testing.T) {
+	env := newTestEnv(t)
+	a, b := env.instance("a"), env.instance("b")
+	a.submit(job("j", 4, "1h"))
+	env.waitFor("running", func() bool { return len(env.startCounts()) == 4 }, a)
+	next := *env.doc
+	next.Revision++
+	next.DataCentres = []fleet.DataCentreSpec{env.doc.DataCentres[0]}
+	next.DataCentres[0].Racks = slices.Clone(env.doc.DataCentres[0].Racks)
+	next.DataCentres[0].Racks[0].Workers = 3
+	b.conf.Offer(&next, config.FromStore, env.clock.now())
+	a.paused = true
+	a.holder.Abandon()
+	env.waitFor("returned to the queue", func() bool { return b.record("j").Phase == queue.Waiting }, b)
+}
--- a/internal/place/engine/submit.go
+++ b/internal/place/engine/submit.go
@@ -39,12 +39,17 @@
 
 // Submit adds a job to the queue or returns a RefusedError.
 func (e *Engine) Submit(spec queue.Spec, now time.Time) error {
-	if j := e.jobs[spec.Job]; j != nil {
-		return &RefusedError{Job: spec.Job, Problem: "a job of this name exists already"}
-	}
 	if err := e.Check(&spec); err != nil {
 		return err
 	}
+	return e.add(spec, now)
+}
+
+// add adds a job to the queue without a check whether it fits.
+func (e *Engine) add(spec queue.Spec, now time.Time) error {
+	if e.jobs[spec.Job] != nil {
+		return &RefusedError{Job: spec.Job, Problem: "a job of this name exists already"}
+	}
 	j := &queue.Job{Spec: spec, Submitted: now, WaitingSince: now, Slot: -1, Centres: e.centres[spec.Workspace]}
 	e.jobs[spec.Job] = j
 	e.openJobs[spec.Workspace] = append(e.openJobs[spec.Workspace], j)
@@ -54,9 +59,9 @@
 }
 
 // Resume adds a job that already runs, as a new owner does for the jobs that it takes over. One with fewer workers than members is
-// stopped, as the others are no longer configured.
+// stopped, as the others are no longer configured; it may be one that would not fit any more.
 func (e *Engine) Resume(spec queue.Spec, submitted, started time.Time, attempt int, progress time.Duration, workers []int) error {
-	if err := e.Submit(spec, submitted); err != nil {
+	if err := e.add(spec, submitted); err != nil {
 		return err
 	}
 	j := e.jobs[spec.Job]
