term: a watch for cancels ends in time for the next list

Cause: the age of the last list was checked only between watches, and a watch that began shortly before the next list was due waited two seconds more. Why it works: each watch waits at most until the next list is due.

--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -16,8 +16,6 @@
 const (
 	// maxJobAge limits the age of a job, which is computed from the time of day, as that clock may jump.
 	maxJobAge = time.Minute
-	// specWait is how long one watch for new jobs waits.
-	specWait = 2 * time.Second
 	// relistInterval limits how long a cancel can go unnoticed if the watch misses it.
 	relistInterval = 2 * time.Second
 	// scanInterval limits how long a new job can go unnoticed if the watch misses it; the keys read are few and empty.
@@ -149,7 +147,8 @@
 	var after int64
 	var listedAt time.Time
 	for ctx.Err() == nil {
-		if now := t.Now(); now.Sub(listedAt) > relistInterval {
+		now := t.Now()
+		if now.Sub(listedAt) >= relistInterval {
 			upTo, err := t.relist(ctx)
 			if err != nil {
 				pause.For(ctx, jitter(storeRetryDelay/2))
@@ -158,8 +157,10 @@
 			listedAt = now
 			after = upTo
 		}
-		call, done := context.WithTimeout(ctx, specWait+storeTimeout)
-		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, specWait)
+		// The watch ends in time for the next list; its wait is in milliseconds.
+		wait := max(listedAt.Add(relistInterval).Sub(now), time.Millisecond)
+		call, done := context.WithTimeout(ctx, wait+storeTimeout)
+		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, wait)
 		done()
 		var historyGone *store.HistoryError
 		switch {
