owner: a gang that failed on a removed worker runs again

If a member fails on a worker that the configuration has removed, its job neither ends nor runs again. Cause: the failure was reported to the engine only together with the worker to count it against; without one, the engine kept the job as stopping for good. Evidence: the test fails before: the job is not finished within 40 s of virtual time ("condition not reached: finished"). Why it works: without that worker the end is reported as the loss of the attempt, which has the same effect on the job.

--- a/internal/node/owner/gang.go
+++ b/internal/node/owner/gang.go
@@ -231,6 +231,9 @@
 	case haltFailed:
 		if w, ok := t.engine.Fleet.Worker(g.failedOn); ok {
 			t.engine.Failed(g.spec.Job, w, now)
+		} else {
+			// There is no worker to count the failure against, as it is no longer configured.
+			t.engine.Lost(g.spec.Job, g.why, now)
 		}
 	case haltLost:
 		t.engine.Lost(g.spec.Job, g.why, now)
--- a/internal/node/owner/removed_worker_test.go
+++ b/internal/node/owner/removed_worker_test.go
@@ -81,3 +81,24 @@
 	a.holder.Abandon()
 	env.waitFor("returned to the queue", func() bool { return b.record("j").Phase == queue.Waiting }, b)
 }
+
+// Guards against a job that neither ends nor runs again: a member fails on a worker that is no longer configured.
+func TestGangThatFailedOnARemovedWorkerRunsAgain(t *testing.T) {
+	env := newTestEnv(t)
+	size := shape.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128}
+	env.doc.DataCentres[0].Racks = []fleet.RackSpec{{Name: "plv-1", Workers: 2, Resources: size}, {Name: "plv-2", Workers: 2, Resources: size}}
+	for _, name := range []string{"plv-1/0", "plv-2/0"} {
+		env.workers.SetFailing(name, true)
+	}
+	a, b := env.instance("a"), env.instance("b")
+	a.submit(job("j", 2, "8s"))
+	env.waitFor("started", func() bool { return len(env.startCounts()) == 2 }, a)
+	for _, name := range []string{"plv-1/0", "plv-2/0"} {
+		env.workers.SetFailing(name, false)
+	}
+	env.removeRackOf(a.record("j").Workers[0], b)
+	a.paused = true
+	a.holder.Abandon()
+	env.waitFor("finished", func() bool { return b.record("j").Outcome == queue.Finished }, b)
+	env.assertStartedOnce()
+}
