owner: reports of halted gangs are acknowledged once the outcome is recorded

A job that must not run twice is interrupted though it never ran, if the owner is lost between the acknowledgement of the workers' reports and the record of the job's return to the queue. Cause: concludeHalt acknowledged before the record was durable, so a successor found neither the reports nor their effect. Finished gangs were right already. Why it works: the workers keep the reports until the job's record is stored or refused, and until then they don't count as those of an unknown gang. Sessions of removed workers stay as long.

--- a/internal/node/owner/gang.go
+++ b/internal/node/owner/gang.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -213,6 +214,10 @@
 
 func (o *Owner) acknowledge(t *term, g *gang) {
 	delete(t.gangs, g.spec.Job)
+	t.acknowledgeMembers(g)
+}
+
+func (t *term) acknowledgeMembers(g *gang) {
 	for i, name := range g.workers {
 		if s := t.byName[name]; s != nil {
 			s.pendingAcks = append(s.pendingAcks, g.id(i))
@@ -220,10 +225,23 @@
 	}
 }
 
-// concludeHalt reports the outcome of a halted gang to the engine and records it.
+// acknowledgeEnded acknowledges the reports of gangs of the job that had ended before a record of the job was stored or refused.
+func (t *term) acknowledgeEnded(job string, ended []*gang) {
+	t.unrecorded[job] = slices.DeleteFunc(t.unrecorded[job], func(g *gang) bool { return slices.Contains(ended, g) })
+	if len(t.unrecorded[job]) == 0 {
+		delete(t.unrecorded, job)
+	}
+	for _, g := range ended {
+		t.acknowledgeMembers(g)
+	}
+}
+
+// concludeHalt reports the outcome of a halted gang to the engine and records it; the workers keep their reports until it is
+// recorded, as a successor needs them otherwise.
 func (o *Owner) concludeHalt(t *term, g *gang, now time.Time) {
 	progress := g.progress()
-	o.acknowledge(t, g)
+	delete(t.gangs, g.spec.Job)
+	t.unrecorded[g.spec.Job] = append(t.unrecorded[g.spec.Job], g)
 	if g.outcome == haltLost && g.neverRan() {
 		g.outcome = haltStartFailed
 	}
@@ -245,7 +263,11 @@
 	case haltStopped:
 		t.engine.Stopped(g.spec.Job, progress, now)
 	}
-	if j := t.engine.Job(g.spec.Job); j != nil && j.Phase == queue.Waiting {
+	switch j := t.engine.Job(g.spec.Job); {
+	case j == nil:
+		// Nothing will be recorded of a job that the engine does not know.
+		t.acknowledgeEnded(g.spec.Job, []*gang{g})
+	case j.Phase == queue.Waiting:
 		o.returnToQueue(j.Job, j.Attempt, j.Progress)
 	}
 	t.pendingDecision = true
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -114,7 +114,7 @@
 				t.earlyReports = append(t.earlyReports, earlyReport{session: s, status: status})
 				continue
 			}
-			endOrphan(s, status)
+			t.endOrphan(s, status)
 			continue
 		}
 		m := &g.members[status.Member]
@@ -126,9 +126,12 @@
 	}
 }
 
-// endOrphan stops a task that belongs to no gang of this term, or acknowledges it if it has ended.
-func endOrphan(s *session, status worker.Status) {
+// endOrphan stops a task that belongs to no gang of this term, or acknowledges it if it has ended and that is recorded.
+func (t *term) endOrphan(s *session, status worker.Status) {
 	if status.Phase.Ended() {
+		if t.recording(status.TaskID) {
+			return
+		}
 		s.pendingAcks = append(s.pendingAcks, status.TaskID)
 		return
 	}
--- a/internal/node/owner/record.go
+++ b/internal/node/owner/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
@@ -19,9 +20,24 @@
 	maxRecordRetryDelay = 5 * time.Second
 )
 
-// record stores a change in the background and retries until it succeeds or is refused.
+// record stores a change in the background and retries until it succeeds or is refused; then the workers may forget the job's gangs
+// that have ended. The caller holds o.mu.
 func (o *Owner) record(job string, change table.Change[ledger.Record]) {
-	o.spawn(func() { o.persist(job, change) })
+	t := o.term
+	if t == nil {
+		o.spawn(func() { o.persist(job, change) })
+		return
+	}
+	ended := slices.Clone(t.unrecorded[job])
+	o.spawn(func() {
+		o.persist(job, change)
+		if o.callCtx.Err() != nil {
+			return
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		t.acknowledgeEnded(job, ended)
+	})
 }
 
 // persist retries the change until it is stored or refused; it reports whether it was stored.
--- a/internal/node/owner/term.go
+++ b/internal/node/owner/term.go
@@ -37,13 +37,15 @@
 
 // term is the owner's state during one epoch.
 type term struct {
-	epoch           int64
-	startedAt       time.Time
-	revision        int64
-	engine          *engine.Engine
-	sessions        []*session
-	byName          map[string]*session
-	gangs           map[string]*gang
+	epoch     int64
+	startedAt time.Time
+	revision  int64
+	engine    *engine.Engine
+	sessions  []*session
+	byName    map[string]*session
+	gangs     map[string]*gang
+	// unrecorded are the gangs that have ended and whose outcome is being recorded, by job; workers keep their reports until it is.
+	unrecorded      map[string][]*gang
 	earlyReports    []earlyReport
 	generation      int64
 	workersKnown    bool
@@ -73,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &term{epoch: epoch, startedAt: now, engine: e, revision: active.Document.Revision, generation: -1, gangs: make(map[string]*gang)}
+	t := &term{epoch: epoch, startedAt: now, engine: e, revision: active.Document.Revision, generation: -1, gangs: make(map[string]*gang), unrecorded: make(map[string][]*gang)}
 	t.engine.SetPermit(0, false)
 	t.setSessions(now)
 	t.applyDrain(active.Document, o.cfg.Centre, now)
@@ -105,16 +107,26 @@
 	}
 }
 
-// used reports whether a gang has a member on the worker.
+// used reports whether a gang has a member on the worker, or one that has ended there is not recorded yet.
 func (t *term) used(name string) bool {
 	for _, g := range t.gangs {
 		if g.usesWorker(name) {
 			return true
 		}
 	}
+	for _, ended := range t.unrecorded {
+		if slices.ContainsFunc(ended, func(g *gang) bool { return g.usesWorker(name) }) {
+			return true
+		}
+	}
 	return false
 }
 
+// recording reports whether the outcome of the task's attempt is being recorded.
+func (t *term) recording(id worker.TaskID) bool {
+	return slices.ContainsFunc(t.unrecorded[id.Job], func(g *gang) bool { return g.attempt == id.Attempt })
+}
+
 // dropUnconfigured ends the sessions of workers that are no longer configured, whose gangs have ended and whose last orders
 // are delivered.
 func (t *term) dropUnconfigured() {
@@ -197,7 +209,7 @@
 	t.workersKnown = true
 	t.pendingDecision = true
 	for _, f := range t.earlyReports {
-		endOrphan(f.session, f.status)
+		t.endOrphan(f.session, f.status)
 	}
 	t.earlyReports = nil
 	o.cfg.Log.Emit(event.OwnerReady, event.Fields{"dataCentre": o.cfg.Centre, "epoch": t.epoch, "took": now.Sub(t.startedAt).String()})
