term: a job whose record can't be read is not started again

A job whose record can't be decoded, as one of a later release after a roll-back, is taken for a new one: its record is overwritten and its tasks start again, also if they are done (TWICE). Cause: an unreadable record was logged and then treated like none. Why it works: such a job is not loaded by the term, neither from the first list nor from later ones. It stays as it is until an instance that can read the record is the owner; what runs of it is stopped as unknown to the ledger, as before.

--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -73,6 +73,7 @@
 		record, err := work.DecodeRecord(item.Data)
 		if err != nil {
 			t.Log.Emit(event.RecordBad, event.Fields{"key": item.Key, "error": err.Error()})
+			known[job] = nil
 			continue
 		}
 		known[job] = record
@@ -83,8 +84,9 @@
 	return nil
 }
 
-// loadJobs applies the specs of new jobs and cancels; known has the records by earlier owners. Items of an unknown job that are not
-// newer than loadedRevision are skipped: the job has ended and was deleted since they were read. The caller holds t.state.
+// loadJobs applies the specs of new jobs and cancels; known has the records by earlier owners, nil for one that can't be read: its
+// job may have ended, so it is not loaded. Items of an unknown job that are not newer than loadedRevision are skipped: the job was
+// not loaded for that reason, or has ended and was deleted since they were read. The caller holds t.state.
 func (t *term) loadJobs(items []store.Item, known map[string]*work.Record) {
 	now := t.Now()
 	for _, item := range items {
@@ -97,7 +99,8 @@
 			t.cancelJob(job, now)
 			continue
 		}
-		if loaded {
+		record, recorded := known[job]
+		if loaded || recorded && record == nil {
 			continue
 		}
 		spec, err := work.DecodeSpec(item.Data)
@@ -108,10 +111,10 @@
 		spec.Job = job
 		wall := t.WallNow()
 		age := min(max(wall.Sub(spec.Accepted), 0), maxJobAge)
-		j := t.engine.Load(spec, known[job], age, now, wall)
+		j := t.engine.Load(spec, record, age, now, wall)
 		queue := j.Queue()
 		t.Log.Emit(event.JobSeen, event.Fields{
-			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "phase": j.Record.Phase.String(), "steps": spec.Steps, "inherited": j.AliveMembers(),
+			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": recorded, "phase": j.Record.Phase.String(), "steps": spec.Steps, "inherited": j.AliveMembers(),
 			"repeat": spec.Repeat, "priority": queue.Priority, "stretch": queue.Stretch, "target": queue.Target.String(), "token": t.token,
 		})
 		if t.earlyCancels[job] {
