--- a/internal/node/owner/removed_worker_test.go
+++ b/internal/node/owner/removed_worker_test.go
@@ -64,3 +64,41 @@
 		})
 	}
 }
+
+// Guards against a gang that is never stopped: the owner is lost as the configuration shrinks, so that the job would not fit.
+func TestGangThatNoLongerFitsIsStoppedByANewOwner(t *testing.T) {
+	env := newTestEnv(t)
+	a, b := env.instance("a"), env.instance("b")
+	a.submit(job("j", 4, "1h"))
+	env.waitFor("running", func() bool { return len(env.startCounts()) == 4 }, a)
+	next := *env.doc
+	next.Revision++
+	next.DataCentres = []fleet.DataCentreSpec{env.doc.DataCentres[0]}
+	next.DataCentres[0].Racks = slices.Clone(env.doc.DataCentres[0].Racks)
+	next.DataCentres[0].Racks[0].Workers = 3
+	b.conf.Offer(&next, config.FromStore, env.clock.now())
+	a.paused = true
+	a.holder.Abandon()
+	env.waitFor("returned to the queue", func() bool { return b.record("j").Phase == queue.Waiting }, b)
+}
+
+// Guards against a job that neither ends nor runs again: a member fails on a worker that is no longer configured.
+func TestGangThatFailedOnARemovedWorkerRunsAgain(t *testing.T) {
+	env := newTestEnv(t)
+	size := shape.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128}
+	env.doc.DataCentres[0].Racks = []fleet.RackSpec{{Name: "plv-1", Workers: 2, Resources: size}, {Name: "plv-2", Workers: 2, Resources: size}}
+	for _, name := range []string{"plv-1/0", "plv-2/0"} {
+		env.workers.SetFailing(name, true)
+	}
+	a, b := env.instance("a"), env.instance("b")
+	a.submit(job("j", 2, "8s"))
+	env.waitFor("started", func() bool { return len(env.startCounts()) == 2 }, a)
+	for _, name := range []string{"plv-1/0", "plv-2/0"} {
+		env.workers.SetFailing(name, false)
+	}
+	env.removeRackOf(a.record("j").Workers[0], b)
+	a.paused = true
+	a.holder.Abandon()
+	env.waitFor("finished", func() bool { return b.record("j").Outcome == queue.Finished }, b)
+	env.assertStartedOnce()
+}
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -16,8 +16,6 @@
 const (
 	// maxJobAge limits the age of a job, which is computed from the time of day, as that clock may jump.
 	maxJobAge = time.Minute
-	// specWait is how long one watch for new jobs waits.
-	specWait = 2 * time.Second
 	// relistInterval limits how long a cancel can go unnoticed if the watch misses it.
 	relistInterval = 2 * time.Second
 	// scanInterval limits how long a new job can go unnoticed if the watch misses it; the keys read are few and empty.
@@ -75,6 +73,7 @@
 		record, err := work.DecodeRecord(item.Data)
 		if err != nil {
 			t.Log.Emit(event.RecordBad, event.Fields{"key": item.Key, "error": err.Error()})
+			known[job] = nil
 			continue
 		}
 		known[job] = record
@@ -85,8 +84,9 @@
 	return nil
 }
 
-// loadJobs applies the specs of new jobs and cancels; known has the records by earlier owners. Items of an unknown job that are not
-// newer than loadedRevision are skipped: the job has ended and was deleted since they were read. The caller holds t.state.
+// loadJobs applies the specs of new jobs and cancels; known has the records by earlier owners, nil for one that can't be read: its
+// job may have ended, so it is not loaded. Items of an unknown job that are not newer than loadedRevision are skipped: the job was
+// not loaded for that reason, or has ended and was deleted since they were read. The caller holds t.state.
 func (t *term) loadJobs(items []store.Item, known map[string]*work.Record) {
 	now := t.Now()
 	for _, item := range items {
@@ -99,7 +99,8 @@
 			t.cancelJob(job, now)
 			continue
 		}
-		if loaded {
+		record, recorded := known[job]
+		if loaded || recorded && record == nil {
 			continue
 		}
 		spec, err := work.DecodeSpec(item.Data)
@@ -110,10 +111,10 @@
 		spec.Job = job
 		wall := t.WallNow()
 		age := min(max(wall.Sub(spec.Accepted), 0), maxJobAge)
-		j := t.engine.Load(spec, known[job], age, now, wall)
+		j := t.engine.Load(spec, record, age, now, wall)
 		queue := j.Queue()
 		t.Log.Emit(event.JobSeen, event.Fields{
-			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": known[job] != nil, "phase": j.Record.Phase.String(), "steps": spec.Steps, "inherited": j.AliveMembers(),
+			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": recorded, "phase": j.Record.Phase.String(), "steps": spec.Steps, "inherited": j.AliveMembers(),
 			"repeat": spec.Repeat, "priority": queue.Priority, "stretch": queue.Stretch, "target": queue.Target.String(), "token": t.token,
 		})
 		if t.earlyCancels[job] {
@@ -149,7 +150,8 @@
 	var after int64
 	var listedAt time.Time
 	for ctx.Err() == nil {
-		if now := t.Now(); now.Sub(listedAt) > relistInterval {
+		now := t.Now()
+		if now.Sub(listedAt) >= relistInterval {
 			upTo, err := t.relist(ctx)
 			if err != nil {
 				pause.For(ctx, jitter(storeRetryDelay/2))
@@ -158,8 +160,10 @@
 			listedAt = now
 			after = upTo
 		}
-		call, done := context.WithTimeout(ctx, specWait+storeTimeout)
-		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, specWait)
+		// The watch ends in time for the next list; its wait is in milliseconds.
+		wait := max(listedAt.Add(relistInterval).Sub(now), time.Millisecond)
+		call, done := context.WithTimeout(ctx, wait+storeTimeout)
+		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, wait)
 		done()
 		var historyGone *store.HistoryError
 		switch {
