policy: an empty key in the configuration no longer admits calls without a key

What callers saw: once a configuration listed an empty key for a workspace, calls without a Key header were accepted on routes that are not public, as calls of that workspace: they submitted, cancelled and read jobs. Cause: the index of keys held the empty key like any other, and a call without the header looks up the empty key. Fix: the index leaves it out, so no lookup can find it. Before: TestCallWithoutAKeyIsNotAcceptedThoughAnEmptyKeyIsConfigured failed with 'oK != badKey' for the submission; it passes now.

--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -388,3 +388,17 @@
 	assert.Equal(t, reply.Result, admit.Gone)
 	assert.Assert(t, reply.Version > 0)
 }
+
+// Guards against accepting calls without a key: a configuration lists an empty one among a workspace's keys.
+func TestCallWithoutAKeyIsNotAcceptedThoughAnEmptyKeyIsConfigured(t *testing.T) {
+	f := newFixture(t)
+	f.source.keys = []string{"key", ""}
+	f.store.Put(configKey, nil)
+	assert.NilError(t, f.service.Policy.Refresh(t.Context()))
+	keyless := caller()
+	keyless.Key = ""
+	assert.Equal(t, f.service.Submit(t.Context(), keyless, spec()).Result, admit.BadKey)
+	assert.Equal(t, f.service.Cancel(t.Context(), keyless).Result, admit.BadKey)
+	assert.Equal(t, f.service.State(t.Context(), keyless).Result, admit.BadKey)
+	assert.Equal(t, f.service.Submit(t.Context(), caller(), spec()).Result, admit.OK)
+}
--- a/internal/state/policy/policy.go
+++ b/internal/state/policy/policy.go
@@ -54,12 +54,15 @@
 	Read(ctx context.Context) (Snapshot, error)
 }
 
-// Prepare builds the index of keys; it must be called once before Workspace is used.
+// Prepare builds the index of keys; it must be called once before Workspace is used. An empty key is left out, as it is what a
+// call without a key has.
 func (p *Policy) Prepare() {
 	p.byKey = make(map[string]*Workspace)
 	for i := range p.Workspaces {
 		for _, key := range p.Workspaces[i].Keys {
-			p.byKey[key] = &p.Workspaces[i]
+			if key != "" {
+				p.byKey[key] = &p.Workspaces[i]
+			}
 		}
 	}
 }
