group: the index of free workers costs what the workers cost

Cause: the index had a list for each number of free accelerators up to the largest one, and searches walked through all of them. Fix: workers with more than 64 free accelerators share the last list; searches compare each worker's exact room anyway, so placements are the same.

--- a/internal/place/group/bench_test.go
+++ b/internal/place/group/bench_test.go
@@ -24,6 +24,16 @@
 	}
 }
 
+// fullWorkers returns the list of newFullEngine's workers.
+func fullWorkers(count int) []group.WorkerInfo {
+	infos := make([]group.WorkerInfo, count)
+	for i := range infos {
+		infos[i] = group.WorkerInfo{ID: fmt.Sprintf("w%04d", i), Service: "main", DataCentre: fmt.Sprintf("dc%d", i%6), Rack: fmt.Sprintf("r%03d", i/8),
+			Capacity: group.Resources{MilliCores: 32000, MemoryMB: 128000, Accelerators: 8}, Incarnation: 1}
+	}
+	return infos
+}
+
 // newFullEngine returns an engine with full workers and more jobs than fit.
 func newFullEngine(workers, jobs int) (*group.Engine, time.Time) {
 	now := time.Unix(1000, 0)
@@ -33,11 +43,7 @@
 		{Name: planQueue, Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3},
 		{Name: batchQueue, Service: "main", Priority: 2, MaxAttempts: 4, Stretch: 3},
 	}, map[string]int{"alpha": 16}, nil)
-	infos := make([]group.WorkerInfo, workers)
-	for i := range infos {
-		infos[i] = group.WorkerInfo{ID: fmt.Sprintf("w%04d", i), Service: "main", DataCentre: fmt.Sprintf("dc%d", i%6), Rack: fmt.Sprintf("r%03d", i/8),
-			Capacity: group.Resources{MilliCores: 32000, MemoryMB: 128000, Accelerators: 8}, Incarnation: 1}
-	}
+	infos := fullWorkers(workers)
 	e.SetWorkers(infos, now)
 	for _, info := range infos {
 		e.ApplyListing(info.ID, group.Listing{Incarnation: 1}, now, now)
--- a/internal/place/group/find.go
+++ b/internal/place/group/find.go
@@ -41,8 +41,8 @@
 	if f.dataRackOnly {
 		list.addFreeSlots(e, g, f, e.rackByName(g.step().Affinity).workers)
 	} else {
-		for level := g.taskNeed().Accelerators; level < len(e.freeIndex.levels); level++ {
-			list.addFreeSlots(e, g, f, e.freeIndex.levels[level])
+		for _, workers := range e.freeIndex.atLeast(g.taskNeed().Accelerators) {
+			list.addFreeSlots(e, g, f, workers)
 		}
 		slices.SortFunc(list.slots, func(a, b slot) int { return cmp.Compare(a.worker.position, b.worker.position) })
 	}
--- a/internal/place/group/free_index.go
+++ b/internal/place/group/free_index.go
@@ -1,8 +1,19 @@
 package group
 
+// maxFreeLevel is the last level of the index. It is above what one machine has today; workers with more free accelerators share
+// it, so that the index never costs more than the workers do.
+const maxFreeLevel = 64
+
 // freeIndex lists the open workers by their number of free accelerators, so that a search only examines workers that may
 // have room.
-type freeIndex struct{ levels [][]*Worker }
+type freeIndex struct{ levels [maxFreeLevel + 1][]*Worker }
+
+// atLeast returns the lists of workers that may have as many free accelerators.
+func (idx *freeIndex) atLeast(accelerators int) [][]*Worker {
+	return idx.levels[freeLevel(accelerators):]
+}
+
+func freeLevel(accelerators int) int { return min(accelerators, maxFreeLevel) }
 
 func (idx *freeIndex) reset() {
 	for i := range idx.levels {
@@ -11,10 +22,7 @@
 }
 
 func (idx *freeIndex) add(w *Worker) {
-	level := w.freeAccelerators()
-	for len(idx.levels) <= level {
-		idx.levels = append(idx.levels, nil)
-	}
+	level := freeLevel(w.freeAccelerators())
 	w.freeIndex, w.freeIndexLevel, w.freeIndexPosition = idx, level, len(idx.levels[level])
 	idx.levels[level] = append(idx.levels[level], w)
 }
@@ -28,7 +36,7 @@
 
 // reindex updates the worker's entry in the index after its room has changed.
 func (w *Worker) reindex() {
-	if w.freeIndex == nil || w.freeAccelerators() == w.freeIndexLevel {
+	if w.freeIndex == nil || freeLevel(w.freeAccelerators()) == w.freeIndexLevel {
 		return
 	}
 	w.freeIndex.remove(w)
