--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -99,7 +99,7 @@
 	s.Jobs = &admit.Service{
 		Store: options.Store, Policy: s.policy, MaxPolicyAge: options.KeyAge, Log: log, Meter: s.Meter, Now: clock.Now, WallNow: time.Now,
 	}
-	s.workerSizes = &workerSizes{lister: options.Lister, store: options.Store, reads: event.ListReads(log, "workers"), log: log, now: clock.Now}
+	s.workerSizes = &workerSizes{lister: options.Lister, store: options.Store, reads: event.ListReads(log, "workers"), log: log, now: clock.Now, wallNow: time.Now}
 	s.Jobs.UnservableReason = s.workerSizes.unservableReason
 	s.peers = &relay.Peers{Store: options.Store, Self: relay.Peer{Name: options.Instance, Address: options.PeerAddress, DataCentre: options.DataCentre, Cores: options.Cores}, Log: log}
 	client := link.NewClient(nil)
--- a/internal/node/server/worker_sizes.go
+++ b/internal/node/server/worker_sizes.go
@@ -26,7 +26,7 @@
 	maxSizesAge = 5 * time.Second
 )
 
-// workerSizes has the largest capacity that any worker of each service has had, so that jobs with tasks that fit on no worker
+// workerSizes has the largest capacity that any worker of each service has had lately, so that jobs with tasks that fit on no worker
 // are refused when they are submitted.
 type workerSizes struct {
 	lister term.Lister
@@ -35,6 +35,8 @@
 	reads *event.Dependency
 	log   *event.Log
 	now   func() time.Time
+	// wallNow is the time of day, which the stored sizes are compared with.
+	wallNow func() time.Time
 
 	mu      sync.Mutex
 	largest map[string]size
@@ -83,37 +85,23 @@
 	}
 }
 
-// size is the stored form of the largest capacity of a service's workers.
-type size struct {
-	MilliCores   int `json:"milliCores"`
-	MemoryMB     int `json:"memoryMB"`
-	Accelerators int `json:"accelerators"`
-}
-
-// decodeSizes returns the stored sizes; what can't be decoded counts as absent and is replaced.
-func decodeSizes(data []byte) map[string]size {
-	sizes := make(map[string]size)
-	if len(data) > 0 && json.Unmarshal(data, &sizes) != nil {
-		return nil
-	}
-	return sizes
-}
-
-// merge adds the stored sizes and those of a list that was requested at sent, and returns what is to be stored, or nil. Sizes
-// are never removed, as a missing worker may come back and one that has shrunk may grow again.
+// merge adds the stored sizes and those of a list that was requested at sent, and returns what is to be stored, or nil. A size is
+// removed only after sizeRetention, as a missing worker may come back and one that has shrunk may grow again.
 func (s *workerSizes) merge(workers []group.WorkerInfo, stored map[string]size, sent time.Time) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readAt = sent
+	now := s.wallNow().Unix()
 	if s.largest == nil {
 		s.largest = make(map[string]size)
 	}
 	for service, known := range stored {
 		s.largest[service] = larger(s.largest[service], known)
 	}
-	for _, w := range workers {
-		s.largest[w.Service] = larger(s.largest[w.Service], size(w.Capacity))
+	for service, known := range s.largest {
+		s.largest[service] = known.recent(now)
 	}
+	s.addListed(workers, now)
 	if maps.Equal(s.largest, stored) {
 		return nil
 	}
@@ -124,11 +112,18 @@
 	return data
 }
 
-// larger returns the larger value of each field.
-func larger(a, b size) size {
-	return size{
-		MilliCores: max(a.MilliCores, b.MilliCores), MemoryMB: max(a.MemoryMB, b.MemoryMB), Accelerators: max(a.Accelerators, b.Accelerators),
+// addListed adds the sizes of the listed workers, and removes the services of which nothing is left. The caller holds s.mu.
+func (s *workerSizes) addListed(workers []group.WorkerInfo, now int64) {
+	listed := make(map[string]bool)
+	for _, w := range workers {
+		known, ok := s.largest[w.Service]
+		if !ok && len(s.largest) >= maxServices {
+			continue
+		}
+		listed[w.Service] = true
+		s.largest[w.Service] = larger(known, sizeOf(w.Capacity, now))
 	}
+	maps.DeleteFunc(s.largest, func(service string, z size) bool { return !listed[service] && z.resources() == group.Resources{} })
 }
 
 // unservableReason returns why no worker of the service can run the job's tasks, or an empty string. It reads the list again
@@ -156,8 +151,8 @@
 	}
 	for i, step := range spec.Steps {
 		need := group.Resources{MilliCores: step.MilliCores, MemoryMB: step.MemoryMB, Accelerators: step.Accelerators}
-		if need.Count(group.Resources(largest), 1) == 0 {
-			return fmt.Sprintf("a task of step %d needs %+v, and the largest worker has %+v", i, need, largest), age
+		if need.Count(largest.resources(), 1) == 0 {
+			return fmt.Sprintf("a task of step %d needs %+v, and the largest worker has %+v", i, need, largest.resources()), age
 		}
 	}
 	return "", age
--- a/internal/node/server/worker_sizes_test.go
+++ b/internal/node/server/worker_sizes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -34,7 +35,8 @@
 
 // newSizes returns the sizes as known to an instance that has just started.
 func newSizes(lister *countingLister, kvStore store.Transactor, now *time.Time) *workerSizes {
-	return &workerSizes{lister: lister, store: kvStore, reads: event.ListReads(event.Discard(), "workers"), log: event.Discard(), now: func() time.Time { return *now }}
+	clock := func() time.Time { return *now }
+	return &workerSizes{lister: lister, store: kvStore, reads: event.ListReads(event.Discard(), "workers"), log: event.Discard(), now: clock, wallNow: clock}
 }
 
 func TestTaskLargerThanAnyWorkerIsUnservable(t *testing.T) {
@@ -94,3 +96,72 @@
 	now = now.Add(maxSizesAge + time.Second)
 	assert.Equal(t, s.unservableReason(t.Context(), "main", needing(8)), "")
 }
+
+// Guards against jobs that are too large for any worker and yet accepted for ever, as one odd entry has said otherwise: sizes that
+// are out of bounds count as absent, and others are forgotten, also after a restart.
+func TestSizeOfAnOddEntryIsForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	kvStore := fake.NewTransactor()
+	kvStore.Put(work.SizesKey, []byte(`{"main":{"milliCores":1,"memoryMB":1,"accelerators":20000000}}`))
+	listed := &countingLister{workers: append(sized(8), sized(1000)...)}
+	s := newSizes(listed, kvStore, &now)
+	assert.Assert(t, s.read(t.Context()))
+	assert.Equal(t, s.unservableReason(t.Context(), "main", needing(1000)), "")
+	assert.Assert(t, s.unservableReason(t.Context(), "main", needing(1001)) != "", "the stored size is out of bounds")
+	listed.workers = sized(8)
+	for range 26 {
+		now = now.Add(time.Hour)
+		assert.Assert(t, s.read(t.Context()))
+	}
+	assert.Assert(t, s.unservableReason(t.Context(), "main", needing(9)) != "")
+	started := newSizes(listed, kvStore, &now)
+	assert.Assert(t, started.read(t.Context()))
+	assert.Equal(t, started.unservableReason(t.Context(), "main", needing(8)), "")
+	assert.Assert(t, started.unservableReason(t.Context(), "main", needing(9)) != "")
+}
+
+// Guards against forgetting a size that workers have had within a day, and against a write at each read.
+func TestSizesAreKeptForADayAndSeldomWritten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	kvStore := fake.NewTransactor()
+	listed := &countingLister{workers: sized(8)}
+	s := newSizes(listed, kvStore, &now)
+	writes, last := 0, int64(0)
+	read := func(hours int) {
+		for range hours * 60 {
+			now = now.Add(time.Minute)
+			assert.Assert(t, s.read(t.Context()))
+			item, err := kvStore.Item(t.Context(), work.SizesKey)
+			assert.NilError(t, err)
+			if item.Revision != last {
+				writes, last = writes+1, item.Revision
+			}
+		}
+	}
+	read(48)
+	assert.Assert(t, writes <= 49, "%d writes", writes)
+	listed.workers = sized(2)
+	read(22)
+	assert.Equal(t, s.unservableReason(t.Context(), "main", needing(8)), "")
+}
+
+// Guards against a stored value that grows with each service that an odd entry names.
+func TestServicesOfOddEntriesAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	kvStore := fake.NewTransactor()
+	listed := &countingLister{}
+	for i := range 10 * maxServices {
+		w := sized(8)[0]
+		w.Service = fmt.Sprint("odd-", i)
+		listed.workers = append(listed.workers, w)
+	}
+	s := newSizes(listed, kvStore, &now)
+	assert.Assert(t, s.read(t.Context()))
+	assert.Equal(t, len(s.largest), maxServices)
+	listed.workers = sized(8)
+	for range 2 {
+		now = now.Add(sizeRetention + time.Second)
+		assert.Assert(t, s.read(t.Context()))
+	}
+	assert.Equal(t, len(s.largest), 1)
+}
