work: needs, estimates and limits of jobs are bounded

What callers saw: a job whose tasks need close to the largest integer counted as needing nothing, as the sum over its tasks overflows, and so as within its workspace's guarantee; a first turn in a year that JSON can't hold was refused with 503, as if a later try could succeed; estimates of centuries overflow in a job's objective. Cause: Spec.Check looked at signs only. Fix: work.Max… bound the needs of a task (and, with the same constants, what a worker may have); larger ones are refused, as no worker could ever run them. Estimates are rough and limits above the number of tasks have no effect, so both count as the bound, also in stored jobs; the critical path is bounded, too.

--- a/internal/node/server/stored_sizes.go
+++ b/internal/node/server/stored_sizes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/work"
 )
 
 const (
@@ -40,7 +41,7 @@
 // valid reports whether a worker may have the size.
 func (z size) valid() bool {
 	return min(z.MilliCores, z.MemoryMB, z.Accelerators) >= 0 &&
-		z.MilliCores <= group.MaxMilliCores && z.MemoryMB <= group.MaxMemoryMB && z.Accelerators <= group.MaxAccelerators
+		z.MilliCores <= work.MaxMilliCores && z.MemoryMB <= work.MaxMemoryMB && z.Accelerators <= work.MaxAccelerators
 }
 
 // decodeSizes returns the stored sizes; what can't be decoded or is out of bounds counts as absent and is replaced.
--- a/internal/place/group/room.go
+++ b/internal/place/group/room.go
@@ -1,13 +1,5 @@
 package group
 
-// The most that one worker may have: several times what one machine has today, and so little that sums over a million workers
-// don't overflow.
-const (
-	MaxMilliCores   = 64_000_000
-	MaxMemoryMB     = 1 << 28
-	MaxAccelerators = 1024
-)
-
 // Resources is an amount of cores, memory and accelerators: what a task needs or a worker has.
 type Resources struct {
 	MilliCores   int
--- a/internal/state/work/spec.go
+++ b/internal/state/work/spec.go
@@ -64,6 +64,16 @@
 	MaxPayloadBytes = 4000
 	MaxSteps        = 200
 	MaxTasks        = 20000
+	// MaxMilliCores, MaxMemoryMB and MaxAccelerators bound the needs of one task and what one worker may have: several times what one
+	// machine has today, and so little that no sum over MaxTasks tasks or a million workers overflows.
+	MaxMilliCores   = 64_000_000
+	MaxMemoryMB     = 1 << 28
+	MaxAccelerators = 1024
+	// MaxEstimate bounds a step's estimate, and MaxCriticalPath the time of the longest chain of steps; longer ones count as these.
+	MaxEstimate     = 30 * 24 * time.Hour
+	MaxCriticalPath = 10 * MaxEstimate
+	// maxYear is the last year that the stored form can hold.
+	maxYear = 9999
 	// maxRepeatSpan bounds the time from a job's first occurrence to its last, well below the range of time.Duration.
 	maxRepeatSpan = 100 * 365 * 24 * time.Hour
 )
@@ -78,6 +88,17 @@
 	return &Problem{Text: fmt.Sprintf(format, args...)}
 }
 
+// Bound replaces estimates and limits that are out of bounds by the nearest bound: an estimate is rough, and no limit above the
+// number of tasks has an effect.
+func (s *Spec) Bound() {
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		step.Estimate = min(step.Estimate, MaxEstimate)
+		step.MaxPerWorker = min(step.MaxPerWorker, MaxTasks)
+		step.MaxUnavailable = min(step.MaxUnavailable, MaxTasks)
+	}
+}
+
 // Check returns a Problem if the spec is invalid or exceeds a limit.
 func (s *Spec) Check() error {
 	if len(s.Payload) > MaxPayloadBytes {
@@ -92,6 +113,9 @@
 		if step.Count < 1 || step.MilliCores < 0 || step.MemoryMB < 0 || step.Accelerators < 0 || step.MaxPerWorker < 0 || step.MaxUnavailable < 0 || step.Estimate < 0 {
 			return problem("step %d needs a count of at least 1, and no size may be negative", i)
 		}
+		if step.MilliCores > MaxMilliCores || step.MemoryMB > MaxMemoryMB || step.Accelerators > MaxAccelerators {
+			return problem("step %d needs more than %d millicores, %d MB or %d accelerators for a task", i, MaxMilliCores, MaxMemoryMB, MaxAccelerators)
+		}
 		for _, earlier := range step.After {
 			if earlier < 0 || earlier >= i {
 				return problem("step %d comes after step %d, which is not an earlier one", i, earlier)
@@ -112,6 +136,9 @@
 	if s.Repeat.Count < 1 || s.Repeat.Interval < 0 {
 		return problem("%d turns, %s apart; at least one is needed, and time goes forward", s.Repeat.Count, s.Repeat.Interval)
 	}
+	if year := s.Repeat.Start.Year(); year < 0 || year > maxYear {
+		return problem("the first turn is in the year %d; 0 to %d are allowed", year, maxYear)
+	}
 	if s.Repeat.Interval > maxRepeatSpan/time.Duration(s.Repeat.Count) {
 		return problem("%d turns, %s apart, would take longer than %s", s.Repeat.Count, s.Repeat.Interval, maxRepeatSpan)
 	}
@@ -143,13 +170,15 @@
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, fmt.Errorf("job: stored spec: %w", err)
 	}
+	s.Bound()
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
-// CriticalPath returns the estimated run time of the critical path, the longest chain of dependent steps.
+// CriticalPath returns the estimated run time of the critical path, the longest chain of dependent steps, at most
+// MaxCriticalPath.
 func (s *Spec) CriticalPath() time.Duration {
 	longest := time.Duration(0)
 	finish := make([]time.Duration, len(s.Steps))
@@ -157,7 +186,7 @@
 		for _, earlier := range step.After {
 			finish[i] = max(finish[i], finish[earlier])
 		}
-		finish[i] += step.Estimate
+		finish[i] = min(finish[i]+step.Estimate, MaxCriticalPath)
 		longest = max(longest, finish[i])
 	}
 	return longest
--- a/internal/state/work/spec_test.go
+++ b/internal/state/work/spec_test.go
@@ -25,3 +25,46 @@
 		assert.Equal(t, spec.Check() == nil, c.ok, c.name)
 	}
 }
+
+// Guards against sums that overflow: a job whose tasks need close to the largest integer counted as needing nothing, which is within
+// any guarantee.
+func TestNeedsThatNoWorkerCanHaveAreRefused(t *testing.T) {
+	for _, step := range []work.Step{
+		{Count: 16, Accelerators: 1 << 60}, {Count: 2, MilliCores: math.MaxInt}, {Count: 3, MemoryMB: math.MaxInt/2 + 1},
+		{Count: 1, Accelerators: work.MaxAccelerators + 1},
+	} {
+		spec := &work.Spec{Steps: []work.Step{step}}
+		assert.ErrorContains(t, spec.Check(), "step 0 needs more than", "%+v", step)
+	}
+	largest := work.Step{Count: work.MaxTasks, MilliCores: work.MaxMilliCores, MemoryMB: work.MaxMemoryMB, Accelerators: work.MaxAccelerators}
+	assert.NilError(t, (&work.Spec{Steps: []work.Step{largest}}).Check())
+}
+
+// Guards against objectives that overflow, also those of stored jobs: estimates count up to a bound, and so does their longest chain.
+func TestEstimatesOfStoredJobsAreBounded(t *testing.T) {
+	spec := &work.Spec{Job: "5c0e7a21d94b36f8"}
+	for i := range work.MaxSteps {
+		step := work.Step{Count: 1, Estimate: math.MaxInt64, MaxPerWorker: math.MaxInt, MaxUnavailable: math.MaxInt}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	data, err := spec.Encode()
+	assert.NilError(t, err)
+	stored, err := work.DecodeSpec(data)
+	assert.NilError(t, err)
+	assert.Equal(t, stored.CriticalPath(), work.MaxCriticalPath)
+	assert.Equal(t, stored.Steps[0].Estimate, work.MaxEstimate)
+	assert.Equal(t, stored.Steps[0].MaxPerWorker, work.MaxTasks)
+	assert.Equal(t, stored.Steps[0].MaxUnavailable, work.MaxTasks)
+}
+
+// Guards against jobs that are refused as if the store were down, so that their callers try again for ever: the time of their first
+// turn can't be stored.
+func TestTurnsInAYearThatCannotBeStoredAreRefused(t *testing.T) {
+	for _, ms := range []int64{math.MinInt64, math.MaxInt64, 253402300800000 + 86400000} {
+		spec := &work.Spec{Steps: []work.Step{{Count: 1}}, Repeat: &work.Repeat{Count: 2, Start: time.UnixMilli(ms), Interval: time.Second}}
+		assert.ErrorContains(t, spec.Check(), "in the year")
+	}
+}
