platform: one odd route or tenant no longer hides the rest of a configuration

What callers saw: with one field of another type in one route, the whole version had no effect; withdrawn keys stayed accepted and new routes were refused until the next version. Numbers out of bounds were used: negative timeouts and stretches, targets of 292 years (a multiple overflows), guarantees below zero. Weighed: keeping the last good version as a whole would keep withdrawn keys, which must go in a stated time; a route left out is refused with 404, as if it had been removed, and its jobs run on under the settings that the owner last saw. So each route and tenant is decoded on its own, an odd one is left out, and a number out of bounds counts as the nearest bound. A document that is no JSON object, or whose version or lists are of another type, still leaves the last good one. Each odd value is logged with its place (routes[3].stretch), at most 20 lines a revision, and counted as partsIgnored; an empty key is among them.

--- a/internal/kern/event/event.go
+++ b/internal/kern/event/event.go
@@ -77,7 +77,7 @@
 	SubstituteChosen = define(418, "substituteChosen", log.InfoLevel, "An instance of another data centre was chosen as its lease proxy: it may extend the leases there on the owner's behalf.")
 	RackListed       = define(419, "rackListed", log.InfoLevel, "The workers of one rack and service that a new owner has found in the list; `milliCores`, `memoryMB` and `accelerators` are those of the first worker.")
 	PolicyInForce    = define(510, "policyInForce", log.InfoLevel, "A newer configuration became active on this instance, or the set of evacuated data centres changed.")
-	PolicyBad        = define(511, "policyBad", log.ErrorLevel, "A stored configuration or list entry could not be decoded or is out of bounds; logged once for each revision of its `key`. `field` and `value` (shortened) are what was found, `action` what was done: `entryRefused` (the worker gets nothing new; what runs there runs on) or `configKept` (the last good configuration stays active).")
+	PolicyBad        = define(511, "policyBad", log.ErrorLevel, "A stored configuration or list entry could not be decoded or is out of bounds; logged once for each revision of its `key`, at most 20 lines. `field` and `value` (shortened) are what was found, `action` what was done: `entryRefused` (the worker gets nothing new; what runs there runs on) `configKept` (the last good configuration stays active) or `partsIgnored` (the rest of the configuration became active; a number out of bounds counts as the nearest bound).")
 	RecordBad        = define(603, "recordBad", log.ErrorLevel, "A stored value could not be decoded; it was left unchanged.")
 )
 
