--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test ci local bench-capacity regress
+.PHONY: build test fuzz ci local bench-capacity regress
 
 build:
 	go build -o bin/ ./cmd/...
@@ -7,6 +7,10 @@
 test:
 	tools/test.sh
 
+# Ten minutes for each fuzz target; FUZZTIME=20s is a short run.
+fuzz:
+	tools/fuzz.sh $(FUZZTIME)
+
 ci:
 	bash .ci/run
 
