group: an end that is listed after its run was given up counts

An expired lease shows that a run can't go on, not that it had not ended before. Why it works: an exit done of any run that was ordered for the task marks its group as done, whoever ordered it; a later run is stopped, and the exit is acknowledged once that is durable.

--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -59,9 +59,7 @@
 		}
 		w.LastExit = entry.Number
 		delete(w.orphans, runKey{entry.Task, entry.Run})
-		if m := w.members[runKey{entry.Task, entry.Run}]; m != nil {
-			e.endMember(m, entry.Status, entry.Checkpoint, now)
-			j := m.Run.Group.Job
+		if j := e.applyExit(w, entry, now); j != nil {
 			w.pendingExits = append(w.pendingExits, pendingExit{exitNumber: entry.Number, job: j, requiredChanges: j.changes})
 		}
 		e.workersWithExits[w] = true
@@ -73,6 +71,19 @@
 	e.applyMissing(w, list.Running, sentAt, now)
 }
 
+// applyExit applies an exit, and returns the job whose record it may have changed, or nil if there is none.
+func (e *Engine) applyExit(w *Worker, entry ExitEntry, now time.Time) *Job {
+	m := w.members[runKey{entry.Task, entry.Run}]
+	if m == nil {
+		if entry.Status == Done {
+			return e.applyLateSuccess(w, entry, now)
+		}
+		return nil
+	}
+	e.endMember(m, entry.Status, entry.Checkpoint, now)
+	return m.Run.Group.Job
+}
+
 // applyRunning compares the running tasks that the worker reports with its members, and stops orphans.
 func (e *Engine) applyRunning(w *Worker, running []RunningEntry, now time.Time) {
 	for _, entry := range running {
@@ -343,19 +354,24 @@
 	}
 }
 
-// recordSuccess marks the member's task group as done, and completes the job once all its task groups are.
+// recordSuccess marks the member's task group as done.
 func (e *Engine) recordSuccess(m *Member, now time.Time) {
 	g := m.Run.Group
-	rec := g.record()
-	if rec.Done || g.step().LongRunning {
+	if g.record().Done || g.step().LongRunning {
 		return
 	}
-	rec.Done = true
-	j := g.Job
-	e.emit(Decision{
-		Kind: RunDone, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number, Took: now.Sub(m.Run.PlannedAt), Estimate: g.step().Estimate,
+	e.recordDone(g, Decision{
+		Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number, Took: now.Sub(m.Run.PlannedAt), Estimate: g.step().Estimate,
 		Overdue: m.overdue(now), Speed: m.Run.slowestSpeed(),
-	})
+	}, now)
+}
+
+// recordDone marks the task group as done and logs the decision, and completes the job once all its task groups are done.
+func (e *Engine) recordDone(g *Group, d Decision, now time.Time) {
+	j := g.Job
+	g.record().Done = true
+	d.Kind, d.Job = RunDone, j.ID()
+	e.emit(d)
 	g.occ.unfinished[g.Step]--
 	if slices.ContainsFunc(j.occurrences, func(occ *occurrence) bool { return !occ.done() }) {
 		return
