term: one decision serves a notification and a tick that are due at once

Which of the two the select took first decided at random whether the decision came at once or after the batch delay, so a run in virtual time could not be repeated exactly. Random delays go through a variable that tests replace, for the same reason. Callers see no difference: the decision serves both in either case.

--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -265,8 +265,8 @@
 	return nil
 }
 
-// jitter returns a random delay, uniform between zero and twice the mean.
-func jitter(mean time.Duration) time.Duration {
+// jitter returns a random delay, uniform between zero and twice the mean; tests replace it.
+var jitter = func(mean time.Duration) time.Duration {
 	return time.Duration(rand.Int64N(int64(2 * mean)))
 }
 
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -223,10 +223,21 @@
 			pause.For(ctx, t.batchDelay())
 		case <-ticker.C:
 		}
+		// One decision serves all that is due, whichever came first.
+		takeIfDue(t.pendingDecision)
+		takeIfDue(ticker.C)
 		t.decide(ctx)
 	}
 }
 
+// takeIfDue takes a value from the channel if there is one.
+func takeIfDue[T any](c <-chan T) {
+	select {
+	case <-c:
+	default:
+	}
+}
+
 // batchDelay returns how long to wait for further changes: twice the duration of the last decision, within limits.
 func (t *term) batchDelay() time.Duration {
 	t.state.Lock()
