term: no decision once the term has ended

A term that was stopped while it collected changes still made a decision, or not, as a select took it: with both due the choice is random.

--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -226,6 +226,9 @@
 		// One decision serves all that is due, whichever came first.
 		takeIfDue(t.pendingDecision)
 		takeIfDue(ticker.C)
+		if ctx.Err() != nil {
+			return
+		}
 		t.decide(ctx)
 	}
 }
