Handovers of small worlds: the owner is lost at each step

The real terms of two instances run in virtual time against the world's store and workers. At each call of the owner it is killed before or after, with the call executed late, stopped with grace or cut off from the workers; -explore.all adds calls that are unanswered, refused or late, cuts from the store, from both, and delays.

Red, and listed: the probation of a suspected task does not survive a handover.

--- /dev/null
+++ b/internal/node/term/explore_world_test.go
@@ -0,0 +1,67 @@
+package term_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/lentildeck/lentildeck/internal/node/term"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against explorations that can't be repeated: two runs of one world with the same faults are the same.
+func TestWorldsRepeatExactly(t *testing.T) {
+	defer term.WithoutJitter()()
+	for name := range scenarios {
+		assert.Equal(t, play(t, name, nil).digest(), play(t, name, nil).digest(), "%s", name)
+	}
+	for seed := range *exploreSeeds / 3 {
+		name, faults := randomFaults(seed, allScenarios())
+		first, second := play(t, name, faults).digest(), play(t, name, faults).digest()
+		assert.Check(t, first == second, "seed %d: %s %v", seed, name, faults)
+	}
+}
+
+func allScenarios() []string { return slices.Sorted(maps.Keys(scenarios)) }
+
+// Guards against handovers that go wrong only after several faults. By hand, for more seeds:
+// go test ./internal/node/term -run TestSeveralFaultsInASmallWorld -explore.first 1000 -explore.seeds 20000
+func TestSeveralFaultsInASmallWorld(t *testing.T) {
+	exploreRandomly(t, slices.DeleteFunc(allScenarios(), func(name string) bool { return name == "suspects" }))
+}
+
+// Guards against a probation that is forgotten after several faults.
+func TestSeveralFaultsAroundASuspect(t *testing.T) { exploreRandomly(t, []string{"suspects"}) }
+
+// Guards against tasks of a cancelled job that run on after a handover.
+func TestHandoverAtEachStepOfACancel(t *testing.T) { explore(t, "cancel") }
+
+// Guards against members of a cancelled gang that run on after a handover.
+func TestHandoverAtEachStepOfACancelledGang(t *testing.T) { explore(t, "cancelled gang") }
+
+// Guards against gangs of which a part runs alone, twice or never after a handover.
+func TestHandoverAtEachStepOfAGang(t *testing.T) { explore(t, "gang") }
+
+// Guards against failures that a handover counts twice or forgets.
+func TestHandoverAtEachStepOfAFailure(t *testing.T) { explore(t, "failure") }
+
+// Guards against tasks that run on after a handover though another one has failed their job.
+func TestHandoverAtEachStepOfAFailureBesideRunningTasks(t *testing.T) { explore(t, "failure beside") }
+
+// Guards against starts in an evacuated data centre after a handover.
+func TestHandoverAtEachStepOfAnEvacuation(t *testing.T) { explore(t, "evacuation") }
+
+// Guards against starts on a draining worker after a handover, and runs there that are lost or started twice.
+func TestHandoverAtEachStepOfADrain(t *testing.T) { explore(t, "drain") }
+
+// Guards against preempted runs that go on or are lost after a handover.
+func TestHandoverAtEachStepOfAPreemption(t *testing.T) { explore(t, "preemption") }
+
+// Guards against a task that crashes its workers beyond its budget, as a handover forgets crashes.
+func TestHandoverAtEachStepOfADeadlyTask(t *testing.T) { explore(t, "deadly") }
+
+// Guards against tasks placed beside one that may crash its worker, as a handover forgets its probation.
+func TestHandoverAtEachStepOfASuspect(t *testing.T) { explore(t, "suspects") }
+
+// Guards against two runs of a task, or none, when its worker restarts around a handover.
+func TestHandoverAtEachStepOfAWorkerRestart(t *testing.T) { explore(t, "restart") }
--- a/internal/proof/world/call.go
+++ b/internal/proof/world/call.go
@@ -116,7 +116,7 @@
 		return
 	}
 	c.step = len(w.steps)
-	w.steps = append(w.steps, Step{At: now.Sub(w.began), Process: p.name, Owner: p.owns() || p.acquiring(c.name), Name: c.name, State: w.stateHash(c)})
+	w.steps = append(w.steps, Step{At: now.Sub(w.began), Process: p.name, Owner: p.owns() || p.acquiring(c.name), Name: c.name, State: w.stateHash(p)})
 	fault := w.cfg.Faults[c.step]
 	if fault != NoFault {
 		w.notef("step %d, %s: fault %s", c.step, c.name, fault)
@@ -202,10 +202,10 @@
 	return one.incarnation
 }
 
-// stateHash identifies the call and what the store and the workers hold, without times and revisions.
-func (w *World) stateHash(c *call) uint64 {
+// stateHash identifies what the store and the workers hold as the process makes a call, without times and revisions.
+func (w *World) stateHash(p *Process) uint64 {
 	h := fnv.New64a()
-	fmt.Fprintln(h, c.from.name, c.from.owns(), c.name)
+	fmt.Fprintln(h, p.name, p.owns())
 	for _, line := range w.checks.records() {
 		fmt.Fprintln(h, line)
 	}
--- a/internal/proof/world/process.go
+++ b/internal/proof/world/process.go
@@ -49,7 +49,7 @@
 func (p *Process) Name() string { return p.name }
 
 // Note adds a line of the process to the journal.
-func (p *Process) Note(text string) { p.world.Note(p.name + " " + text) }
+func (p *Process) Note(text string) { p.world.log(p.name + " " + text) }
 
 // Read returns the configuration.
 func (p *Process) Read(ctx context.Context) (policy.Snapshot, error) {
--- a/internal/proof/world/worker.go
+++ b/internal/proof/world/worker.go
@@ -117,9 +117,9 @@
 // clock is the reading of the worker's own clock.
 func (o *worker) clock(now time.Time) time.Duration { return now.Sub(o.bootedAt) }
 
-// extend extends the lease up to the deadline on the worker's clock; it never shortens it.
+// extend extends the lease up to the deadline on the worker's clock, which counts milliseconds; it never shortens it.
 func (o *worker) extend(deadline time.Duration, now time.Time) {
-	until := o.bootedAt.Add(min(deadline, o.clock(now)+o.world.cfg.MaxLease))
+	until := o.bootedAt.Add(min(deadline, o.clock(now)+o.world.cfg.MaxLease).Truncate(time.Millisecond))
 	if deadline == 0 || !until.After(o.leaseEnds) {
 		return
 	}
--- a/internal/proof/world/world.go
+++ b/internal/proof/world/world.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -71,7 +70,9 @@
 	evacuated map[string]time.Time
 	tasks     map[string]*task
 	checks    checks
-	journal   []string
+	// effects are the lines of the journal that are not log lines of an instance.
+	effects []string
+	journal []string
 	// calmAt is when the last disturbance ends, as far as known; disturbances counts those that last.
 	calmAt time.Time
 }
@@ -83,7 +84,7 @@
 	Process string
 	Owner   bool
 	Name    string
-	// State identifies the call and what the store and the workers held as it arrived.
+	// State identifies what the store and the workers held as the call arrived.
 	State uint64
 }
 
@@ -241,17 +242,22 @@
 	return slices.Clone(w.journal)
 }
 
-// Note adds a line to the journal.
-func (w *World) Note(text string) {
+// Effects returns one line for each effect on the store, the workers and the network.
+func (w *World) Effects() []string { return w.effects }
+
+// log adds a line to the journal.
+func (w *World) log(text string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.journal = append(w.journal, fmt.Sprintf("%9.4f %s", time.Since(w.began).Seconds(), text))
 }
 
-func (w *World) notef(format string, args ...any) { w.Note(fmt.Sprintf(format, args...)) }
-
-// Trace returns the journal as one text.
-func (w *World) Trace() string { return strings.Join(w.Journal(), "\n") }
+// notef adds an effect.
+func (w *World) notef(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	w.effects = append(w.effects, fmt.Sprintf("%s %s", time.Since(w.began), text))
+	w.log(text)
+}
 
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
