--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -160,8 +160,8 @@
 			listedAt = now
 			after = upTo
 		}
-		// The watch ends in time for the next list; its wait is in milliseconds.
-		wait := max(listedAt.Add(relistInterval).Sub(now), time.Millisecond)
+		// The watch ends when the next list is due. Its wait is in whole milliseconds, rounded up, so that no short one follows.
+		wait := (listedAt.Add(relistInterval).Sub(now) + time.Millisecond - 1).Truncate(time.Millisecond)
 		call, done := context.WithTimeout(ctx, wait+storeTimeout)
 		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, wait)
 		done()
