term: delays before repetitions are passed in

A package variable that tests replaced is now a field of the elector, as the clocks are; nil means random delays, as before. No decision changes; tests of node/term pass.

--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -49,7 +49,7 @@
 		}
 	}
 	if failed {
-		pause.For(ctx, jitter(storeRetryDelay/2))
+		pause.For(ctx, t.jitter(storeRetryDelay/2))
 	}
 	t.state.Lock()
 	t.commitsInFlight--
--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -99,6 +99,8 @@
 	// Now is the monotonic clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
+	// Jitter returns a delay with the given mean before something is tried again; if it is nil, the delays are random.
+	Jitter func(mean time.Duration) time.Duration
 
 	// deferred is true after the free key was left to larger instances once. handedOverAt is when a term was last handed
 	// over to one.
@@ -122,7 +124,7 @@
 	for ctx.Err() == nil {
 		lease, token, sent, err := e.acquire(ctx)
 		if err != nil {
-			pause.For(ctx, jitter(storeRetryDelay))
+			pause.For(ctx, e.jitter(storeRetryDelay))
 			continue
 		}
 		if token == 0 {
@@ -254,7 +256,7 @@
 		cancel()
 		var historyGone *store.HistoryError
 		if errors.As(err, &historyGone) {
-			pause.For(ctx, jitter(storeRetryDelay))
+			pause.For(ctx, e.jitter(storeRetryDelay))
 			return nil
 		}
 		if err != nil || len(changes) > 0 {
@@ -265,8 +267,11 @@
 	return nil
 }
 
-// jitter returns a random delay, uniform between zero and twice the mean; tests replace it.
-var jitter = func(mean time.Duration) time.Duration {
+// jitter returns a random delay, uniform between zero and twice the mean, or what Jitter returns.
+func (e *Elector) jitter(mean time.Duration) time.Duration {
+	if e.Jitter != nil {
+		return e.Jitter(mean)
+	}
 	return time.Duration(rand.Int64N(int64(2 * mean)))
 }
 
--- a/internal/node/term/explore_test.go
+++ b/internal/node/term/explore_test.go
@@ -99,7 +99,7 @@
 				Retention: time.Hour, RemoteFactor: 3,
 			},
 			Log: event.NewLog(&log.Logger{Handler: log.HandlerFunc(note), Level: log.DebugLevel}), Meter: meter.New(t.Name() + access.Name()),
-			Now: now, WallNow: now,
+			Now: now, WallNow: now, Jitter: func(mean time.Duration) time.Duration { return mean },
 		}
 		go func() {
 			refreshed, ended := make(chan struct{}), make(chan struct{})
@@ -183,7 +183,6 @@
 
 // explore plays the scenario once for each fault at each step of the owner from the first submission on.
 func explore(t *testing.T, name string) {
-	defer term.WithoutJitter()()
 	base := play(t, name, nil)
 	report(t, name, nil, base)
 	seen := make(map[string]bool)
@@ -208,7 +207,6 @@
 
 // exploreRandomly plays the scenarios with several faults at random steps.
 func exploreRandomly(t *testing.T, names []string) {
-	defer term.WithoutJitter()()
 	for seed := *exploreFirst; seed < *exploreFirst+*exploreSeeds; seed++ {
 		name, faults := randomFaults(seed, names)
 		report(t, fmt.Sprintf("seed %d, %s", seed, name), faults, play(t, name, faults))
--- a/internal/node/term/explore_world_test.go
+++ b/internal/node/term/explore_world_test.go
@@ -5,13 +5,11 @@
 	"slices"
 	"testing"
 
-	"github.com/lentildeck/lentildeck/internal/node/term"
 	"gotest.tools/v3/assert"
 )
 
 // Guards against explorations that can't be repeated: two runs of one world with the same faults are the same.
 func TestWorldsRepeatExactly(t *testing.T) {
-	defer term.WithoutJitter()()
 	for name := range scenarios {
 		assert.Equal(t, play(t, name, nil).digest(), play(t, name, nil).digest(), "%s", name)
 	}
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -29,7 +29,7 @@
 	for ctx.Err() == nil {
 		if err := t.tryLoad(ctx); err != nil {
 			t.Log.Emit(event.StoreLost, event.Fields{"call": "load", "error": err.Error()})
-			pause.For(ctx, jitter(storeRetryDelay/2))
+			pause.For(ctx, t.jitter(storeRetryDelay/2))
 			continue
 		}
 		t.Log.Emit(event.TermLoaded, event.Fields{"token": t.token, "jobs": len(t.revisions), "took": t.Now().Sub(started).String()})
@@ -154,7 +154,7 @@
 		if now.Sub(listedAt) >= relistInterval {
 			upTo, err := t.relist(ctx)
 			if err != nil {
-				pause.For(ctx, jitter(storeRetryDelay/2))
+				pause.For(ctx, t.jitter(storeRetryDelay/2))
 				continue
 			}
 			listedAt = now
@@ -172,7 +172,7 @@
 			continue
 		case err != nil:
 			listedAt = time.Time{}
-			pause.For(ctx, jitter(storeRetryDelay/2))
+			pause.For(ctx, t.jitter(storeRetryDelay/2))
 			continue
 		}
 		after = upTo
