world: workers that restart between an order and its answer

A mutation that binds a run to the incarnation known to the owner was not caught, as no worker restarted between a start and the next poll. RestartedBefore and RestartedAfter do that at any call to a worker.

--- a/internal/node/term/explore_test.go
+++ b/internal/node/term/explore_test.go
@@ -176,6 +176,8 @@
 	switch f {
 	case world.Unanswered, world.Refused, world.Late, world.KilledLate:
 		return effectOf(step) != "" || step.Name == "renew"
+	case world.RestartedBefore, world.RestartedAfter:
+		return strings.HasPrefix(step.Name, "start") || strings.HasPrefix(step.Name, "stop") || strings.HasPrefix(step.Name, "poll")
 	default:
 		return true
 	}
--- a/internal/node/term/explore_world_test.go
+++ b/internal/node/term/explore_world_test.go
@@ -9,12 +9,17 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against explorations that can't be repeated: two runs of one world with the same faults are the same.
+// Guards against explorations that can't be repeated: two runs of one world are the same.
 func TestWorldsRepeatExactly(t *testing.T) {
 	defer term.WithoutJitter()()
 	for name := range scenarios {
 		assert.Equal(t, play(t, name, nil).digest(), play(t, name, nil).digest(), "%s", name)
 	}
+}
+
+// Guards against explorations that can't be repeated after several faults.
+func TestWorldsRepeatExactlyAfterSeveralFaults(t *testing.T) {
+	defer term.WithoutJitter()()
 	for seed := range *exploreSeeds / 3 {
 		name, faults := randomFaults(seed, allScenarios())
 		first, second := play(t, name, faults).digest(), play(t, name, faults).digest()
--- a/internal/proof/world/call.go
+++ b/internal/proof/world/call.go
@@ -168,9 +168,15 @@
 		c.execute(c, now)
 		return
 	}
+	if fault == RestartedBefore {
+		w.restart(c, now)
+	}
 	if c.execute(c, now) {
 		w.answer(c, now)
 	}
+	if fault == RestartedAfter {
+		w.restart(c, now)
+	}
 }
 
 // answer lets the answer travel back.
--- a/internal/proof/world/check.go
+++ b/internal/proof/world/check.go
@@ -333,10 +333,20 @@
 	return len(w.checks.jobs) == len(w.cfg.Jobs)
 }
 
+// crashedTwice reports whether two workers have crashed under one task of the job, after which it may be given up.
+func (w *World) crashedTwice(job *Job) bool {
+	for name, t := range w.tasks {
+		if t.job == job && w.checks.task(name).crashes >= 2 {
+			return true
+		}
+	}
+	return false
+}
+
 // checkOpen reports the jobs that have not ended, or not as they should have, and what still runs or is listed.
 func (w *World) checkOpen() {
 	for id, j := range w.checks.jobs {
-		mayFail := j.job.FailingRuns > 0 || j.job.CrashAfter > 0
+		mayFail := j.job.FailingRuns > 0 || w.crashedTwice(j.job)
 		switch {
 		case !j.phase.Final():
 			w.breach("LOST", id, "it has not ended: %s", j.phase)
--- a/internal/proof/world/fault.go
+++ b/internal/proof/world/fault.go
@@ -26,6 +26,10 @@
 	CutFromWorkers
 	CutOff
 	Held
+	// RestartedBefore restarts the worker that the call is for just before it is executed, RestartedAfter just after; the answer
+	// comes in both cases.
+	RestartedBefore
+	RestartedAfter
 )
 
 const (
@@ -57,6 +61,14 @@
 	}
 }
 
+// restart ends the worker of the call with all that runs there, and lets it come back under its ID at once.
+func (w *World) restart(c *call, now time.Time) {
+	if o := w.byID[c.worker]; o != nil && o.up {
+		o.crash(0, now)
+		o.boot(now)
+	}
+}
+
 // lose ends the process without grace.
 func (w *World) lose(p *Process, now time.Time) {
 	if p.dead {
--- a/internal/proof/world/fault_enumer.go
+++ b/internal/proof/world/fault_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _FaultName = "noFaultkilledBeforekilledAfterkilledLatestoppedunansweredrefusedlatecutFromStorecutFromWorkerscutOffheld"
+const _FaultName = "noFaultkilledBeforekilledAfterkilledLatestoppedunansweredrefusedlatecutFromStorecutFromWorkerscutOffheldrestartedBeforerestartedAfter"
 
-var _FaultIndex = [...]uint8{0, 7, 19, 30, 40, 47, 57, 64, 68, 80, 94, 100, 104}
+var _FaultIndex = [...]uint8{0, 7, 19, 30, 40, 47, 57, 64, 68, 80, 94, 100, 104, 119, 133}
 
-const _FaultLowerName = "nofaultkilledbeforekilledafterkilledlatestoppedunansweredrefusedlatecutfromstorecutfromworkerscutoffheld"
+const _FaultLowerName = "nofaultkilledbeforekilledafterkilledlatestoppedunansweredrefusedlatecutfromstorecutfromworkerscutoffheldrestartedbeforerestartedafter"
 
 func (i Fault) String() string {
 	if i < 0 || i >= Fault(len(_FaultIndex)-1) {
@@ -36,9 +36,11 @@
 	_ = x[CutFromWorkers-(9)]
 	_ = x[CutOff-(10)]
 	_ = x[Held-(11)]
+	_ = x[RestartedBefore-(12)]
+	_ = x[RestartedAfter-(13)]
 }
 
-var _FaultValues = []Fault{NoFault, KilledBefore, KilledAfter, KilledLate, Stopped, Unanswered, Refused, Late, CutFromStore, CutFromWorkers, CutOff, Held}
+var _FaultValues = []Fault{NoFault, KilledBefore, KilledAfter, KilledLate, Stopped, Unanswered, Refused, Late, CutFromStore, CutFromWorkers, CutOff, Held, RestartedBefore, RestartedAfter}
 
 var _FaultNameToValueMap = map[string]Fault{
 	_FaultName[0:7]:          NoFault,
@@ -65,6 +67,10 @@
 	_FaultLowerName[94:100]:  CutOff,
 	_FaultName[100:104]:      Held,
 	_FaultLowerName[100:104]: Held,
+	_FaultName[104:119]:      RestartedBefore,
+	_FaultLowerName[104:119]: RestartedBefore,
+	_FaultName[119:133]:      RestartedAfter,
+	_FaultLowerName[119:133]: RestartedAfter,
 }
 
 var _FaultNames = []string{
@@ -80,6 +86,8 @@
 	_FaultName[80:94],
 	_FaultName[94:100],
 	_FaultName[100:104],
+	_FaultName[104:119],
+	_FaultName[119:133],
 }
 
 // FaultString retrieves an enum value from the enum constants string name.
--- a/internal/proof/world/worker.go
+++ b/internal/proof/world/worker.go
@@ -46,14 +46,14 @@
 
 // boot begins an incarnation.
 func (o *worker) boot(now time.Time) {
-	o.up, o.incarnation, o.bootedAt = true, now.UnixMilli(), now
+	o.up, o.incarnation, o.bootedAt = true, max(now.UnixMilli(), o.incarnation+1), now
 	o.token, o.highest, o.runs, o.exits, o.lastExit, o.leaseEnds = 0, make(map[string]int), nil, nil, 0, time.Time{}
 	o.world.notef("%s begins as %d", o.ID, o.incarnation)
 }
 
 var errCrashed = errors.New("worker crashed")
 
-// crash ends the worker with all that runs on it, and lets it come back under its ID after a while.
+// crash ends the worker with all that runs on it, and lets it come back under its ID after a while, unless that is zero.
 func (o *worker) crash(down time.Duration, now time.Time) {
 	if !o.up {
 		return
@@ -73,7 +73,9 @@
 		open.call.respond()
 	}
 	o.polls = nil
-	w.schedule(now.Add(down), o.boot)
+	if down > 0 {
+		w.schedule(now.Add(down), o.boot)
+	}
 }
 
 // state describes what the worker holds.
