--- a/internal/place/group/late_success.go
+++ b/internal/place/group/late_success.go
@@ -26,7 +26,7 @@
 	return g.Job
 }
 
-// groupOf returns the task group of the task, or nil if this owner has none.
+// groupOf returns the task group of a task by its name, as taskName makes it, or nil if this owner has none.
 func (e *Engine) groupOf(task string) *Group {
 	parts := strings.Split(task, ".")
 	if len(parts) != 4 {
