--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -237,7 +237,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if cut {
-		r.silent(q, life)
+		r.silent(life, q)
 	}
 	if q.URL.Path == "/health" {
 		w.WriteHeader(200)
@@ -304,13 +304,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	if cut {
-		r.silent(q, life)
+		r.silent(life, q)
 	}
 	reply(w, status, answer)
 }
 
 // silent keeps a call without an answer until its caller gives up.
-func (r *runner) silent(q *http.Request, life context.Context) {
+func (r *runner) silent(life context.Context, q *http.Request) {
 	select {
 	case <-q.Context().Done():
 	case <-life.Done():
