--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -20,11 +20,10 @@
 
 // recorder keeps what was sent, answered and run, and writes it to record.txt.
 type recorder struct {
-	mu    sync.Mutex
-	zero  time.Time
-	file  *os.File
-	runs  []*taskRun
-	quiet bool
+	mu   sync.Mutex
+	zero time.Time
+	file *os.File
+	runs []*taskRun
 	// onStart, if set, is called with each start of a task.
 	onStart func(runner, task string, run int)
 }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -421,18 +421,6 @@
 	return len(r.running)
 }
 
-// runs reports whether a task of the job runs here.
-func (r *runner) runs(job string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, x := range r.running {
-		if strings.HasPrefix(x.task, job+".") {
-			return true
-		}
-	}
-	return false
-}
-
 func (r *runner) set(change func()) {
 	r.mu.Lock()
 	change()
