--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -143,30 +143,6 @@
 	r.store.put("servers/"+r.kind.id, entry)
 }
 
-// crash ends this life: everything on the runner is gone, connections break, nothing is sent.
-func (r *runner) crash() {
-	r.mu.Lock()
-	r.up = false
-	r.kill()
-	for key, x := range r.running {
-		x.ends.Stop()
-		r.rec.ended(r.kind.id, x.task, x.number, "crashed", 0)
-		delete(r.running, key)
-	}
-	conns := r.conns
-	r.conns = map[net.Conn]bool{}
-	server := r.server
-	r.mu.Unlock()
-	for c := range conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
-	}
-	_ = server.Close()
-	r.rec.log("runner %s has crashed", r.kind.id)
-}
-
 func (r *runner) clock() int64 { return time.Since(r.born).Milliseconds() + 1000 }
 
 // extend applies a deadline on the runner's clock to the lease of all that runs here; the lock is held.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -130,12 +130,6 @@
 	s.apply([]write{{Key: key, Value: data}}, nil)
 }
 
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.apply(nil, []string{key})
-}
-
 // owner returns the value of the key "owner", which the instance that decides holds.
 func (s *store) owner() string {
 	s.mu.Lock()
