--- a/review/standin/case_ends.go
+++ b/review/standin/case_ends.go
@@ -12,7 +12,7 @@
 	if err := w.build(fleet()); err != nil {
 		return couldNot, err.Error()
 	}
-	if err := w.submit(tally, jobID, keyA, `{"spec":"for=3500..7000","steps":[{"count":640,"cpu":100,"memMb":150,"estimateMs":5000}]}`); err != nil {
+	if err := w.submit(tally, jobID, keyA, `{"spec":"for=3500..6500","steps":[{"count":640,"cpu":100,"memMb":150,"estimateMs":5000}]}`); err != nil {
 		return couldNot, err.Error()
 	}
 	accepted := time.Now()
@@ -24,15 +24,18 @@
 		}
 	}
 	w.rec.log("%s runs %d tasks", busiest.kind.id, busiest.busy())
+	if busiest.busy() <= listedEnds {
+		return couldNot, "no runner has enough tasks"
+	}
 	if w.trouble {
 		busiest.set(func() { busiest.cut = true })
 		w.rec.log("trouble: %s is cut off from all machines and runs on", busiest.kind.id)
 	}
-	time.Sleep(time.Until(accepted.Add(7900 * time.Millisecond)))
+	time.Sleep(time.Until(accepted.Add(6900 * time.Millisecond)))
 	if w.trouble {
 		busiest.set(func() { busiest.cut = false })
 		busiest.beat()
-		w.rec.log("trouble: the cut of 4.7 s is over")
+		w.rec.log("trouble: the cut of 3.7 s is over")
 	}
 	time.Sleep(12 * time.Second)
 	if problems := w.rec.startedTwice(); len(problems) > 0 {
--- a/review/standin/case_relay.go
+++ b/review/standin/case_relay.go
@@ -55,6 +55,8 @@
 	started, _, _ := w.count(jobID)
 	why := fmt.Sprintf("the client's attempts to hand the job in were answered %v; %d of its tasks started", statuses, started)
 	switch {
+	case w.trouble && !lost.Load():
+		return couldNot, "the trouble did not strike: " + why
 	case rejected && started > 0:
 		return broken, "REFUSED: " + why
 	case !w.trouble && started == 0:
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -66,9 +66,13 @@
 	ended    []end
 	lastEnd  int64
 	acked    int64
-	sequence int
-	changed  chan struct{}
-	state    string
+	// ackLogged is the last acked that was written to the record.
+	ackLogged int64
+	sequence  int
+	changed   chan struct{}
+	state     string
+	// lapseSeen is true once the lapse of the present lease is recorded, or while there was no lease yet.
+	lapseSeen bool
 	// cut is true while no packet passes between the runner and any machine; grey while it fails all that it runs.
 	cut, grey bool
 
@@ -90,7 +94,7 @@
 	}
 	r.addr = listener.Addr().String()
 	r.mu.Lock()
-	r.up, r.born, r.token, r.leaseEnd = true, time.Now(), 0, time.Time{}
+	r.up, r.born, r.token, r.leaseEnd, r.lapseSeen = true, time.Now(), 0, time.Time{}, true
 	r.running, r.highest, r.ended, r.lastEnd, r.acked, r.sequence = map[string]*run{}, map[string]int{}, nil, 0, 0, 0
 	r.changed, r.state, r.conns = make(chan struct{}), "ready", map[net.Conn]bool{}
 	r.life, r.kill = context.WithCancel(context.Background())
@@ -152,7 +156,7 @@
 	}
 	at := time.Now().Add(min(time.Duration(deadlineMs-r.clock())*time.Millisecond, maxHold))
 	if at.After(r.leaseEnd) {
-		r.leaseEnd = at
+		r.leaseEnd, r.lapseSeen = at, false
 	}
 }
 
@@ -162,7 +166,9 @@
 	if !r.up || !time.Now().After(r.leaseEnd) {
 		return
 	}
-	if len(r.running) > 0 {
+	if !r.lapseSeen {
+		// Also with nothing at work: an end that was not taken note of before never counts.
+		r.lapseSeen = true
 		r.rec.lapsed(r.kind.id)
 	}
 	for _, x := range r.running {
@@ -269,9 +275,16 @@
 		r.forget(body.Acked)
 		r.wait(q.Context(), life, time.Duration(min(body.Wait, 2000))*time.Millisecond)
 		r.list(answer)
+		if ends := len(r.ended); ends > 0 || body.Acked > 0 && body.Acked != r.ackLogged {
+			r.ackLogged = body.Acked
+			r.rec.log("hold: %s acked %d, answered: %d running, %d of %d ends listed", r.kind.id, body.Acked, len(r.running), min(ends, listedEnds), ends)
+		}
 	default:
 		status = 400
 	}
+	if q.URL.Path != "/hold" {
+		r.rec.log("order: %s %s task %s run %d (token %d), answered %d %v", r.kind.id, q.URL.Path, body.Task, body.Run, body.Token, status, answer["reason"])
+	}
 	answer["clockMs"], answer["born"] = r.clock(), r.born.UnixMilli()
 	cut = r.cut
 	dead := life.Err() != nil
