--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -44,6 +44,8 @@
 	RunHeld
 	// WorkerReplaced means that another worker has taken the address of one, so what ran there has ended.
 	WorkerReplaced
+	// ExitsPending means that a worker has more exits than it lists at a time, so tasks that it does not list may have ended.
+	ExitsPending
 )
 
 //go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Cause -transform=title-lower
--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -37,7 +37,7 @@
 func (w *Worker) crashEvidence() map[*Member]crashEvidence {
 	evidence := make(map[*Member]crashEvidence)
 	since := latest(w.answeredAt, w.startAckedAt).Add(-crashWindow)
-	heard := w.failedPollSentAt.After(w.answeredAt) && w.unheard <= maxUnheard
+	heard := w.failedPollSentAt.After(w.answeredAt) && w.unheard <= maxUnheard && !w.moreExits
 	for _, m := range w.members {
 		suspect := !m.orderedAt.Before(since)
 		if w.onProbation() {
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -136,6 +136,9 @@
 
 // hangs reports whether the member has made no progress for too long although its worker responds and its gang is complete.
 func (e *Engine) hangs(m *Member, now time.Time) bool {
+	if m.Worker.moreExits {
+		return false
+	}
 	limit := max(e.cfg.HangTimeout, time.Duration(float64(m.Run.Group.step().Estimate)*hangEstimateShare))
 	return m.Run.complete() && m.Percent < 99 && now.Sub(m.progressedAt) > limit && now.Sub(m.Worker.LastSeen) < hangMaxSilence
 }
--- a/internal/place/group/decisionkind_enumer.go
+++ b/internal/place/group/decisionkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestartedworkerCrashedrunHeldworkerReplaced"
+const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestartedworkerCrashedrunHeldworkerReplacedexitsPending"
 
-var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90, 103, 110, 124}
+var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90, 103, 110, 124, 136}
 
-const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestartedworkercrashedrunheldworkerreplaced"
+const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestartedworkercrashedrunheldworkerreplacedexitspending"
 
 func (i DecisionKind) String() string {
 	if i < 0 || i >= DecisionKind(len(_DecisionKindIndex)-1) {
@@ -36,9 +36,10 @@
 	_ = x[WorkerCrashed-(9)]
 	_ = x[RunHeld-(10)]
 	_ = x[WorkerReplaced-(11)]
+	_ = x[ExitsPending-(12)]
 }
 
-var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted, WorkerCrashed, RunHeld, WorkerReplaced}
+var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted, WorkerCrashed, RunHeld, WorkerReplaced, ExitsPending}
 
 var _DecisionKindNameToValueMap = map[string]DecisionKind{
 	_DecisionKindName[0:9]:          RunPlaced,
@@ -65,6 +66,8 @@
 	_DecisionKindLowerName[103:110]: RunHeld,
 	_DecisionKindName[110:124]:      WorkerReplaced,
 	_DecisionKindLowerName[110:124]: WorkerReplaced,
+	_DecisionKindName[124:136]:      ExitsPending,
+	_DecisionKindLowerName[124:136]: ExitsPending,
 }
 
 var _DecisionKindNames = []string{
@@ -80,6 +83,7 @@
 	_DecisionKindName[90:103],
 	_DecisionKindName[103:110],
 	_DecisionKindName[110:124],
+	_DecisionKindName[124:136],
 }
 
 // DecisionKindString retrieves an enum value from the enum constants string name.
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -24,11 +24,15 @@
 	Checkpoint string
 }
 
-// Listing is a worker's answer to a poll: its incarnation, what runs on it and the exits that are not acknowledged.
+// Listing is a worker's answer to a poll: its incarnation, all that runs on it and the exits that are not acknowledged.
 type Listing struct {
 	Incarnation int64
 	Running     []RunningEntry
-	Exits       []ExitEntry
+	// Exits are ordered by number.
+	Exits []ExitEntry
+	// MoreExits is true if the worker may have further exits, which it lists once these are acknowledged. A task that is
+	// missing from such a listing may have ended in any way.
+	MoreExits bool
 }
 
 // ApplyListing applies a worker's answer to a poll that was sent at sentAt; an answer of an earlier incarnation is ignored.
@@ -68,9 +72,22 @@
 		e.emit(StopOrder{Worker: w.ID, Task: key.task, Run: key.run})
 	}
 	e.applyRunning(w, list.Running, now)
+	e.setMoreExits(w, list.MoreExits)
+	if list.MoreExits {
+		return
+	}
+	w.dropEndedOrphans(list.Running)
 	e.applyMissing(w, list.Running, sentAt, now)
 }
 
+// setMoreExits records whether the worker's last listing left out exits, and logs when that begins.
+func (e *Engine) setMoreExits(w *Worker, moreExits bool) {
+	if moreExits && !w.moreExits {
+		e.emit(Decision{Kind: ExitsPending, Worker: w.ID, Text: "the worker has more exits than it lists at a time"})
+	}
+	w.moreExits = moreExits
+}
+
 // applyExit applies an exit, and returns the job whose record it may have changed, or nil if there is none.
 func (e *Engine) applyExit(w *Worker, entry ExitEntry, now time.Time) *Job {
 	m := w.members[runKey{entry.Task, entry.Run}]
@@ -114,6 +131,10 @@
 			m.Run.Group.record().Checkpoint = entry.Checkpoint
 		}
 	}
+}
+
+// dropEndedOrphans forgets the orphans that a complete listing does not show as running.
+func (w *Worker) dropEndedOrphans(running []RunningEntry) {
 	for key := range w.orphans {
 		if !slices.ContainsFunc(running, func(entry RunningEntry) bool { return entry.Task == key.task && entry.Run == key.run }) {
 			delete(w.orphans, key)
@@ -131,7 +152,7 @@
 	return true
 }
 
-// applyMissing ends or resends members that the worker did not report although it should have.
+// applyMissing ends or resends members that the worker did not report in a complete listing although it should have.
 func (e *Engine) applyMissing(w *Worker, running []RunningEntry, sentAt, now time.Time) {
 	for _, m := range w.sortedMembers() {
 		m.heldReported = false
@@ -183,9 +204,11 @@
 	return !j.Cancelled && !j.Record.Phase.Final() && !r.Group.record().Done && !r.broken() && r.stopReason == ""
 }
 
-// unseenWorker reports whether the listing of a member's worker is still awaited: it may show that the gang has ended.
+// unseenWorker reports whether a complete listing of a member's worker is still awaited: it may show that the gang has ended.
 func (r *Run) unseenWorker() bool {
-	return slices.ContainsFunc(r.Members, func(m *Member) bool { return m.State == Inherited && m.Worker.LastSeen.IsZero() })
+	return slices.ContainsFunc(r.Members, func(m *Member) bool {
+		return m.State == Inherited && (m.Worker.LastSeen.IsZero() || m.Worker.moreExits)
+	})
 }
 
 // orderStart emits the start order of one member.
--- a/internal/place/group/restart.go
+++ b/internal/place/group/restart.go
@@ -14,6 +14,7 @@
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
 	crash := w.crashEvidence()
+	w.moreExits = false
 	for _, m := range w.sortedMembers() {
 		e.memberRestarted(m, m.listedIn(running), crash[m], now)
 	}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -65,6 +65,8 @@
 	leavesAt time.Time
 	// LastExit is the number of the last exit that was applied.
 	LastExit int64
+	// moreExits is true if the last listing left out exits: members that it does not show may have ended.
+	moreExits bool
 	// pendingExits are the applied exits whose records may not be durable yet, by number; reportedDurable is the last exit
 	// number that was returned as durable.
 	pendingExits    []pendingExit
--- a/internal/proof/fake/agents.go
+++ b/internal/proof/fake/agents.go
@@ -116,8 +116,12 @@
 	return forgotten
 }
 
+// listedExits is how many exits a worker lists at a time; it is small, so that tests meet listings that are not complete.
+const listedExits = 2
+
 func (w *agentState) listing(incarnation int64) group.Listing {
-	list := group.Listing{Incarnation: incarnation, Exits: slices.Clone(w.finished)}
+	listed := min(len(w.finished), listedExits)
+	list := group.Listing{Incarnation: incarnation, Exits: slices.Clone(w.finished[:listed]), MoreExits: listed == listedExits}
 	for _, entry := range w.running {
 		list.Running = append(list.Running, entry)
 	}
--- a/internal/proof/world/worker.go
+++ b/internal/proof/world/worker.go
@@ -240,9 +240,15 @@
 	}
 }
 
+// listedExits is how many exits a worker lists at a time; it is small, so that worlds meet listings that are not complete.
+const listedExits = 2
+
 // listing is what the worker answers to a poll.
 func (o *worker) listing(now time.Time) agent.PollResponse {
-	answer := agent.PollResponse{Clock: o.clock(now), Listing: group.Listing{Incarnation: o.incarnation, Exits: slices.Clone(o.exits)}}
+	listed := min(len(o.exits), listedExits)
+	answer := agent.PollResponse{Clock: o.clock(now), Listing: group.Listing{
+		Incarnation: o.incarnation, Exits: slices.Clone(o.exits[:listed]), MoreExits: listed == listedExits,
+	}}
 	for _, r := range o.runs {
 		answer.Running = append(answer.Running, group.RunningEntry{Task: r.task, Run: r.number, Percent: r.percent(now)})
 	}
