group: a start that is refused as outdated may have ended

What callers could see: a task that ended as done runs again (TWICE).

Cause: a worker refuses a run that is not higher than one that was stopped or has ended there, and the owner took each such refusal for a run that never began. A start of an earlier owner that is executed after the new owner's first poll, and ends before the start is sent again, is refused like that.

Change: the run is stopped, as after an unconfirmed start, and ends with the exit that the worker lists or with the acknowledged stop. It works since a worker lists each exit until it is acknowledged.

Failed before: TestTaskWhoseStartIsRefusedAsOutdatedMayHaveEnded.

--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -62,7 +62,7 @@
 		RemoteFactor: 3,
 		Retention:    2 * time.Minute,
 		RefusalPause: map[StartResult]time.Duration{
-			NoRoom: 300 * time.Millisecond, Unhealthy: time.Second, Outdated: 0, Refused: time.Second, Unreached: 300 * time.Millisecond,
+			NoRoom: 300 * time.Millisecond, Unhealthy: time.Second, Refused: time.Second, Unreached: 300 * time.Millisecond,
 		},
 		FailuresBeforePause:  2,
 		RepeatedFailurePause: 6 * time.Second,
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -245,7 +245,7 @@
 	NoRoom
 	// Unhealthy means that the worker refuses all starts for now.
 	Unhealthy
-	// Outdated means that the run was stopped or has ended on the worker.
+	// Outdated means that the run was stopped or has ended on the worker, whose listing shows which.
 	Outdated
 	// Refused means any other definite refusal.
 	Refused
@@ -256,8 +256,8 @@
 )
 
 // ApplyStartResult applies the result of a start order; after a refusal the worker gets no new tasks for
-// Config.RefusalPause. An unconfirmed start may run, have ended or still arrive, so its run is stopped and the member stays
-// until the worker lists its exit or has acknowledged the stop.
+// Config.RefusalPause. An unconfirmed start may run, have ended or still arrive, and an outdated one may have ended, so the run is
+// stopped and the member stays until the worker lists its exit or has acknowledged the stop.
 func (e *Engine) ApplyStartResult(m *Member, result StartResult, now time.Time) {
 	if m.State == Ended {
 		return
@@ -272,9 +272,14 @@
 	if m.State == Started && (result == Outdated || result == Unconfirmed) {
 		return
 	}
-	if result == Unconfirmed {
+	switch result {
+	case Unconfirmed:
 		e.stopRun(m.Run, StartUnanswered, "a start was refused after an order without a response", now)
 		return
+	case Outdated:
+		e.stopRun(m.Run, StartUnanswered, "a start was refused as the run was stopped or has ended on the worker", now)
+		return
+	default:
 	}
 	if pause := e.cfg.RefusalPause[result]; pause > 0 {
 		m.Worker.avoid(now.Add(pause))
