relay: a refusal waits for the peers that may have executed the request

What callers could see: a refusal (401, 404) of a job that runs (REFUSED).

Cause: two peers are asked at once, and the first conclusive reply was returned. A refusal is conclusive for the peer that gives it, while the other one may create the job.

Reads change nothing, and take the first reply as before.

Failed before: TestRefusalWaitsForThePeersThatMayHaveExecutedTheRequest (the case "it was executed": badKey in place of OK).

--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -56,10 +56,11 @@
 	recent recent
 }
 
-// Forward asks several peers concurrently and returns the first conclusive reply, or nil if there is none; tried is true if
-// any of them may have executed the request.
-func (r *Relay) Forward(ctx context.Context, call *admit.Call) (reply *admit.Reply, tried bool) {
-	return r.askPeers(ctx, r.Peers.Others(), func(peer Peer) (*admit.Reply, bool) { return r.callPeer(ctx, peer, call) })
+// Forward asks several peers concurrently and returns a conclusive reply, or nil if there is none; mayHaveRun is true if any of
+// them may have executed the request.
+func (r *Relay) Forward(ctx context.Context, call *admit.Call) (reply *admit.Reply, mayHaveRun bool) {
+	ask := func(peer Peer) (*admit.Reply, bool) { return r.callPeer(ctx, peer, call) }
+	return r.askPeers(ctx, r.Peers.Others(), call.Kind, ask)
 }
 
 // Isolated reports whether peers of other data centres were asked lately and none of them was reached.
@@ -69,8 +70,9 @@
 }
 
 // askPeers calls ask for peersAsked peers at a time, those that gave a conclusive reply lately first; ask also returns whether
-// the peer was reached.
-func (r *Relay) askPeers(ctx context.Context, peers []Peer, ask func(Peer) (*admit.Reply, bool)) (reply *admit.Reply, tried bool) {
+// the peer was reached. It returns the first success, or the first refusal once all peers that were asked have replied, as one of
+// them may have executed the request. Requests that change nothing need no such wait.
+func (r *Relay) askPeers(ctx context.Context, peers []Peer, kind admit.Kind, ask func(Peer) (*admit.Reply, bool)) (reply *admit.Reply, mayHaveRun bool) {
 	started := r.Now()
 	peers = r.recent.choose(peers, peersAsked, maxPeersAsked, started)
 	replies := make(chan *admit.Reply, len(peers))
@@ -92,16 +94,20 @@
 	}
 	for ; pending > 0; pending-- {
 		answer := <-replies
-		if conclusive(answer) {
+		switch {
+		case conclusive(answer) && (answer.Result == admit.OK || kind == admit.State):
 			return answer, true
+		case conclusive(answer):
+			reply = answer
+		default:
+			mayHaveRun = mayHaveRun || answer == nil || answer.Result == admit.Unknown
 		}
-		tried = tried || answer == nil || answer.Result == admit.Unknown
-		if len(peers) > 0 && ctx.Err() == nil && r.Now().Sub(started) < askFor {
+		if reply == nil && len(peers) > 0 && ctx.Err() == nil && r.Now().Sub(started) < askFor {
 			next()
 			pending++
 		}
 	}
-	return nil, tried
+	return reply, mayHaveRun
 }
 
 // conclusive reports whether another peer could give no better reply.
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/peer/link"
@@ -65,7 +66,7 @@
 	for range 50 {
 		r, _ := newRelay()
 		o := &outage{cut: map[string]bool{"p0": true, "p1": true, "p2": true}}
-		reply, tried := r.askPeers(context.Background(), peersNamed(6), o.ask)
+		reply, tried := r.askPeers(context.Background(), peersNamed(6), admit.Submit, o.ask)
 		assert.Assert(t, reply != nil && reply.Result == admit.OK)
 		assert.Assert(t, tried)
 	}
@@ -96,16 +97,50 @@
 	}
 	const requests = 100
 	for range requests {
-		reply, tried := r.askPeers(context.Background(), append([]Peer(nil), peers...), o.ask)
+		reply, tried := r.askPeers(context.Background(), append([]Peer(nil), peers...), admit.Submit, o.ask)
 		assert.Assert(t, reply == nil && !tried, "no peer has tried anything, so the refusal is definite")
 	}
 	assert.Assert(t, len(o.asked) <= peersAsked*requests+len(peers), "%d calls", len(o.asked))
 }
 
+// Guards against a refusal of a request that runs (REFUSED): one peer refuses while another one, which was asked as well, may execute
+// it. A read changes nothing, so its first reply is taken.
+func TestRefusalWaitsForThePeersThatMayHaveExecutedTheRequest(t *testing.T) {
+	refusal := &admit.Reply{Result: admit.BadKey}
+	for name, c := range map[string]struct {
+		kind       admit.Kind
+		slow       *admit.Reply
+		want       admit.Result
+		mayHaveRun bool
+	}{
+		"it was executed":           {admit.Submit, &admit.Reply{Result: admit.OK}, admit.OK, true},
+		"it may have been executed": {admit.Submit, nil, admit.BadKey, true},
+		"its outcome is unknown":    {admit.Cancel, &admit.Reply{Result: admit.Unknown}, admit.BadKey, true},
+		"it is refused, too":        {admit.Cancel, refusal, admit.BadKey, false},
+		"it is a read":              {admit.State, &admit.Reply{Result: admit.OK}, admit.BadKey, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, _ := newRelay()
+				reply, mayHaveRun := r.askPeers(t.Context(), peersNamed(2), c.kind, func(peer Peer) (*admit.Reply, bool) {
+					if peer.Name == "p0" {
+						return refusal, true
+					}
+					time.Sleep(10 * time.Millisecond)
+					return c.slow, c.slow != nil
+				})
+				assert.Equal(t, reply.Result, c.want)
+				assert.Equal(t, mayHaveRun, c.mayHaveRun)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 func TestSilentPeerMayHaveExecutedTheRequest(t *testing.T) {
 	r, _ := newRelay()
 	o := &outage{silent: map[string]bool{"p0": true}, cut: map[string]bool{"p1": true, "p2": true}}
-	reply, tried := r.askPeers(context.Background(), peersNamed(3), o.ask)
+	reply, tried := r.askPeers(context.Background(), peersNamed(3), admit.Submit, o.ask)
 	assert.Assert(t, reply == nil && tried)
 }
 
