--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -150,96 +150,108 @@
 	if s.isolated() {
 		return isolatedReply()
 	}
+	a := &attempts{}
+	call := &Call{Kind: Submit, Caller: caller, Spec: spec}
 	if s.Policy.Failing() && s.Relay != nil {
-		relayed, tried := s.forward(ctx, &Call{Kind: Submit, Caller: caller, Spec: spec})
-		if relayed != nil {
-			return *relayed
+		if relayed, final := s.forward(ctx, call, a); final {
+			return relayed
 		}
-		if s.isolated() && !tried {
+		if s.isolated() && !a.unknown {
 			return isolatedReply()
 		}
-		return s.submitLocally(ctx, caller, spec, tried)
+		return s.submitLocally(ctx, caller, spec, a)
 	}
 	firstCtx, cancel := context.WithTimeout(ctx, 2*firstTryTimeout)
-	reply := s.submitLocally(firstCtx, caller, spec, false)
+	reply := s.submitLocally(firstCtx, caller, spec, a)
 	cancel()
-	if !reply.worthRelaying() {
+	if !reply.worthRelaying() || a.settled || reply.Result == Refused && reply.RetryAfter == 0 {
 		return reply
 	}
-	if reply.Result == Refused && reply.RetryAfter == 0 {
-		return reply
-	}
-	relayed, tried := s.forward(ctx, &Call{Kind: Submit, Caller: caller, Spec: spec})
-	if relayed != nil {
-		return *relayed
+	if relayed, final := s.forward(ctx, call, a); final {
+		return relayed
 	}
-	if reply.Result == Refused && !tried {
+	if !a.unknown {
 		return reply
 	}
-	return s.submitLocally(ctx, caller, spec, true)
+	return s.submitLocally(ctx, caller, spec, a)
 }
 
-// submitLocally creates the job in the key-value store; mayBeCreated is true if an earlier attempt may have created it.
-func (s *Service) submitLocally(ctx context.Context, caller Caller, spec *work.Spec, mayBeCreated bool) Reply {
+// submitLocally creates the job in the key-value store. If an attempt may have created it, the job is tried again until ctx ends.
+func (s *Service) submitLocally(ctx context.Context, caller Caller, spec *work.Spec, a *attempts) Reply {
 	for {
-		t, refusal := s.resolve(caller, s.Now())
-		if refusal != nil && !mayBeCreated {
-			return *refusal
-		}
-		err := error(notRetriedError{})
-		if refusal == nil {
-			if !work.ValidID(t.jobID) {
-				return Reply{Result: BadRequest, Why: "a job ID has 16 hexadecimal digits"}
-			}
-			spec.Job, spec.Workspace, spec.Queue, spec.Accepted = t.jobID, t.workspace, t.queue.Name, s.WallNow()
-			if err := spec.Check(); err != nil {
-				return Reply{Result: BadRequest, Why: err.Error()}
-			}
-			if s.UnservableReason != nil && !mayBeCreated {
-				if why := s.UnservableReason(ctx, t.queue.Service, spec); why != "" {
-					return Reply{Result: BadRequest, Why: why}
-				}
-			}
-			if !mayBeCreated {
-				if err := s.checkStore(ctx); err != nil {
-					return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}
-				}
-			}
-			err = s.create(ctx, t, spec)
-		}
-		var refusedErr *store.RefusedError
-		var lostErr *store.LostError
-		switch {
-		case err == nil:
-			return Reply{Result: OK}
-		case errors.As(err, &refusedErr) && refusedErr.Current(work.SpecKey(spec.Job)).Revision != 0:
-			return Reply{Result: OK, Why: "known already"}
-		case errors.As(err, &refusedErr):
-			if err := s.Policy.Refresh(ctx); err != nil && !mayBeCreated {
-				return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}
-			}
-		case errors.As(err, &lostErr):
-			mayBeCreated = true
-		case !mayBeCreated:
-			return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}
+		reply, done := s.trySubmit(ctx, caller, spec, a)
+		if done {
+			return reply
 		}
-		if mayBeCreated {
+		if a.unknown {
 			pause.For(ctx, retryPause)
 		}
-		if ctx.Err() != nil && mayBeCreated {
-			return Reply{Result: Unknown, Why: err.Error()}
-		}
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() == nil:
+		case a.unknown:
+			return reply
+		default:
 			return Reply{Result: Refused, Why: "no time left", RetryAfter: retryAfter}
 		}
 	}
 }
 
-// notRetriedError is the cause of an unknown result if the current policy refuses a retry of the call.
-type notRetriedError struct{}
+// trySubmit makes one attempt to create the job; done is false if another one is worthwhile.
+func (s *Service) trySubmit(ctx context.Context, caller Caller, spec *work.Spec, a *attempts) (reply Reply, done bool) {
+	t, refusal := s.admissible(ctx, caller, spec, a)
+	switch {
+	case refusal != nil && a.unknown:
+		return s.settle(ctx, work.SpecKey(jobOf(caller.Path)), a, *refusal)
+	case refusal != nil:
+		return *refusal, true
+	}
+	err := s.create(ctx, t, spec)
+	var refusedErr *store.RefusedError
+	var lostErr *store.LostError
+	switch {
+	case err == nil:
+		return Reply{Result: OK}, true
+	case errors.As(err, &refusedErr) && refusedErr.Current(work.SpecKey(spec.Job)).Revision != 0:
+		return Reply{Result: OK, Why: "known already"}, true
+	case errors.As(err, &refusedErr):
+		if err := s.Policy.Refresh(ctx); err != nil && !a.unknown {
+			return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}, true
+		}
+	case errors.As(err, &lostErr):
+		a.lost(t.guard)
+	case !a.unknown:
+		return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}, true
+	}
+	return Reply{Result: Unknown, Why: err.Error()}, false
+}
 
-// Error returns a fixed text, which is sent to the caller.
-func (notRetriedError) Error() string { return "the call could not be tried again" }
+// admissible finds where the job belongs and completes its spec, or returns the reply that refuses it. Once an attempt may have
+// created the job, it does not check again whether any worker could run it and whether the store responds.
+func (s *Service) admissible(ctx context.Context, caller Caller, spec *work.Spec, a *attempts) (target, *Reply) {
+	t, refusal := s.resolve(caller, s.Now())
+	if refusal != nil {
+		return target{}, refusal
+	}
+	if !work.ValidID(t.jobID) {
+		return target{}, &Reply{Result: BadRequest, Why: "a job ID has 16 hexadecimal digits"}
+	}
+	spec.Job, spec.Workspace, spec.Queue, spec.Accepted = t.jobID, t.workspace, t.queue.Name, s.WallNow()
+	if err := spec.Check(); err != nil {
+		return target{}, &Reply{Result: BadRequest, Why: err.Error()}
+	}
+	if a.unknown {
+		return t, nil
+	}
+	if s.UnservableReason != nil {
+		if why := s.UnservableReason(ctx, t.queue.Service, spec); why != "" {
+			return target{}, &Reply{Result: BadRequest, Why: why}
+		}
+	}
+	if err := s.checkStore(ctx); err != nil {
+		return target{}, &Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}
+	}
+	return t, nil
+}
 
 // checkStore checks that the key-value store responds before a write is sent to it. A job that was never sent can be refused
 // immediately, while a lost response keeps its caller waiting until the request's deadline.
@@ -280,42 +292,47 @@
 	return reply
 }
 
-// cancelLocally records the cancellation in the key-value store. It refuses only while no attempt can have been recorded.
-func (s *Service) cancelLocally(ctx context.Context, caller Caller) Reply {
-	t, refusal := s.resolve(caller, s.Now())
-	if refusal != nil {
-		return *refusal
-	}
-	if !work.ValidID(t.jobID) {
-		return Reply{Result: Gone}
-	}
-	mayBeRecorded := false
+// cancelLocally records the cancellation in the key-value store. A repeated cancel has no further effect, so it is tried until ctx
+// ends.
+func (s *Service) cancelLocally(ctx context.Context, caller Caller, a *attempts) Reply {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := s.Store.Commit(callCtx, store.Transaction{
-			Expected: []store.Expectation{t.guard},
-			Writes:   []store.Write{{Key: work.CancelKey(t.jobID)}},
-		})
-		cancel()
-		var refusedErr *store.RefusedError
-		var lostErr *store.LostError
-		switch {
-		case err == nil:
-			return Reply{Result: OK}
-		case errors.As(err, &lostErr):
-			mayBeRecorded = true
-		case errors.As(err, &refusedErr):
-			if err := s.Policy.Refresh(ctx); err != nil && !mayBeRecorded {
-				return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}
-			}
-			snapshot, _ := s.Policy.Current()
-			t.guard = snapshot.Guard
+		reply, done := s.tryCancel(ctx, caller, a)
+		if done || !pause.For(ctx, retryPause) {
+			return reply
 		}
-		// A repeated cancel has no further effect, so every failure may be retried.
-		if !pause.For(ctx, retryPause) {
-			return Reply{Result: Unknown, Why: ctx.Err().Error()}
+	}
+}
+
+// tryCancel makes one attempt to record the cancellation; done is false if another one is worthwhile.
+func (s *Service) tryCancel(ctx context.Context, caller Caller, a *attempts) (reply Reply, done bool) {
+	t, refusal := s.resolve(caller, s.Now())
+	switch {
+	case refusal != nil && a.unknown:
+		return s.settle(ctx, work.CancelKey(jobOf(caller.Path)), a, *refusal)
+	case refusal != nil:
+		return *refusal, true
+	case !work.ValidID(t.jobID):
+		return Reply{Result: Gone}, true
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	_, err := s.Store.Commit(callCtx, store.Transaction{
+		Expected: []store.Expectation{t.guard},
+		Writes:   []store.Write{{Key: work.CancelKey(t.jobID)}},
+	})
+	cancel()
+	var refusedErr *store.RefusedError
+	var lostErr *store.LostError
+	switch {
+	case err == nil:
+		return Reply{Result: OK}, true
+	case errors.As(err, &lostErr):
+		a.lost(t.guard)
+	case errors.As(err, &refusedErr):
+		if err := s.Policy.Refresh(ctx); err != nil && !a.unknown {
+			return Reply{Result: Refused, Why: err.Error(), RetryAfter: retryAfter}, true
 		}
 	}
+	return Reply{Result: Unknown, Why: err.Error()}, false
 }
 
 // State returns the phase of the job, or the number of pending jobs if the path names a queue.
--- a/internal/route/admit/call.go
+++ b/internal/route/admit/call.go
@@ -29,8 +29,9 @@
 
 // Relay forwards requests to other instances.
 type Relay interface {
-	// Forward returns a conclusive reply, or nil if no peer gave one; tried is true if a peer may have executed the request.
-	Forward(ctx context.Context, call *Call) (reply *Reply, tried bool)
+	// Forward returns a conclusive reply, or nil if no peer gave one; mayHaveRun is true if a peer may have executed the request,
+	// also beside a refusal.
+	Forward(ctx context.Context, call *Call) (reply *Reply, mayHaveRun bool)
 	// Isolated reports whether no peer of another data centre was reached by the latest requests.
 	Isolated() bool
 }
@@ -50,17 +51,26 @@
 func (r Reply) worthRelaying() bool { return r.Result == Refused || r.Result == Unknown }
 
 // forward sends the call to peers and remembers the configuration version of the reply, so that this instance does not
-// answer later callers from an older one.
-func (s *Service) forward(ctx context.Context, call *Call) (*Reply, bool) {
+// answer later callers from an older one. The reply is final if it is a success, or if no attempt may have taken effect.
+func (s *Service) forward(ctx context.Context, call *Call, a *attempts) (reply Reply, final bool) {
 	if s.Relay == nil {
-		return nil, false
+		return Reply{}, false
 	}
 	call.Version = max(s.version(), s.shownVersion.Load())
-	reply, tried := s.Relay.Forward(ctx, call)
-	if reply != nil {
-		s.markShown(reply.Version)
+	answer, mayHaveRun := s.Relay.Forward(ctx, call)
+	if answer != nil {
+		s.markShown(answer.Version)
+		if answer.Result == OK || call.Kind == State {
+			return *answer, true
+		}
+	}
+	if mayHaveRun {
+		a.relayed()
 	}
-	return reply, tried
+	if answer == nil || a.unknown {
+		return Reply{}, false
+	}
+	return *answer, true
 }
 
 // version returns the version of this instance's active configuration, or zero if there is none yet.
@@ -92,20 +102,20 @@
 	}
 	firstCtx, cancel := context.WithTimeout(ctx, 2*firstTryTimeout)
 	defer cancel()
-	reply := s.runLocally(firstCtx, call)
+	reply := s.runLocally(firstCtx, call, &attempts{})
 	reply.Version = s.version()
 	return &reply, nil
 }
 
-func (s *Service) runLocally(ctx context.Context, call *Call) Reply {
+func (s *Service) runLocally(ctx context.Context, call *Call, a *attempts) Reply {
 	switch call.Kind {
 	case Submit:
 		if call.Spec == nil {
 			return Reply{Result: BadRequest, Why: "no job"}
 		}
-		return s.submitLocally(ctx, call.Caller, call.Spec, false)
+		return s.submitLocally(ctx, call.Caller, call.Spec, a)
 	case Cancel:
-		return s.cancelLocally(ctx, call.Caller)
+		return s.cancelLocally(ctx, call.Caller, a)
 	default:
 		return s.stateLocally(ctx, call.Caller)
 	}
@@ -118,26 +128,20 @@
 	if s.isolated() {
 		return isolatedReply()
 	}
-	mayHaveRun := false
+	a := &attempts{}
 	if !s.Policy.Failing() {
 		firstCtx, cancel := context.WithTimeout(ctx, firstTryTimeout)
-		reply := s.runLocally(firstCtx, call)
+		reply := s.runLocally(firstCtx, call, a)
 		cancel()
-		if !reply.worthRelaying() {
+		if !reply.worthRelaying() || a.settled {
 			return reply
 		}
-		mayHaveRun = reply.Result == Unknown
 	}
-	relayed, tried := s.forward(ctx, call)
-	if relayed != nil {
-		return *relayed
+	if relayed, final := s.forward(ctx, call, a); final {
+		return relayed
 	}
-	if s.isolated() && (call.Kind == State || !mayHaveRun && !tried) {
+	if s.isolated() && (call.Kind == State || !a.unknown) {
 		return isolatedReply()
 	}
-	reply := s.runLocally(ctx, call)
-	if reply.Result == Refused && call.Kind == Cancel && (mayHaveRun || tried) {
-		return Reply{Result: Unknown, Why: reply.Why}
-	}
-	return reply
+	return s.runLocally(ctx, call, a)
 }
--- a/internal/state/work/keys.go
+++ b/internal/state/work/keys.go
@@ -37,12 +37,12 @@
 	return strings.CutSuffix(strings.TrimPrefix(key, SpecPrefix), cancelSuffix)
 }
 
-// jobIDDigits is the number of hexadecimal digits of a job ID.
-const jobIDDigits = 16
+// IDLength is the number of hexadecimal digits of a job ID.
+const IDLength = 16
 
 // ValidID reports whether the text is a job ID.
 func ValidID(id string) bool {
-	if len(id) != jobIDDigits {
+	if len(id) != IDLength {
 		return false
 	}
 	for _, c := range []byte(id) {
