--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -53,7 +53,7 @@
 // Cause is why a run was placed or stopped, or why a job waits.
 type Cause int
 
-// The causes. FreeRoom and ReservedRoom are those of placements, FleetFull to StopAwaited those of waits, and the others those
+// The causes. FreeRoom and ReservedRoom are those of placements, FleetFull to RetryDelayed those of waits, and the others those
 // of stops.
 const (
 	NoCause Cause = iota
@@ -67,6 +67,8 @@
 	Scattered
 	// StopAwaited means that other runs were stopped and still hold the room.
 	StopAwaited
+	// RetryDelayed means that the task group failed on workers that could run it, and returns to them after a delay.
+	RetryDelayed
 	Preempted
 	Cancel
 	JobFinished
--- a/internal/place/group/cause_enumer.go
+++ b/internal/place/group/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "noCausefreeRoomreservedRoomfleetFullroomReservedscatteredstopAwaitedpreemptedcanceljobFinishedmemberEndedstartUnansweredworkerLeavingoutlastsWorkernoProgressslowWorkerworkerChanged"
+const _CauseName = "noCausefreeRoomreservedRoomfleetFullroomReservedscatteredstopAwaitedretryDelayedpreemptedcanceljobFinishedmemberEndedstartUnansweredworkerLeavingoutlastsWorkernoProgressslowWorkerworkerChanged"
 
-var _CauseIndex = [...]uint8{0, 7, 15, 27, 36, 48, 57, 68, 77, 83, 94, 105, 120, 133, 147, 157, 167, 180}
+var _CauseIndex = [...]uint8{0, 7, 15, 27, 36, 48, 57, 68, 80, 89, 95, 106, 117, 132, 145, 159, 169, 179, 192}
 
-const _CauseLowerName = "nocausefreeroomreservedroomfleetfullroomreservedscatteredstopawaitedpreemptedcanceljobfinishedmemberendedstartunansweredworkerleavingoutlastsworkernoprogressslowworkerworkerchanged"
+const _CauseLowerName = "nocausefreeroomreservedroomfleetfullroomreservedscatteredstopawaitedretrydelayedpreemptedcanceljobfinishedmemberendedstartunansweredworkerleavingoutlastsworkernoprogressslowworkerworkerchanged"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -31,19 +31,20 @@
 	_ = x[RoomReserved-(4)]
 	_ = x[Scattered-(5)]
 	_ = x[StopAwaited-(6)]
-	_ = x[Preempted-(7)]
-	_ = x[Cancel-(8)]
-	_ = x[JobFinished-(9)]
-	_ = x[MemberEnded-(10)]
-	_ = x[StartUnanswered-(11)]
-	_ = x[WorkerLeaving-(12)]
-	_ = x[OutlastsWorker-(13)]
-	_ = x[NoProgress-(14)]
-	_ = x[SlowWorker-(15)]
-	_ = x[WorkerChanged-(16)]
+	_ = x[RetryDelayed-(7)]
+	_ = x[Preempted-(8)]
+	_ = x[Cancel-(9)]
+	_ = x[JobFinished-(10)]
+	_ = x[MemberEnded-(11)]
+	_ = x[StartUnanswered-(12)]
+	_ = x[WorkerLeaving-(13)]
+	_ = x[OutlastsWorker-(14)]
+	_ = x[NoProgress-(15)]
+	_ = x[SlowWorker-(16)]
+	_ = x[WorkerChanged-(17)]
 }
 
-var _CauseValues = []Cause{NoCause, FreeRoom, ReservedRoom, FleetFull, RoomReserved, Scattered, StopAwaited, Preempted, Cancel, JobFinished, MemberEnded, StartUnanswered, WorkerLeaving, OutlastsWorker, NoProgress, SlowWorker, WorkerChanged}
+var _CauseValues = []Cause{NoCause, FreeRoom, ReservedRoom, FleetFull, RoomReserved, Scattered, StopAwaited, RetryDelayed, Preempted, Cancel, JobFinished, MemberEnded, StartUnanswered, WorkerLeaving, OutlastsWorker, NoProgress, SlowWorker, WorkerChanged}
 
 var _CauseNameToValueMap = map[string]Cause{
 	_CauseName[0:7]:          NoCause,
@@ -60,26 +61,28 @@
 	_CauseLowerName[48:57]:   Scattered,
 	_CauseName[57:68]:        StopAwaited,
 	_CauseLowerName[57:68]:   StopAwaited,
-	_CauseName[68:77]:        Preempted,
-	_CauseLowerName[68:77]:   Preempted,
-	_CauseName[77:83]:        Cancel,
-	_CauseLowerName[77:83]:   Cancel,
-	_CauseName[83:94]:        JobFinished,
-	_CauseLowerName[83:94]:   JobFinished,
-	_CauseName[94:105]:       MemberEnded,
-	_CauseLowerName[94:105]:  MemberEnded,
-	_CauseName[105:120]:      StartUnanswered,
-	_CauseLowerName[105:120]: StartUnanswered,
-	_CauseName[120:133]:      WorkerLeaving,
-	_CauseLowerName[120:133]: WorkerLeaving,
-	_CauseName[133:147]:      OutlastsWorker,
-	_CauseLowerName[133:147]: OutlastsWorker,
-	_CauseName[147:157]:      NoProgress,
-	_CauseLowerName[147:157]: NoProgress,
-	_CauseName[157:167]:      SlowWorker,
-	_CauseLowerName[157:167]: SlowWorker,
-	_CauseName[167:180]:      WorkerChanged,
-	_CauseLowerName[167:180]: WorkerChanged,
+	_CauseName[68:80]:        RetryDelayed,
+	_CauseLowerName[68:80]:   RetryDelayed,
+	_CauseName[80:89]:        Preempted,
+	_CauseLowerName[80:89]:   Preempted,
+	_CauseName[89:95]:        Cancel,
+	_CauseLowerName[89:95]:   Cancel,
+	_CauseName[95:106]:       JobFinished,
+	_CauseLowerName[95:106]:  JobFinished,
+	_CauseName[106:117]:      MemberEnded,
+	_CauseLowerName[106:117]: MemberEnded,
+	_CauseName[117:132]:      StartUnanswered,
+	_CauseLowerName[117:132]: StartUnanswered,
+	_CauseName[132:145]:      WorkerLeaving,
+	_CauseLowerName[132:145]: WorkerLeaving,
+	_CauseName[145:159]:      OutlastsWorker,
+	_CauseLowerName[145:159]: OutlastsWorker,
+	_CauseName[159:169]:      NoProgress,
+	_CauseLowerName[159:169]: NoProgress,
+	_CauseName[169:179]:      SlowWorker,
+	_CauseLowerName[169:179]: SlowWorker,
+	_CauseName[179:192]:      WorkerChanged,
+	_CauseLowerName[179:192]: WorkerChanged,
 }
 
 var _CauseNames = []string{
@@ -90,16 +93,17 @@
 	_CauseName[36:48],
 	_CauseName[48:57],
 	_CauseName[57:68],
-	_CauseName[68:77],
-	_CauseName[77:83],
-	_CauseName[83:94],
-	_CauseName[94:105],
-	_CauseName[105:120],
-	_CauseName[120:133],
-	_CauseName[133:147],
-	_CauseName[147:157],
-	_CauseName[157:167],
-	_CauseName[167:180],
+	_CauseName[68:80],
+	_CauseName[80:89],
+	_CauseName[89:95],
+	_CauseName[95:106],
+	_CauseName[106:117],
+	_CauseName[117:132],
+	_CauseName[132:145],
+	_CauseName[145:159],
+	_CauseName[159:169],
+	_CauseName[169:179],
+	_CauseName[179:192],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -309,17 +309,38 @@
 
 // placeGang plans a run of the gang if there is room, and otherwise tries to make room.
 func (e *Engine) placeGang(g *Group, p *pass, now time.Time) {
-	f := e.newFilter(g, p, now)
-	if p.mayFit(g, f) {
-		if workers := e.findWorkers(g, f); workers != nil {
-			e.planRun(g, workers, FreeRoom, "free room", now)
-			return
-		}
-		p.missed(g, f)
+	workers, f := e.findRoom(g, p, now, func(f filter) []*Worker { return e.findUnlessMissed(g, f, p) })
+	if workers != nil {
+		e.planRun(g, workers, FreeRoom, "free room", now)
+		return
 	}
 	e.makeRoom(g, f, p, now)
 }
 
+// findRoom returns the result of find with the filter of the group, or nil if there is no room. Workers on which the group failed
+// come last. It also returns the last filter that was used.
+func (e *Engine) findRoom(g *Group, p *pass, now time.Time, find func(filter) []*Worker) ([]*Worker, filter) {
+	f := e.newFilter(g, p, false, now)
+	workers := find(f)
+	if workers == nil && g.mayRetryFailed(now) {
+		f = e.newFilter(g, p, true, now)
+		workers = find(f)
+	}
+	return workers, f
+}
+
+// findUnlessMissed is findWorkers, unless this decision has shown already that the group does not fit.
+func (e *Engine) findUnlessMissed(g *Group, f filter, p *pass) []*Worker {
+	if !p.mayFit(g, f) {
+		return nil
+	}
+	workers := e.findWorkers(g, f)
+	if workers == nil {
+		p.missed(g, f)
+	}
+	return workers
+}
+
 // makeRoom preempts other work or makes a backfill reservation for a group that found no room, and reports whether it did;
 // if not, it records why the job waits.
 func (e *Engine) makeRoom(g *Group, f filter, p *pass, now time.Time) bool {
@@ -344,15 +365,18 @@
 	}
 	step := g.step()
 	g.Job.Waiting = fmt.Sprintf("step %d: no room for %d tasks of %d accelerators, %d millicores and %d MB; in one rack: %t, only in rack %q: %t, label %q",
-		g.Step, g.Count, step.Accelerators, step.MilliCores, step.MemoryMB, step.SameRack, step.Affinity, e.dataRackOnly(g, now), step.Requires)
+		g.Step, g.Count, step.Accelerators, step.MilliCores, step.MemoryMB, step.SameRack, step.Affinity, f.dataRackOnly, step.Requires)
 	e.emit(Decision{Kind: JobWaits, Job: g.Job.ID(), Task: g.taskName(0), Cause: e.waitCause(g, f), Text: g.Job.Waiting})
 }
 
 // waitCause returns why a group that found no room has none.
 func (e *Engine) waitCause(g *Group, f filter) Cause {
+	if !f.retryFailed && slices.ContainsFunc(g.failedOn, func(w *Worker) bool { return w.eligible(g) && !e.Closed(w) }) {
+		return RetryDelayed
+	}
 	fits, accelerators := 0, 0
 	for _, w := range e.sortedWorkers {
-		if !w.open || !w.eligible(g) {
+		if !w.open || !f.allows(g, w) {
 			continue
 		}
 		free := w.Capacity.Sub(w.Used)
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -409,43 +409,6 @@
 	}
 }
 
-// recordFailure counts a failed run once, and fails the job after the maximum number of attempts.
-func (e *Engine) recordFailure(g *Group, m *Member, now time.Time) {
-	rec := g.record()
-	if rec.FailedRun == m.Run.Number || rec.Done {
-		return
-	}
-	rec.Failures++
-	rec.FailedRun = m.Run.Number
-	if !g.step().LongRunning {
-		// A long-running task group may fail any number of times, so this list would exclude all workers in the end.
-		g.failedOn = append(g.failedOn, m.Worker)
-	}
-	e.pauseAfterFailure(m, now)
-	j := g.Job
-	if rec.Failures >= e.queue(j).MaxAttempts && !j.Record.Phase.Final() && !g.step().LongRunning {
-		e.finishJob(j, work.Failed, "a task group failed as often as its queue allows", now)
-	}
-}
-
-// pauseAfterFailure keeps new tasks off a worker after a failure, and longer after failures of several distinct task groups.
-func (e *Engine) pauseAfterFailure(m *Member, now time.Time) {
-	w := m.Worker
-	if !slices.Contains(w.failedGroups, m.Run.Group) {
-		w.failedGroups = append(w.failedGroups, m.Run.Group)
-	}
-	pause := e.cfg.FirstFailurePause
-	switch {
-	case len(w.failedGroups) >= e.cfg.FailuresBeforePause:
-		pause = e.cfg.RepeatedFailurePause
-		w.failedGroups = w.failedGroups[:0]
-	case !m.startAckedAt.IsZero() && now.Sub(m.startAckedAt) < e.cfg.EarlyFailureWindow:
-		pause = e.cfg.EarlyFailurePause
-	}
-	w.avoid(now.Add(pause))
-	e.emit(Decision{Kind: WorkerAvoided, Worker: w.ID, Job: m.Run.Group.Job.ID(), Text: "a task failed on this worker; no new tasks for " + pause.String()})
-}
-
 // endRun makes the task group ready to run again unless it is done.
 func (e *Engine) endRun(run *Run, now time.Time) {
 	g := run.Group
--- /dev/null
+++ b/internal/place/group/failure.go
@@ -0,0 +1,67 @@
+package group
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/state/work"
+)
+
+// recordFailure counts a failed run once, and fails the job after the maximum number of attempts.
+func (e *Engine) recordFailure(g *Group, m *Member, now time.Time) {
+	rec := g.record()
+	if rec.FailedRun == m.Run.Number || rec.Done {
+		return
+	}
+	rec.Failures++
+	rec.FailedRun = m.Run.Number
+	if !g.step().LongRunning {
+		// A long-running task group may fail any number of times, so it would return to each worker with the longest delay.
+		e.preferOthers(g, m.Worker, now)
+	}
+	e.pauseAfterFailure(m, now)
+	j := g.Job
+	if rec.Failures >= e.queue(j).MaxAttempts && !j.Record.Phase.Final() && !g.step().LongRunning {
+		e.finishJob(j, work.Failed, "a task group failed as often as its queue allows", now)
+	}
+}
+
+// preferOthers makes the group prefer other workers than the one on which a run of it failed. If these have no room, it returns
+// after a delay that doubles with each failure, and before its last attempt after the longest one, as a worker that is at fault
+// fails each attempt.
+func (e *Engine) preferOthers(g *Group, w *Worker, now time.Time) {
+	if !slices.Contains(g.failedOn, w) {
+		g.failedOn = append(g.failedOn, w)
+	}
+	delay := e.cfg.FirstFailurePause
+	for n := 1; n < g.record().Failures && delay < e.cfg.RepeatedFailurePause; n++ {
+		delay *= 2
+	}
+	if g.record().Failures+1 >= e.queue(g.Job).MaxAttempts {
+		delay = e.cfg.RepeatedFailurePause
+	}
+	g.retryFailedAt = now.Add(min(delay, e.cfg.RepeatedFailurePause))
+}
+
+// mayRetryFailed reports whether the group may return to workers on which it failed.
+func (g *Group) mayRetryFailed(now time.Time) bool {
+	return len(g.failedOn) > 0 && !now.Before(g.retryFailedAt)
+}
+
+// pauseAfterFailure keeps new tasks off a worker after a failure, and longer after failures of several distinct task groups.
+func (e *Engine) pauseAfterFailure(m *Member, now time.Time) {
+	w := m.Worker
+	if !slices.Contains(w.failedGroups, m.Run.Group) {
+		w.failedGroups = append(w.failedGroups, m.Run.Group)
+	}
+	pause := e.cfg.FirstFailurePause
+	switch {
+	case len(w.failedGroups) >= e.cfg.FailuresBeforePause:
+		pause = e.cfg.RepeatedFailurePause
+		w.failedGroups = w.failedGroups[:0]
+	case !m.startAckedAt.IsZero() && now.Sub(m.startAckedAt) < e.cfg.EarlyFailureWindow:
+		pause = e.cfg.EarlyFailurePause
+	}
+	w.avoid(now.Add(pause))
+	e.emit(Decision{Kind: WorkerAvoided, Worker: w.ID, Job: m.Run.Group.Job.ID(), Text: "a task failed on this worker; no new tasks for " + pause.String()})
+}
--- a/internal/place/group/filter.go
+++ b/internal/place/group/filter.go
@@ -19,6 +19,8 @@
 	// sameRack is true if the group must stay within one rack, as some rack could hold it if it were empty. For a while this
 	// includes workers that are only temporarily unavailable, as right after a change of owner.
 	sameRack bool
+	// retryFailed is true if the group may use workers on which it failed, as it found no room elsewhere.
+	retryFailed bool
 }
 
 // quickRackDelay is how long a group waits, while less than half of the fleet is in use, before it uses racks that are set
@@ -46,12 +48,14 @@
 	dataRackOnly       bool
 }
 
-// newFilter determines which workers the group may use in this decision.
-func (e *Engine) newFilter(g *Group, p *pass, now time.Time) filter {
+// newFilter determines which workers the group may use in this decision; retryFailed is true if they include those on which it
+// failed.
+func (e *Engine) newFilter(g *Group, p *pass, retryFailed bool, now time.Time) filter {
 	step := g.step()
 	mustShareRack := step.SameRack && g.Count > 1
-	f := filter{dataRackOnly: e.dataRackOnly(g, now), emptiestFirst: g.suspected()}
-	capacity := e.emptyCapacity(g, p, mustShareRack && e.worthWaiting(g, now), f.dataRackOnly)
+	f := filter{emptiestFirst: g.suspected(), retryFailed: retryFailed}
+	f.dataRackOnly = e.dataRackOnly(g, f, now)
+	capacity := e.emptyCapacity(g, f, p, mustShareRack && e.worthWaiting(g, now))
 	withRun := 0
 	if g.Count == 1 && step.MaxPerWorker > 0 {
 		withRun = g.occ.unfinished[g.Step] - g.occ.withoutRun[g.Step]
@@ -66,19 +70,19 @@
 
 // emptyCapacity returns how many tasks of the group's kind the workers could hold if they were empty. It is computed once in
 // a decision, except for groups that have failed on some worker.
-func (e *Engine) emptyCapacity(g *Group, p *pass, includeUnavailable, dataRackOnly bool) emptyCapacity {
+func (e *Engine) emptyCapacity(g *Group, f filter, p *pass, includeUnavailable bool) emptyCapacity {
 	step := g.step()
 	key := emptyCapacityKey{
 		service: g.Job.queue.Service, requires: step.Requires, affinity: step.Affinity, room: g.taskNeed(), maxPerWorker: step.MaxPerWorker,
-		mayUseQuickRacks: g.Job.queue.Priority == 0 || step.LongRunning, includeUnavailable: includeUnavailable, dataRackOnly: dataRackOnly,
+		mayUseQuickRacks: g.Job.queue.Priority == 0 || step.LongRunning, includeUnavailable: includeUnavailable, dataRackOnly: f.dataRackOnly,
 	}
 	if found, known := p.emptyCapacities[key]; known && len(g.failedOn) == 0 {
 		return found
 	}
 	var capacity emptyCapacity
 	for _, r := range e.racks {
-		if !dataRackOnly || r.name == step.Affinity {
-			e.addRackCapacity(&capacity, g, r, includeUnavailable)
+		if !f.dataRackOnly || r.name == step.Affinity {
+			e.addRackCapacity(&capacity, g, f, r, includeUnavailable)
 		}
 	}
 	if len(g.failedOn) == 0 {
@@ -88,7 +92,7 @@
 }
 
 // addRackCapacity adds the rack's workers to the capacity.
-func (e *Engine) addRackCapacity(capacity *emptyCapacity, g *Group, r *rack, includeUnavailable bool) {
+func (e *Engine) addRackCapacity(capacity *emptyCapacity, g *Group, f filter, r *rack, includeUnavailable bool) {
 	quickOnly := e.excludesRack(g, r)
 	perWorker := work.MaxTasks
 	if limit := g.step().MaxPerWorker; limit > 0 {
@@ -97,7 +101,7 @@
 	total := 0
 	for _, w := range r.workers {
 		e.examined++
-		if !w.open && (!includeUnavailable || e.Closed(w)) || !w.eligible(g) {
+		if !w.open && (!includeUnavailable || e.Closed(w)) || !f.allows(g, w) {
 			continue
 		}
 		tasks := g.taskNeed().Count(w.Capacity, perWorker)
@@ -113,10 +117,15 @@
 	capacity.maxPerRack = max(capacity.maxPerRack, total)
 }
 
-// eligible reports whether the group may ever run on the worker: the worker has the right service and the required label,
-// and no run of the group has failed there.
+// allows reports whether the group may run on the worker: the worker is eligible, and no run of the group has failed there or
+// the group may return to such workers.
+func (f filter) allows(g *Group, w *Worker) bool {
+	return w.eligible(g) && (f.retryFailed || !slices.Contains(g.failedOn, w))
+}
+
+// eligible reports whether the worker has the right service and the required label for the group.
 func (w *Worker) eligible(g *Group) bool {
-	return w.Service == g.Job.queue.Service && w.hasLabel(g.step().Requires) && !slices.Contains(g.failedOn, w)
+	return w.Service == g.Job.queue.Service && w.hasLabel(g.step().Requires)
 }
 
 // worthWaiting reports whether waiting for a place near its data, or in one rack, still costs the group less than running
@@ -128,7 +137,7 @@
 // dataRackOnly reports whether the group should wait for the rack that holds its data.
 //
 // Workers that are only temporarily unavailable count as part of the rack.
-func (e *Engine) dataRackOnly(g *Group, now time.Time) bool {
+func (e *Engine) dataRackOnly(g *Group, f filter, now time.Time) bool {
 	step := g.step()
 	if step.Affinity == "" {
 		return false
@@ -139,7 +148,7 @@
 	}
 	capacity := 0
 	for _, w := range r.workers {
-		if !e.Closed(w) && !slices.Contains(g.failedOn, w) {
+		if !e.Closed(w) && (f.retryFailed || !slices.Contains(g.failedOn, w)) {
 			capacity += g.taskNeed().Count(w.Capacity, g.Count)
 		}
 	}
--- a/internal/place/group/find.go
+++ b/internal/place/group/find.go
@@ -54,7 +54,7 @@
 func (list *slotList) addFreeSlots(e *Engine, g *Group, f filter, workers []*Worker) {
 	for _, w := range workers {
 		e.examined++
-		if !w.open || !f.quickRacksToo && e.excludesRack(g, w.rack) || !w.eligible(g) {
+		if !w.open || !f.quickRacksToo && e.excludesRack(g, w.rack) || !f.allows(g, w) {
 			continue
 		}
 		sl := w.slotFor(g)
@@ -76,7 +76,7 @@
 		}
 		for _, w := range r.workers {
 			e.examined++
-			if !w.open || !w.eligible(g) {
+			if !w.open || !f.allows(g, w) {
 				continue
 			}
 			sl := w.slotFor(g)
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -111,8 +111,10 @@
 	nextBackfillAt    time.Time
 	// slowWorkerMoves counts the runs that were stopped because a worker had become slow.
 	slowWorkerMoves int
-	// failedOn are the workers on which a run of the group failed.
-	failedOn []*Worker
+	// failedOn are the workers on which a run of the group failed. It returns to them from retryFailedAt on, if there is no room
+	// elsewhere.
+	failedOn      []*Worker
+	retryFailedAt time.Time
 }
 
 // step returns the spec of the group's step.
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -322,8 +322,8 @@
 func (e *Engine) retryElsewhere(g *Group, p *pass, now time.Time) {
 	r := g.reservation
 	e.dropReservation(g)
-	f := e.newFilter(g, p, now)
-	if workers := e.findWorkers(g, f); workers != nil {
+	workers, f := e.findRoom(g, p, now, func(f filter) []*Worker { return e.findWorkers(g, f) })
+	if workers != nil {
 		e.planRun(g, workers, FreeRoom, "free room outside its reservation", now)
 		return
 	}
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -23,8 +23,13 @@
 		if g.Run != nil || g.reservation != nil || g.record().Done {
 			continue
 		}
-		f := e.newFilter(g, p, now)
-		if e.placeTask(g, f, searches, p, now) {
+		f := e.newFilter(g, p, false, now)
+		placed := e.placeTask(g, f, searches, p, now)
+		if !placed && g.mayRetryFailed(now) {
+			f = e.newFilter(g, p, true, now)
+			placed = e.placeTask(g, f, searches, p, now)
+		}
+		if placed {
 			continue
 		}
 		if e.makeRoom(g, f, p, now) {
@@ -48,7 +53,7 @@
 		ts = e.searchTaskSlots(g, f)
 		searches[f] = ts
 	}
-	if w := ts.take(g); w != nil {
+	if w := ts.take(g, f); w != nil {
 		e.planRun(g, []*Worker{w}, FreeRoom, "free room", now)
 		return true
 	}
@@ -78,15 +83,15 @@
 	return &taskSlots{slots: slots, anyRoom: list.anyRoom}
 }
 
-// take uses the first slot on a worker on which no run of the group has failed, or returns nil. It checks the room again,
-// since other tasks of the step may have used it through the slots of another filter.
-func (ts *taskSlots) take(g *Group) *Worker {
+// take uses the first slot on a worker that the filter allows, or returns nil. It checks the room again, since other tasks of the
+// step may have used it through the slots of another filter.
+func (ts *taskSlots) take(g *Group, f filter) *Worker {
 	for ts.next < len(ts.slots) && ts.slots[ts.next].fits == 0 {
 		ts.next++
 	}
 	for i := ts.next; i < len(ts.slots); i++ {
 		sl := &ts.slots[i]
-		if sl.fits == 0 || slices.Contains(g.failedOn, sl.worker) {
+		if sl.fits == 0 || !f.allows(g, sl.worker) {
 			continue
 		}
 		if !sl.worker.open || sl.worker.slotFor(g).fits == 0 {
