group: a group waits only for a data rack that could run it

Cause: dataRackOnly counted the rack's workers without regard to service, label and MaxPerWorker, so a rack that can't run the group kept it waiting until waiting had cost as much as running elsewhere.

Change: only workers that the group may use count, each for as many tasks as the step allows there.

Failed before: TestGroupDoesNotWaitForARackThatCannotRunIt, all three cases. After: it passes.

--- a/internal/place/group/filter.go
+++ b/internal/place/group/filter.go
@@ -136,7 +136,7 @@
 
 // dataRackOnly reports whether the group should wait for the rack that holds its data.
 //
-// Workers that are only temporarily unavailable count as part of the rack.
+// Only workers that could run the group count, among them those that are only temporarily unavailable.
 func (e *Engine) dataRackOnly(g *Group, f filter, now time.Time) bool {
 	step := g.step()
 	if step.Affinity == "" {
@@ -148,9 +148,17 @@
 	}
 	capacity := 0
 	for _, w := range r.workers {
-		if !e.Closed(w) && (f.retryFailed || !slices.Contains(g.failedOn, w)) {
-			capacity += g.taskNeed().Count(w.Capacity, g.Count)
+		if !e.Closed(w) && f.allows(g, w) {
+			capacity += g.taskNeed().Count(w.Capacity, g.maxPerWorker())
 		}
 	}
 	return capacity >= g.Count
 }
+
+// maxPerWorker returns how many tasks of the group one worker may run.
+func (g *Group) maxPerWorker() int {
+	if limit := g.step().MaxPerWorker; limit > 0 {
+		return min(limit, g.Count)
+	}
+	return g.Count
+}
--- a/internal/place/group/rack_test.go
+++ b/internal/place/group/rack_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/work"
 	"gotest.tools/v3/assert"
 )
 
@@ -55,3 +57,29 @@
 	c.step()
 	assert.DeepEqual(t, c.workersOf("near"), map[string]int{"w1-0": 1})
 }
+
+// Guards against a group that waits for the rack of its data (LOST), although no worker there could run it.
+func TestGroupDoesNotWaitForARackThatCannotRunIt(t *testing.T) {
+	spread := gang(3, 1)
+	spread.MaxPerWorker = 1
+	for name, c := range map[string]struct {
+		step   work.Step
+		change func(*group.WorkerInfo)
+	}{
+		"no worker has the label":   {requiring(gang(1, 1)), func(*group.WorkerInfo) {}},
+		"no worker has the service": {gang(1, 1), func(info *group.WorkerInfo) { info.Service = "other" }},
+		"it has too few workers":    {spread, func(*group.WorkerInfo) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t, 2, 3)
+			cl.infos = cl.infos[:5]
+			c.change(&cl.infos[3])
+			c.change(&cl.infos[4])
+			cl.label("w0-0")
+			c.step.Affinity = "r1"
+			cl.submit("near", planQueue, "beta", c.step)
+			cl.step()
+			assert.Assert(t, len(cl.workersOf("near")) > 0)
+		})
+	}
+}
