--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -354,12 +354,12 @@
 	if e.reserveBackfill(g, f, now) {
 		return true
 	}
-	e.recordWaiting(g, f, now)
+	e.recordWaiting(g, f)
 	return false
 }
 
 // recordWaiting records why the group found no room, and logs it once for each wait.
-func (e *Engine) recordWaiting(g *Group, f filter, now time.Time) {
+func (e *Engine) recordWaiting(g *Group, f filter) {
 	if g.Job.Waiting != "" {
 		return
 	}
