group: the next owner knows on which workers a task failed

What callers could see: a job is given up after attempts that follow one another within 0.3 s on workers that still fail what they start, as the owner was lost in between.

Cause: the workers on which a group failed, and the delay before it returns to them, were known to one owner only.

Failed before (with the list left out of the record): TestNextOwnerPrefersWorkersOnWhichATaskHasNotFailed, both cases.

--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -371,7 +371,7 @@
 
 // waitCause returns why a group that found no room has none.
 func (e *Engine) waitCause(g *Group, f filter) Cause {
-	if !f.retryFailed && slices.ContainsFunc(g.failedOn, func(w *Worker) bool { return w.eligible(g) && !e.Closed(w) }) {
+	if !f.retryFailed && slices.ContainsFunc(e.sortedWorkers, func(w *Worker) bool { return g.failedOn(w) && w.eligible(g) && !e.Closed(w) }) {
 		return RetryDelayed
 	}
 	fits, accelerators := 0, 0
--- a/internal/place/group/failure.go
+++ b/internal/place/group/failure.go
@@ -16,7 +16,7 @@
 	rec.Failures++
 	rec.FailedRun = m.Run.Number
 	if !g.step().LongRunning {
-		// A long-running task group may fail any number of times, so it would return to each worker with the longest delay.
+		// A long-running task group may fail any number of times, so it would come to prefer none.
 		e.preferOthers(g, m.Worker, now)
 	}
 	e.pauseAfterFailure(m, now)
@@ -27,25 +27,35 @@
 }
 
 // preferOthers makes the group prefer other workers than the one on which a run of it failed. If these have no room, it returns
-// after a delay that doubles with each failure, and before its last attempt after the longest one, as a worker that is at fault
-// fails each attempt.
+// after a delay.
 func (e *Engine) preferOthers(g *Group, w *Worker, now time.Time) {
-	if !slices.Contains(g.failedOn, w) {
-		g.failedOn = append(g.failedOn, w)
+	g.record().AddFailedOn(w.ID)
+	g.retryFailedAt = now.Add(e.failureDelay(g))
+}
+
+// failureDelay returns how long the group stays away from workers on which it failed. It doubles with each failure, and is longest
+// before the last attempt, as a worker that is at fault fails each attempt.
+func (e *Engine) failureDelay(g *Group) time.Duration {
+	failures := g.record().Failures
+	if failures+1 >= e.queue(g.Job).MaxAttempts {
+		return e.cfg.RepeatedFailurePause
 	}
 	delay := e.cfg.FirstFailurePause
-	for n := 1; n < g.record().Failures && delay < e.cfg.RepeatedFailurePause; n++ {
+	for n := 1; n < failures && delay < e.cfg.RepeatedFailurePause; n++ {
 		delay *= 2
 	}
-	if g.record().Failures+1 >= e.queue(g.Job).MaxAttempts {
-		delay = e.cfg.RepeatedFailurePause
-	}
-	g.retryFailedAt = now.Add(min(delay, e.cfg.RepeatedFailurePause))
+	return min(delay, e.cfg.RepeatedFailurePause)
 }
 
+// hasFailed reports whether the group prefers other workers than those on which a run of it failed.
+func (g *Group) hasFailed() bool { return len(g.record().FailedOn) > 0 }
+
+// failedOn reports whether a run of the group failed on the worker.
+func (g *Group) failedOn(w *Worker) bool { return slices.Contains(g.record().FailedOn, w.ID) }
+
 // mayRetryFailed reports whether the group may return to workers on which it failed.
 func (g *Group) mayRetryFailed(now time.Time) bool {
-	return len(g.failedOn) > 0 && !now.Before(g.retryFailedAt)
+	return g.hasFailed() && !now.Before(g.retryFailedAt)
 }
 
 // pauseAfterFailure keeps new tasks off a worker after a failure, and longer after failures of several distinct task groups.
--- a/internal/place/group/failure_test.go
+++ b/internal/place/group/failure_test.go
@@ -122,3 +122,27 @@
 	c.advanceTime(time.Second)
 	assert.Equal(t, c.workerOf("quick.0.0.0"), "w0-0")
 }
+
+// Guards against attempts that are used up on workers that fail everything, as the next owner does not know of their failures.
+func TestNextOwnerPrefersWorkersOnWhichATaskHasNotFailed(t *testing.T) {
+	record := &work.Record{Phase: work.Running, Groups: []work.GroupRecord{{Run: 2, Failures: 2, FailedRun: 2, FailedOn: []string{"w0-0", "w0-1"}}}}
+	data, err := record.Encode()
+	assert.NilError(t, err)
+	for name, labelled := range map[string][]string{"others are free": {"w0-0", "w0-1", "w1-0"}, "no others": {"w0-0", "w0-1"}} {
+		t.Run(name, func(t *testing.T) {
+			inherited, err := work.DecodeRecord(data)
+			assert.NilError(t, err)
+			c := newCluster(t, 2, 3)
+			c.label(labelled...)
+			c.engine.Load(&work.Spec{Job: "job-a", Queue: batchQueue, Steps: []work.Step{requiring(single(1, 1))}}, inherited, 0, c.now, c.now)
+			c.step()
+			if len(labelled) == 3 {
+				assert.Equal(t, c.workerOf("job-a.0.0.0"), "w1-0")
+				return
+			}
+			assert.Equal(t, c.workerOf("job-a.0.0.0"), "")
+			c.advanceTime(2400 * time.Millisecond)
+			assert.Assert(t, c.workerOf("job-a.0.0.0") != "")
+		})
+	}
+}
--- a/internal/place/group/filter.go
+++ b/internal/place/group/filter.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/state/work"
@@ -76,7 +75,7 @@
 		service: g.Job.queue.Service, requires: step.Requires, affinity: step.Affinity, room: g.taskNeed(), maxPerWorker: step.MaxPerWorker,
 		mayUseQuickRacks: g.Job.queue.Priority == 0 || step.LongRunning, includeUnavailable: includeUnavailable, dataRackOnly: f.dataRackOnly,
 	}
-	if found, known := p.emptyCapacities[key]; known && len(g.failedOn) == 0 {
+	if found, known := p.emptyCapacities[key]; known && !g.hasFailed() {
 		return found
 	}
 	var capacity emptyCapacity
@@ -85,7 +84,7 @@
 			e.addRackCapacity(&capacity, g, f, r, includeUnavailable)
 		}
 	}
-	if len(g.failedOn) == 0 {
+	if !g.hasFailed() {
 		p.emptyCapacities[key] = capacity
 	}
 	return capacity
@@ -120,7 +119,7 @@
 // allows reports whether the group may run on the worker: the worker is eligible, and no run of the group has failed there or
 // the group may return to such workers.
 func (f filter) allows(g *Group, w *Worker) bool {
-	return w.eligible(g) && (f.retryFailed || !slices.Contains(g.failedOn, w))
+	return w.eligible(g) && (f.retryFailed || !g.failedOn(w))
 }
 
 // eligible reports whether the worker has the right service and the required label for the group.
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -111,9 +111,7 @@
 	nextBackfillAt    time.Time
 	// slowWorkerMoves counts the runs that were stopped because a worker had become slow.
 	slowWorkerMoves int
-	// failedOn are the workers on which a run of the group failed. It returns to them from retryFailedAt on, if there is no room
-	// elsewhere.
-	failedOn      []*Worker
+	// retryFailedAt is from when on the group returns to workers on which a run of it failed, if there is no room elsewhere.
 	retryFailedAt time.Time
 }
 
@@ -262,6 +260,10 @@
 	}
 	for _, g := range j.groups {
 		g.readyAt = latest(now, g.occ.due)
+		if g.hasFailed() {
+			// When the last failure was is not on record.
+			g.retryFailedAt = now.Add(e.failureDelay(g))
+		}
 	}
 	return j
 }
--- a/internal/place/group/pass.go
+++ b/internal/place/group/pass.go
@@ -51,7 +51,7 @@
 // missed records that the group found no room. A group that has failed on some worker is skipped, as other groups may still
 // use that worker.
 func (p *pass) missed(g *Group, f filter) {
-	if len(g.failedOn) == 0 {
+	if !g.hasFailed() {
 		p.misses[g.demand(f)] = g.Count
 	}
 }
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -37,7 +37,7 @@
 			clear(searches)
 			continue
 		}
-		if interchangeable && len(g.failedOn) == 0 && !f.emptiestFirst {
+		if interchangeable && !g.hasFailed() && !f.emptiestFirst {
 			return
 		}
 	}
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -28,9 +28,11 @@
 	// Run is the number of the last run, one attempt to run the task group; zero before the first.
 	Run int `json:"run,omitempty"`
 	// Failures is the number of failed runs; FailedRun is the last one counted, so that each run counts once.
-	Failures  int  `json:"failures,omitempty"`
-	FailedRun int  `json:"failedRun,omitempty"`
-	Done      bool `json:"done,omitempty"`
+	Failures  int `json:"failures,omitempty"`
+	FailedRun int `json:"failedRun,omitempty"`
+	// FailedOn are workers on which runs failed, at most MaxFailedOn; the group prefers others.
+	FailedOn []string `json:"failedOn,omitempty"`
+	Done     bool     `json:"done,omitempty"`
 	// Checkpoint is the last known checkpoint.
 	Checkpoint string `json:"saved,omitempty"`
 	// StartedFrom is the checkpoint that the members of the run in Workers started from.
@@ -43,6 +45,19 @@
 	Crashes []TaskCrashes `json:"crashes,omitempty"`
 }
 
+// MaxFailedOn bounds what failures add to a record.
+const MaxFailedOn = 8
+
+// AddFailedOn adds a worker on which a run failed; the oldest makes room for it. Copies of the record that were made before don't
+// change.
+func (g *GroupRecord) AddFailedOn(worker string) {
+	if slices.Contains(g.FailedOn, worker) {
+		return
+	}
+	list := append(slices.Clone(g.FailedOn), worker)
+	g.FailedOn = list[max(len(list)-MaxFailedOn, 0):]
+}
+
 // TaskCrashes counts the workers that have crashed under one task.
 type TaskCrashes struct {
 	// Task is the task's index in its group.
