--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -70,7 +70,7 @@
 }
 
 // askPeers calls ask for peersAsked peers at a time, those that gave a conclusive reply lately first; ask also returns whether
-// the peer was reached. It returns the first success, or the first refusal once all peers that were asked have replied, as one of
+// the peer was reached. It returns the first success, or a refusal once all peers that were asked have replied, as one of
 // them may have executed the request. Requests that change nothing need no such wait.
 func (r *Relay) askPeers(ctx context.Context, peers []Peer, kind admit.Kind, ask func(Peer) (*admit.Reply, bool)) (reply *admit.Reply, mayHaveRun bool) {
 	started := r.Now()
