--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -45,7 +45,6 @@
 		updates = updates[len(batch):]
 		if err := t.commitBatch(ctx, batch); err != nil {
 			failed = true
-			t.Log.Emit(event.CommitFailed, event.Fields{"jobs": len(batch), "error": err.Error(), "token": t.token})
 		}
 	}
 	if failed {
@@ -104,6 +103,9 @@
 	call, done := context.WithTimeout(ctx, storeTimeout)
 	defer done()
 	revision, err := t.Store.Commit(call, tx)
+	if err != nil {
+		t.logFailure(len(batch), tx, err)
+	}
 	now := t.Now()
 	t.state.Lock()
 	defer t.state.Unlock()
@@ -131,6 +133,17 @@
 	return err
 }
 
+// logFailure logs a failed transaction with its largest value.
+func (t *term) logFailure(jobs int, tx store.Transaction, err error) {
+	var largest store.Write
+	for _, w := range tx.Writes {
+		if len(w.Data) > len(largest.Data) {
+			largest = w
+		}
+	}
+	t.Log.Emit(event.CommitFailed, event.Fields{"jobs": jobs, "error": err.Error(), "largest": largest.Key, "bytes": len(largest.Data), "token": t.token})
+}
+
 // handleRefusal handles a transaction whose expectations did not hold: ownership is lost, or an earlier write with a lost
 // response has taken effect and changed the revisions. The caller holds t.state.
 func (t *term) handleRefusal(refused *store.RefusedError, batch []group.Update) {
