--- a/internal/kern/event/event.go
+++ b/internal/kern/event/event.go
@@ -66,6 +66,7 @@
 	TellLost         = define(319, "tellLost", log.InfoLevel, "The owner could not be notified of an accepted job; it learns of the job from its watch of the key-value store.")
 	JobRecorded      = define(320, "jobRecorded", log.InfoLevel, "A record of an ended job is durable; it may be written again when its last tasks have stopped.")
 	JobShown         = define(321, "jobShown", log.InfoLevel, "A caller was shown the final state of a job.")
+	RecordRejected   = define(322, "recordRejected", log.ErrorLevel, "The store does not accept the record of a job, which is written again after `retryIn`; other jobs are not affected. `key` is that of the largest value, `bytes` its size.")
 	TermBegan        = define(410, "termBegan", log.InfoLevel, "This instance became the owner; `token` is the fencing token that shuts out earlier owners.")
 	TermEnded        = define(411, "termEnded", log.WarnLevel, "This instance is no longer the owner; `why` gives the cause.")
 	TermLoaded       = define(412, "termLoaded", log.InfoLevel, "The new owner has read the records of all jobs.")
--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -43,7 +43,7 @@
 	for len(updates) > 0 {
 		batch := updates[:fitCount(updates)]
 		updates = updates[len(batch):]
-		if err := t.commitBatch(ctx, batch); err != nil {
+		if !t.commitBatch(ctx, batch) {
 			failed = true
 		}
 	}
@@ -95,34 +95,59 @@
 	}
 }
 
-func (t *term) commitBatch(ctx context.Context, batch []group.Update) error {
-	tx, err := t.buildTransaction(batch)
-	if err != nil {
-		return err
+// commitBatch makes the updates durable in one transaction, and reports false if the store has failed. A transaction that the store
+// rejects is halved until the updates that it does not accept are alone.
+func (t *term) commitBatch(ctx context.Context, batch []group.Update) bool {
+	tx, batch := t.buildTransaction(batch)
+	if len(batch) == 0 {
+		return true
 	}
 	call, done := context.WithTimeout(ctx, storeTimeout)
 	defer done()
 	revision, err := t.Store.Commit(call, tx)
-	if err != nil {
+	if err == nil {
+		t.applyCommitted(batch, revision)
+		return true
+	}
+	var rejected *store.RejectedError
+	switch {
+	case !errors.As(err, &rejected):
 		t.logFailure(len(batch), tx, err)
+		t.applyUncommitted(batch, err)
+		return false
+	case len(batch) == 1:
+		t.reject(batch[0], largestWrite(tx), err)
+		return true
+	default:
+		half := len(batch) / 2
+		first := t.commitBatch(ctx, batch[:half])
+		return t.commitBatch(ctx, batch[half:]) && first
 	}
+}
+
+// applyCommitted records that the updates are durable since the revision.
+func (t *term) applyCommitted(batch []group.Update, revision int64) {
 	now := t.Now()
 	t.state.Lock()
 	defer t.state.Unlock()
 	t.Meter.Group(len(batch))
-	if err == nil {
-		for _, u := range batch {
-			t.revisions[u.Job] = revision
-			if u.Delete {
-				delete(t.revisions, u.Job)
-			}
-			t.engine.Committed(u, now)
-			if u.Record.Phase.Final() && !u.Delete {
-				t.Log.Emit(event.JobRecorded, event.Fields{"job": u.Job, "phase": u.Record.Phase.String(), "token": t.token})
-			}
+	for _, u := range batch {
+		t.revisions[u.Job] = revision
+		if u.Delete {
+			delete(t.revisions, u.Job)
+		}
+		t.engine.Committed(u, now)
+		if u.Record.Phase.Final() && !u.Delete {
+			t.Log.Emit(event.JobRecorded, event.Fields{"job": u.Job, "phase": u.Record.Phase.String(), "token": t.token})
 		}
-		return nil
 	}
+}
+
+// applyUncommitted records that the updates failed and are to be tried again.
+func (t *term) applyUncommitted(batch []group.Update, err error) {
+	t.state.Lock()
+	defer t.state.Unlock()
+	t.Meter.Group(len(batch))
 	for _, u := range batch {
 		t.engine.Uncommitted(u)
 	}
@@ -130,18 +155,33 @@
 	if errors.As(err, &refused) {
 		t.handleRefusal(refused, batch)
 	}
-	return err
+}
+
+// reject postpones an update that the store does not accept.
+func (t *term) reject(u group.Update, largest store.Write, err error) {
+	t.state.Lock()
+	delay := t.engine.Rejected(u, t.Now())
+	t.state.Unlock()
+	t.Meter.Count("records.rejected")
+	t.Log.Emit(event.RecordRejected, event.Fields{
+		"job": u.Job, "key": largest.Key, "bytes": len(largest.Data), "phase": u.Record.Phase.String(), "error": err.Error(), "retryIn": delay.String(), "token": t.token,
+	})
 }
 
 // logFailure logs a failed transaction with its largest value.
 func (t *term) logFailure(jobs int, tx store.Transaction, err error) {
-	var largest store.Write
+	largest := largestWrite(tx)
+	t.Log.Emit(event.CommitFailed, event.Fields{"jobs": jobs, "error": err.Error(), "largest": largest.Key, "bytes": len(largest.Data), "token": t.token})
+}
+
+// largestWrite returns the write with the most data, or none if the transaction has no writes.
+func largestWrite(tx store.Transaction) (largest store.Write) {
 	for _, w := range tx.Writes {
-		if len(w.Data) > len(largest.Data) {
+		if len(w.Data) >= len(largest.Data) {
 			largest = w
 		}
 	}
-	t.Log.Emit(event.CommitFailed, event.Fields{"jobs": jobs, "error": err.Error(), "largest": largest.Key, "bytes": len(largest.Data), "token": t.token})
+	return largest
 }
 
 // handleRefusal handles a transaction whose expectations did not hold: ownership is lost, or an earlier write with a lost
@@ -159,25 +199,30 @@
 	}
 }
 
-func (t *term) buildTransaction(batch []group.Update) (store.Transaction, error) {
+// buildTransaction returns the transaction and the updates that it makes durable: those whose record can't be encoded are left out
+// and postponed.
+func (t *term) buildTransaction(updates []group.Update) (store.Transaction, []group.Update) {
 	t.state.Lock()
 	defer t.state.Unlock()
 	tx := store.Transaction{Expected: []store.Expectation{{Key: work.OwnerKey, Revision: t.token}}}
-	for i := range batch {
-		u := &batch[i]
+	var batch []group.Update
+	for _, u := range updates {
+		data, err := u.Record.Encode()
+		if err != nil {
+			delay := t.engine.Rejected(u, t.Now())
+			t.Log.Emit(event.RecordRejected, event.Fields{"job": u.Job, "error": err.Error(), "retryIn": delay.String(), "token": t.token})
+			continue
+		}
+		batch = append(batch, u)
 		tx.Expected = append(tx.Expected, store.Expectation{Key: work.RecordKey(u.Job), Revision: t.revisions[u.Job]})
 		if u.Delete {
 			tx.Deletes = append(tx.Deletes, work.RecordKey(u.Job), work.SpecKey(u.Job), work.CancelKey(u.Job), work.WaitKey(u.Queue, u.Job))
 			continue
 		}
-		data, err := u.Record.Encode()
-		if err != nil {
-			return tx, err
-		}
 		tx.Writes = append(tx.Writes, store.Write{Key: work.RecordKey(u.Job), Data: data})
 		if u.NoLongerPending {
 			tx.Deletes = append(tx.Deletes, work.WaitKey(u.Queue, u.Job))
 		}
 	}
-	return tx, nil
+	return tx, batch
 }
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -186,7 +186,7 @@
 	var list []Update
 	for _, urgent := range []bool{true, false} {
 		e.changedJobs = slices.DeleteFunc(e.changedJobs, func(j *Job) bool {
-			if len(list) == limit || j.inFlight || j.urgent != urgent {
+			if len(list) == limit || j.inFlight || j.urgent != urgent || now.Before(j.rejectedUntil) {
 				return false
 			}
 			list = append(list, e.newUpdate(j))
@@ -195,7 +195,7 @@
 		})
 	}
 	for _, j := range e.endedJobs {
-		if len(list) < limit && !j.dirty && !j.inFlight && e.forgettable(j, now) {
+		if len(list) < limit && !j.dirty && !j.inFlight && !now.Before(j.rejectedUntil) && e.forgettable(j, now) {
 			j.inFlight = true
 			list = append(list, Update{Job: j.ID(), Queue: j.Spec.Queue, Delete: true})
 		}
@@ -267,6 +267,7 @@
 		return
 	}
 	j.inFlight, j.durableChanges = false, u.changes
+	j.rejections, j.rejectedUntil = 0, time.Time{}
 	if u.NoLongerPending {
 		j.hasPendingKey = false
 	}
@@ -291,3 +292,29 @@
 		e.markChanged(j)
 	}
 }
+
+const (
+	// firstRejectionDelay is the delay before a rejected update is written again. It doubles with each rejection, up to
+	// maxRejectionDelay: only a change of the job or of the store helps.
+	firstRejectionDelay = 250 * time.Millisecond
+	maxRejectionDelay   = 8 * time.Second
+)
+
+// Rejected records that the store does not accept an update, and returns the delay until Updates returns the change again. The end
+// of the job comes at once.
+func (e *Engine) Rejected(u Update, now time.Time) time.Duration {
+	e.Uncommitted(u)
+	j := e.jobs[u.Job]
+	if j == nil {
+		return 0
+	}
+	delay := firstRejectionDelay
+	for n := 0; n < j.rejections && delay < maxRejectionDelay; n++ {
+		delay *= 2
+	}
+	j.rejections++
+	if u.Delete || u.Record.Phase == j.Record.Phase {
+		j.rejectedUntil = now.Add(delay)
+	}
+	return delay
+}
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -324,7 +324,7 @@
 
 // finishJob moves the job to a final phase and stops its runs.
 func (e *Engine) finishJob(j *Job, phase work.Phase, why string, now time.Time) {
-	j.Record.Phase, j.endedAt, j.urgent = phase, now, true
+	j.Record.Phase, j.endedAt, j.urgent, j.rejectedUntil = phase, now, true, time.Time{}
 	e.markChanged(j)
 	for _, g := range j.groups {
 		e.dropReservation(g)
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -46,6 +46,9 @@
 	inFlight bool
 	// urgent is true if a caller is waiting for the record of the job's end, or a worker for that of a planned run.
 	urgent bool
+	// rejections counts the updates in a row that the store has rejected; the next one is not made before rejectedUntil.
+	rejections    int
+	rejectedUntil time.Time
 	// changes counts the changes of the record, durableChanges those of them that are durable.
 	changes        int
 	durableChanges int
--- a/internal/proof/fake/transactor.go
+++ b/internal/proof/fake/transactor.go
@@ -40,6 +40,7 @@
 	changed           chan struct{}
 	undelivered       []store.Transaction
 	nextFate          func(operation string) CallOutcome
+	accepts           func(tx store.Transaction) bool
 }
 
 var _ store.Transactor = (*Transactor)(nil)
@@ -57,6 +58,13 @@
 	t.nextFate = next
 }
 
+// SetAccepted makes the store reject the transactions for which accepts returns false, each with a store.RejectedError.
+func (t *Transactor) SetAccepted(accepts func(tx store.Transaction) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accepts = accepts
+}
+
 func (t *Transactor) outcome(operation string) CallOutcome {
 	t.mu.Lock()
 	next := t.nextFate
@@ -157,7 +165,8 @@
 	return found
 }
 
-// Commit executes a transaction and returns its revision, or a store.RefusedError if an expected revision differs.
+// Commit executes a transaction and returns its revision, a store.RefusedError if an expected revision differs, or a
+// store.RejectedError if it is not accepted.
 func (t *Transactor) Commit(_ context.Context, tx store.Transaction) (int64, error) {
 	outcome := t.outcome("commit")
 	if outcome == Down {
@@ -165,6 +174,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.accepts != nil && !t.accepts(tx) {
+		return 0, &store.RejectedError{Cause: "not accepted"}
+	}
 	if outcome == RequestLost {
 		t.undelivered = append(t.undelivered, tx)
 		return 0, outcomeError(outcome)
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -207,10 +207,15 @@
 	}
 	err := s.create(ctx, t, spec)
 	var refusedErr *store.RefusedError
+	var rejectedErr *store.RejectedError
 	var lostErr *store.LostError
 	switch {
 	case err == nil:
 		return Reply{Result: OK}, true
+	case errors.As(err, &rejectedErr) && a.unknown:
+		return s.settle(ctx, work.SpecKey(spec.Job), a, Reply{Result: BadRequest, Why: err.Error()})
+	case errors.As(err, &rejectedErr):
+		return Reply{Result: BadRequest, Why: err.Error()}, true
 	case errors.As(err, &refusedErr) && refusedErr.Current(work.SpecKey(spec.Job)).Revision != 0:
 		return Reply{Result: OK, Why: "known already"}, true
 	case errors.As(err, &refusedErr):
@@ -321,10 +326,15 @@
 	})
 	cancel()
 	var refusedErr *store.RefusedError
+	var rejectedErr *store.RejectedError
 	var lostErr *store.LostError
 	switch {
 	case err == nil:
 		return Reply{Result: OK}, true
+	case errors.As(err, &rejectedErr) && a.unknown:
+		return s.settle(ctx, work.CancelKey(t.jobID), a, Reply{Result: BadRequest, Why: err.Error()})
+	case errors.As(err, &rejectedErr):
+		return Reply{Result: BadRequest, Why: err.Error()}, true
 	case errors.As(err, &lostErr):
 		a.lost(t.guard)
 	case errors.As(err, &refusedErr):
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -170,6 +170,35 @@
 	assert.Assert(t, !f.jobCreated(t))
 }
 
+// Guards against callers that repeat a job that the store will never accept, as if its answer had been lost.
+func TestJobThatTheStoreRejectsIsInvalid(t *testing.T) {
+	f := newFixture(t)
+	f.store.SetAccepted(func(store.Transaction) bool { return false })
+	reply := f.service.Submit(shortContext(t), caller(), spec())
+	assert.Equal(t, reply.Result, admit.BadRequest)
+	assert.Equal(t, reply.RetryAfter, time.Duration(0))
+	assert.Equal(t, f.service.Cancel(shortContext(t), caller()).Result, admit.BadRequest)
+	assert.Assert(t, !f.jobCreated(t))
+}
+
+// Guards against a refusal of a job that runs: the answer to an earlier attempt was lost, and the store rejects the next one.
+func TestRejectionAfterALostAnswerIsNotFinal(t *testing.T) {
+	f := newFixture(t)
+	commits := 0
+	f.store.SetOutcomes(func(operation string) fake.CallOutcome {
+		if operation != "commit" {
+			return fake.Delivered
+		}
+		commits++
+		if commits == 1 {
+			return fake.RequestLost
+		}
+		f.store.SetAccepted(func(store.Transaction) bool { return false })
+		return fake.Delivered
+	})
+	assert.Equal(t, f.service.Submit(shortContext(t), caller(), spec()).Result, admit.Unknown)
+}
+
 func TestSecondSubmitIsTheSameJob(t *testing.T) {
 	f := newFixture(t)
 	assert.Equal(t, f.service.Submit(shortContext(t), caller(), spec()).Result, admit.OK)
--- a/internal/state/store/transact.go
+++ b/internal/state/store/transact.go
@@ -48,7 +48,8 @@
 // Transactor is a key-value store with transactions over several keys.
 //
 // An UnavailableError means that nothing was done, a LostError that the call may have taken effect or may still do so, a
-// RefusedError that an expectation did not hold, and a HistoryError that a watch must start again from a Range.
+// RefusedError that an expectation did not hold, a RejectedError that the store will never accept the transaction as it is, and a
+// HistoryError that a watch must start again from a Range.
 type Transactor interface {
 	// Item returns one key; a missing key has revision zero.
 	Item(ctx context.Context, key string) (Item, error)
@@ -84,6 +85,13 @@
 	return Item{Key: key}
 }
 
+// RejectedError means that the store does not accept a transaction as it is, for example because a value is too large. The
+// transaction had no effect, and would have none if it were sent again.
+type RejectedError struct{ Cause string }
+
+// Error includes the cause.
+func (e *RejectedError) Error() string { return "store: transaction rejected: " + e.Cause }
+
 // HistoryError means that the store no longer has the changes that a watch asked for.
 type HistoryError struct{ After int64 }
 
