--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -1,8 +1,10 @@
 package term
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
@@ -19,6 +21,9 @@
 	// maxCommitsInFlight limits the commits in progress. If a third of the responses is lost, each blocks a commit for a
 	// second, and a dozen others must still make progress.
 	maxCommitsInFlight = 16
+	// maxCommitBytes limits the values of one transaction, unless it has only one: the slowest link of an instance, 10 Mbit/s, takes
+	// 0.3 s for them.
+	maxCommitBytes = 256 << 10
 )
 
 // nextUpdates returns the updates for one commit, or none if they should wait for more. While a commit is in progress,
@@ -37,156 +42,191 @@
 	return updates
 }
 
-// commit makes the updates durable, then dispatches the actions that they permit and acknowledges durable exits to workers.
+// commit makes the updates durable, each in as many transactions as it needs, and dispatches the actions that they permit.
 func (t *term) commit(ctx context.Context, updates []group.Update) {
+	writes := t.prepareWrites(updates)
+	var pieces []piece
+	for _, w := range writes {
+		pieces = append(pieces, w.pieces...)
+	}
 	failed := false
-	for len(updates) > 0 {
-		batch := updates[:fitCount(updates)]
-		updates = updates[len(batch):]
-		if !t.commitBatch(ctx, batch) {
+	for len(pieces) > 0 {
+		n := t.fitCount(pieces)
+		if !t.commitPieces(ctx, pieces[:n]) {
 			failed = true
 		}
+		pieces = pieces[n:]
+		t.afterCommit(ctx)
+	}
+	t.state.Lock()
+	for _, w := range writes {
+		if w.outcome == writeFailed {
+			t.engine.Uncommitted(w.update)
+		}
 	}
+	t.state.Unlock()
 	if failed {
 		pause.For(ctx, t.jitter(storeRetryDelay/2))
 	}
 	t.state.Lock()
 	t.commitsInFlight--
 	t.commitFailed = failed
+	t.state.Unlock()
+	t.notify()
+}
+
+// afterCommit dispatches the actions that durable updates permit, and acknowledges durable exits to workers.
+func (t *term) afterCommit(ctx context.Context) {
+	t.state.Lock()
 	t.wakeSessions()
 	actions := t.engine.Actions()
 	t.state.Unlock()
 	t.dispatch(ctx, actions)
-	t.notify()
 }
 
-// fitCount returns how many of the updates, counted from the first, fit into one transaction.
-func fitCount(updates []group.Update) int {
-	left := store.MaxEntries - 1
-	for i := range updates {
-		left -= entryCount(&updates[i])
-		if left < 0 {
-			return i
+// wakeSessions wakes the sessions of the workers whose exits have become durable, so that they acknowledge them. The caller
+// holds t.state.
+func (t *term) wakeSessions() {
+	for id := range t.engine.NewlyDurableExits() {
+		if s := t.sessions[id]; s != nil {
+			s.wake()
 		}
 	}
-	return len(updates)
 }
 
-// entryCount returns how many entries of a transaction the update takes.
-func entryCount(u *group.Update) int {
-	switch {
-	case u.Delete:
-		// The expectation and four keys to delete.
-		return 5
-	case u.NoLongerPending:
-		return 3
-	default:
-		return 2
+// prepareWrites encodes the updates, those with the fewest pieces first, so that they don't wait for large ones. Updates that can't
+// be encoded are postponed.
+func (t *term) prepareWrites(updates []group.Update) []*write {
+	var writes []*write
+	for _, u := range updates {
+		w, err := t.prepareWrite(u)
+		if err != nil {
+			t.postpone(u, piece{key: work.RecordKey(u.Job)}, err)
+			continue
+		}
+		writes = append(writes, w)
 	}
+	slices.SortStableFunc(writes, func(a, b *write) int { return cmp.Compare(len(a.pieces), len(b.pieces)) })
+	return writes
 }
 
-// wakeSessions wakes the sessions of the workers whose exits have become durable, so that they acknowledge them. The caller
-// holds t.state.
-func (t *term) wakeSessions() {
-	for id := range t.engine.NewlyDurableExits() {
-		if s := t.sessions[id]; s != nil {
-			s.wake()
+// fitCount returns how many of the pieces, counted from the first, go into one transaction. Those of an update that the store has
+// rejected before go alone.
+func (t *term) fitCount(pieces []piece) int {
+	entries, size := t.Limits.entries()-1, maxCommitBytes
+	for i, p := range pieces {
+		entries -= p.entries()
+		size -= len(p.data)
+		alone := p.of.update.Rejected || pieces[0].of.update.Rejected
+		if i > 0 && (entries < 0 || size < 0 || alone) {
+			return i
 		}
 	}
+	return len(pieces)
 }
 
-// commitBatch makes the updates durable in one transaction, and reports false if the store has failed. A transaction that the store
-// rejects is halved until the updates that it does not accept are alone.
-func (t *term) commitBatch(ctx context.Context, batch []group.Update) bool {
-	tx, batch := t.buildTransaction(batch)
-	if len(batch) == 0 {
+// commitPieces makes the pieces durable in one transaction, and reports false if the store has failed. Pieces of writes of which an
+// earlier piece is not durable are left out. A transaction that the store rejects is halved until the pieces that it does not accept
+// are alone.
+func (t *term) commitPieces(ctx context.Context, pieces []piece) bool {
+	pieces = slices.DeleteFunc(slices.Clone(pieces), func(p piece) bool { return p.of.outcome != writePending })
+	if len(pieces) == 0 {
 		return true
 	}
+	tx := t.buildTransaction(pieces)
 	call, done := context.WithTimeout(ctx, storeTimeout)
 	defer done()
 	revision, err := t.Store.Commit(call, tx)
 	if err == nil {
-		t.applyCommitted(batch, revision)
+		t.applyCommitted(pieces, revision)
 		return true
 	}
 	var rejected *store.RejectedError
 	switch {
 	case !errors.As(err, &rejected):
-		t.logFailure(len(batch), tx, err)
-		t.applyUncommitted(batch, err)
+		t.logFailure(len(pieces), tx, err)
+		t.applyFailed(pieces, err)
 		return false
-	case len(batch) == 1:
-		t.reject(batch[0], largestWrite(tx), err)
+	case len(pieces) == 1:
+		t.reject(pieces[0], err)
 		return true
 	default:
-		half := len(batch) / 2
-		first := t.commitBatch(ctx, batch[:half])
-		return t.commitBatch(ctx, batch[half:]) && first
+		half := len(pieces) / 2
+		first := t.commitPieces(ctx, pieces[:half])
+		return t.commitPieces(ctx, pieces[half:]) && first
 	}
 }
 
-// applyCommitted records that the updates are durable since the revision.
-func (t *term) applyCommitted(batch []group.Update, revision int64) {
-	now := t.Now()
+// buildTransaction returns the transaction that makes the pieces durable while this instance is the owner.
+func (t *term) buildTransaction(pieces []piece) store.Transaction {
 	t.state.Lock()
 	defer t.state.Unlock()
-	t.Meter.Group(len(batch))
-	for _, u := range batch {
-		t.revisions[u.Job] = revision
-		if u.Delete {
-			delete(t.revisions, u.Job)
-		}
-		t.engine.Committed(u, now)
-		if u.Record.Phase.Final() && !u.Delete {
-			t.Log.Emit(event.JobRecorded, event.Fields{"job": u.Job, "phase": u.Record.Phase.String(), "token": t.token})
+	tx := store.Transaction{Expected: []store.Expectation{{Key: work.OwnerKey, Revision: t.token}}}
+	for _, p := range pieces {
+		if p.key != "" {
+			tx.Expected = append(tx.Expected, store.Expectation{Key: p.key, Revision: t.revisions[p.key]})
 		}
+		if p.data != nil {
+			tx.Writes = append(tx.Writes, store.Write{Key: p.key, Data: p.data})
+		}
+		tx.Deletes = append(tx.Deletes, p.deletes...)
 	}
+	return tx
 }
 
-// applyUncommitted records that the updates failed and are to be tried again.
-func (t *term) applyUncommitted(batch []group.Update, err error) {
+// applyCommitted records that the pieces are durable since the revision.
+func (t *term) applyCommitted(pieces []piece, revision int64) {
+	now := t.Now()
 	t.state.Lock()
 	defer t.state.Unlock()
-	t.Meter.Group(len(batch))
-	for _, u := range batch {
-		t.engine.Uncommitted(u)
-	}
-	var refused *store.RefusedError
-	if errors.As(err, &refused) {
-		t.handleRefusal(refused, batch)
+	t.Meter.Group(len(pieces))
+	for _, p := range pieces {
+		if p.data != nil {
+			t.revisions[p.key] = revision
+		}
+		for _, key := range p.deletes {
+			delete(t.revisions, key)
+		}
+		u := p.of.update
+		if p.head && u.Record.Phase.Final() {
+			t.Log.Emit(event.JobRecorded, event.Fields{"job": u.Job, "phase": u.Record.Phase.String(), "token": t.token})
+		}
+		if p.head {
+			t.engine.HeadCommitted(u)
+		}
+		if p.of.left--; p.of.left == 0 {
+			p.of.outcome = writeDurable
+			t.engine.Committed(u, now)
+		}
+		if u.Delete && p.of.left == 0 {
+			t.forget(u.Job)
+		}
 	}
 }
 
-// reject postpones an update that the store does not accept.
-func (t *term) reject(u group.Update, largest store.Write, err error) {
-	t.state.Lock()
-	delay := t.engine.Rejected(u, t.Now())
-	t.state.Unlock()
-	t.Meter.Count("records.rejected")
-	t.Log.Emit(event.RecordRejected, event.Fields{
-		"job": u.Job, "key": largest.Key, "bytes": len(largest.Data), "phase": u.Record.Phase.String(), "error": err.Error(), "retryIn": delay.String(), "token": t.token,
-	})
-}
-
-// logFailure logs a failed transaction with its largest value.
-func (t *term) logFailure(jobs int, tx store.Transaction, err error) {
-	largest := largestWrite(tx)
-	t.Log.Emit(event.CommitFailed, event.Fields{"jobs": jobs, "error": err.Error(), "largest": largest.Key, "bytes": len(largest.Data), "token": t.token})
+// forget drops what the term knows of a deleted job. The caller holds t.state.
+func (t *term) forget(job string) {
+	delete(t.partKeys, job)
+	delete(t.partLimits, job)
 }
 
-// largestWrite returns the write with the most data, or none if the transaction has no writes.
-func largestWrite(tx store.Transaction) (largest store.Write) {
-	for _, w := range tx.Writes {
-		if len(w.Data) >= len(largest.Data) {
-			largest = w
-		}
+// applyFailed records that the pieces may not be durable, and are to be written again.
+func (t *term) applyFailed(pieces []piece, err error) {
+	t.state.Lock()
+	defer t.state.Unlock()
+	t.Meter.Group(len(pieces))
+	for _, p := range pieces {
+		p.of.outcome = writeFailed
+	}
+	var refused *store.RefusedError
+	if errors.As(err, &refused) {
+		t.handleRefusal(refused, pieces)
 	}
-	return largest
 }
 
 // handleRefusal handles a transaction whose expectations did not hold: ownership is lost, or an earlier write with a lost
 // response has taken effect and changed the revisions. The caller holds t.state.
-func (t *term) handleRefusal(refused *store.RefusedError, batch []group.Update) {
+func (t *term) handleRefusal(refused *store.RefusedError, pieces []piece) {
 	if refused.Current(work.OwnerKey).Revision != t.token {
 		if t.cause == nil {
 			t.cause = &fencedError{by: "by the key-value store"}
@@ -194,35 +234,52 @@
 		t.cancel()
 		return
 	}
-	for _, u := range batch {
-		t.revisions[u.Job] = refused.Current(work.RecordKey(u.Job)).Revision
+	for _, p := range pieces {
+		if p.key != "" {
+			t.revisions[p.key] = refused.Current(p.key).Revision
+		}
 	}
 }
 
-// buildTransaction returns the transaction and the updates that it makes durable: those whose record can't be encoded are left out
-// and postponed.
-func (t *term) buildTransaction(updates []group.Update) (store.Transaction, []group.Update) {
+// reject handles a piece that the store does not accept. If it can be divided, the record is divided further and written at once;
+// otherwise the update is postponed.
+func (t *term) reject(p piece, err error) {
+	p.of.outcome = writeFailed
+	if p.divisible {
+		t.state.Lock()
+		t.partLimits[p.of.update.Job] = len(p.data) / 2
+		t.state.Unlock()
+		t.logRejection(p, err, 0)
+		return
+	}
+	p.of.outcome = writeRejected
+	t.postpone(p.of.update, p, err)
+}
+
+// postpone returns an update to the engine that can't be written as it is.
+func (t *term) postpone(u group.Update, p piece, err error) {
 	t.state.Lock()
-	defer t.state.Unlock()
-	tx := store.Transaction{Expected: []store.Expectation{{Key: work.OwnerKey, Revision: t.token}}}
-	var batch []group.Update
-	for _, u := range updates {
-		data, err := u.Record.Encode()
-		if err != nil {
-			delay := t.engine.Rejected(u, t.Now())
-			t.Log.Emit(event.RecordRejected, event.Fields{"job": u.Job, "error": err.Error(), "retryIn": delay.String(), "token": t.token})
-			continue
-		}
-		batch = append(batch, u)
-		tx.Expected = append(tx.Expected, store.Expectation{Key: work.RecordKey(u.Job), Revision: t.revisions[u.Job]})
-		if u.Delete {
-			tx.Deletes = append(tx.Deletes, work.RecordKey(u.Job), work.SpecKey(u.Job), work.CancelKey(u.Job), work.WaitKey(u.Queue, u.Job))
-			continue
-		}
-		tx.Writes = append(tx.Writes, store.Write{Key: work.RecordKey(u.Job), Data: data})
-		if u.NoLongerPending {
-			tx.Deletes = append(tx.Deletes, work.WaitKey(u.Queue, u.Job))
+	delay := t.engine.Rejected(u, t.Now())
+	t.state.Unlock()
+	p.of = &write{update: u}
+	t.logRejection(p, err, delay)
+}
+
+func (t *term) logRejection(p piece, err error, delay time.Duration) {
+	t.Meter.Count("records.rejected")
+	t.Log.Emit(event.RecordRejected, event.Fields{
+		"job": p.of.update.Job, "key": p.key, "bytes": len(p.data), "limit": t.Limits.valueBytes(), "phase": p.of.update.Record.Phase.String(), "error": err.Error(),
+		"retryIn": delay.String(), "token": t.token,
+	})
+}
+
+// logFailure logs a failed transaction with its largest value.
+func (t *term) logFailure(changes int, tx store.Transaction, err error) {
+	var largest store.Write
+	for _, w := range tx.Writes {
+		if len(w.Data) >= len(largest.Data) {
+			largest = w
 		}
 	}
-	return tx, batch
+	t.Log.Emit(event.CommitFailed, event.Fields{"changes": changes, "error": err.Error(), "largest": largest.Key, "bytes": len(largest.Data), "token": t.token})
 }
--- a/internal/node/term/commit_test.go
+++ b/internal/node/term/commit_test.go
@@ -52,20 +52,68 @@
 	assert.Equal(t, len(term.nextUpdates(now)), 0)
 }
 
+// Guards against transactions that the store rejects for their number of entries, as each kind of update takes another number.
 func TestNoTransactionExceedsTheStoreLimit(t *testing.T) {
-	updates := make([]group.Update, updatesPerCommit)
-	for i := range updates {
-		updates[i].NoLongerPending = i%2 == 0
-		updates[i].Delete = i%3 == 0
+	now := time.Unix(1000, 0)
+	for _, limit := range []int{4, 6, store.MaxEntries} {
+		term := termWithChanges(0, now)
+		term.Limits.MaxEntries = limit
+		var updates []group.Update
+		for i := range updatesPerCommit {
+			u := group.Update{Job: fmt.Sprintf("%016x", i), Head: true, NoLongerPending: i%2 == 0, Delete: i%3 == 0}
+			term.addPartKey(u.Job, work.PartKey(u.Job, 0))
+			if i%4 == 0 {
+				u.Record.Division = 1
+				for _, part := range []work.Part{{Division: 1, Groups: make([]work.GroupRecord, 3)}, {Division: 1, First: 3, Groups: make([]work.GroupRecord, 1)}} {
+					u.Parts = append(u.Parts, group.ChangedPart{Part: part})
+				}
+			}
+			updates = append(updates, u)
+		}
+		var pieces []piece
+		for _, w := range term.prepareWrites(updates) {
+			pieces = append(pieces, w.pieces...)
+		}
+		for len(pieces) > 0 {
+			n := term.fitCount(pieces)
+			assert.Assert(t, n > 0)
+			tx := term.buildTransaction(pieces[:n])
+			assert.Assert(t, len(tx.Expected)+len(tx.Writes)+len(tx.Deletes) <= limit, "%+v", tx)
+			pieces = pieces[n:]
+		}
+	}
+}
+
+// BenchmarkChangeOfOneTask encodes a change of one task of the largest job, all of whose tasks run.
+func BenchmarkChangeOfOneTask(b *testing.B) {
+	now := time.Unix(1000, 0)
+	term := termWithChanges(0, now)
+	spec := &work.Spec{Job: fmt.Sprintf("%016x", 1), Queue: "plan", Steps: []work.Step{{Count: work.MaxTasks, Checkpoints: true}}}
+	record := &work.Record{Phase: work.Running, Groups: make([]work.GroupRecord, work.MaxTasks)}
+	for i := range record.Groups {
+		record.Groups[i] = work.GroupRecord{Run: 1, Workers: []string{fmt.Sprintf("i-%08x", i%1000)}, Checkpoint: "00000bb87a21d94b"}
 	}
-	for len(updates) > 0 {
-		n := fitCount(updates)
-		assert.Assert(t, n > 0)
-		used := 1
-		for i := range updates[:n] {
-			used += entryCount(&updates[i])
+	term.engine.Load(spec, record, 0, now, now)
+	commit := func() (size int) {
+		for _, w := range term.prepareWrites(term.engine.Updates(1, now)) {
+			for _, p := range w.pieces {
+				size += len(p.data)
+			}
+			term.engine.Committed(w.update, now)
 		}
-		assert.Assert(t, used <= store.MaxEntries)
-		updates = updates[n:]
+		return size
+	}
+	exit := func(i int) {
+		end := group.ExitEntry{Number: int64(i/1000 + 1), Task: fmt.Sprintf("%s.0.0.%d", spec.Job, i%work.MaxTasks), Run: 1, Status: group.Done}
+		term.engine.ApplyListing(fmt.Sprintf("i-%08x", i%1000), group.Listing{Incarnation: 1, Exits: []group.ExitEntry{end}, MoreExits: true}, now, now)
+	}
+	exit(0)
+	commit()
+	size, i := 0, 0
+	for b.Loop() {
+		i++
+		exit(i)
+		size += commit()
 	}
+	b.ReportMetric(float64(size)/float64(i), "bytes/op")
 }
--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -61,6 +61,10 @@
 	Retention time.Duration
 	// RemoteFactor is the ratio of a task's duration away from its data to that next to it.
 	RemoteFactor float64
+	// MaxValueBytes is the size of the largest value that the store accepts, MaxEntries the maximum number of entries of a
+	// transaction; zero stands for the defaults of the package store.
+	MaxValueBytes int
+	MaxEntries    int
 }
 
 // Lister lists the workers as they are at or after the time of the call.
--- a/internal/node/term/explore_scenario_test.go
+++ b/internal/node/term/explore_scenario_test.go
@@ -49,8 +49,34 @@
 // longTask outlasts all bounds, so that a task that nobody stops is seen.
 const longTask = 20 * time.Second
 
+// smallValues and fewEntries are limits of the store with which each task group of a job with several is a part of its own, and each
+// part takes a transaction.
+const (
+	smallValues = 200
+	fewEntries  = 4
+)
+
 // scenarios are the small worlds, by name.
 var scenarios = map[string]func() world.Config{
+	"divided": func() world.Config {
+		return world.Config{
+			Workers: exploreWorkers(2), Queues: exploreQueues, MaxValueBytes: smallValues, MaxEntries: fewEntries,
+			Jobs: []world.Job{
+				exploreJob(firstJob, "plan", firstSubmission, []work.Step{smallStep(3, false), smallStep(2, false, 0), smallStep(3, true, 1)}, 600*time.Millisecond, 400*time.Millisecond, 300*time.Millisecond),
+				exploreJob(secondJob, "quick", firstSubmission+300*time.Millisecond, []work.Step{smallStep(1, false)}, 500*time.Millisecond),
+			},
+		}
+	},
+	"divided and cancelled": func() world.Config {
+		return world.Config{
+			Workers: exploreWorkers(2), Queues: exploreQueues, MaxValueBytes: smallValues, MaxEntries: fewEntries,
+			Jobs: []world.Job{
+				exploreJob(firstJob, "plan", firstSubmission, []work.Step{smallStep(3, false), smallStep(3, false)}, longTask, longTask),
+				exploreJob(secondJob, "plan", firstSubmission+300*time.Millisecond, []work.Step{smallStep(2, true)}, 500*time.Millisecond),
+			},
+			Events: []world.Event{world.Cancel(firstSubmission+600*time.Millisecond, firstJob)},
+		}
+	},
 	"cancel": func() world.Config {
 		return world.Config{
 			Workers: exploreWorkers(2), Queues: exploreQueues,
--- a/internal/node/term/explore_test.go
+++ b/internal/node/term/explore_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// runInstance is the world.Program of an instance that competes for ownership.
-func runInstance(t *testing.T) world.Program {
+// runInstance is the world.Program of an instance that competes for ownership of a world with the given limits of the store.
+func runInstance(t *testing.T, maxValueBytes, maxEntries int) world.Program {
 	return func(ctx context.Context, access *world.Process, done chan<- struct{}) (owns func() bool) {
 		now := strictClock()
 		holder := policy.NewHolder(access, now, func(policy.Snapshot) {})
@@ -96,7 +96,7 @@
 			Instance: access.Name(), Store: access, Agent: access, Lister: access, Policy: holder,
 			Limits: term.Limits{
 				MaxLease: soakLease, StopTimeout: exploreBounds.Stop, PolicyAge: exploreBounds.Evacuate * 6 / 10, ListAge: exploreBounds.Drain * 6 / 10,
-				Retention: time.Hour, RemoteFactor: 3,
+				Retention: time.Hour, RemoteFactor: 3, MaxValueBytes: maxValueBytes, MaxEntries: maxEntries,
 			},
 			Log: event.NewLog(&log.Logger{Handler: log.HandlerFunc(note), Level: log.DebugLevel}), Meter: meter.New(t.Name() + access.Name()),
 			Now: now, WallNow: now, Jitter: func(mean time.Duration) time.Duration { return mean },
@@ -139,7 +139,10 @@
 func play(t *testing.T, name string, faults map[int]world.Fault) (result playResult) {
 	synctest.Test(t, func(t *testing.T) {
 		cfg := scenarios[name]()
-		cfg.Program, cfg.Bounds, cfg.Settle, cfg.MaxLease, cfg.Faults = runInstance(t), exploreBounds, synctest.Wait, soakLease, faults
+		if *storeValueBytes > 0 {
+			cfg.MaxValueBytes, cfg.MaxEntries = *storeValueBytes, *storeEntries
+		}
+		cfg.Program, cfg.Bounds, cfg.Settle, cfg.MaxLease, cfg.Faults = runInstance(t, cfg.MaxValueBytes, cfg.MaxEntries), exploreBounds, synctest.Wait, soakLease, faults
 		cfg.Instances = []string{"a", "b"}
 		w := world.New(t.Context(), cfg)
 		w.Run()
--- a/internal/node/term/explore_world_test.go
+++ b/internal/node/term/explore_world_test.go
@@ -44,6 +44,14 @@
 // Guards against gangs of which a part runs alone, twice or never after a handover.
 func TestHandoverAtEachStepOfAGang(t *testing.T) { explore(t, "gang") }
 
+// Guards against tasks that are lost or run twice after a handover, as the owner was lost between the transactions that write one record.
+func TestHandoverAtEachStepOfADividedRecord(t *testing.T) { explore(t, "divided") }
+
+// Guards against tasks of a cancelled job that run on after a handover, though parts of its record do not show the cancel.
+func TestHandoverAtEachStepOfACancelWithADividedRecord(t *testing.T) {
+	explore(t, "divided and cancelled")
+}
+
 // Guards against failures that a handover counts twice or forgets.
 func TestHandoverAtEachStepOfAFailure(t *testing.T) { explore(t, "failure") }
 
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -32,7 +32,10 @@
 			pause.For(ctx, t.jitter(storeRetryDelay/2))
 			continue
 		}
-		t.Log.Emit(event.TermLoaded, event.Fields{"token": t.token, "jobs": len(t.revisions), "took": t.Now().Sub(started).String()})
+		t.state.Lock()
+		jobs := t.engine.Jobs()
+		t.state.Unlock()
+		t.Log.Emit(event.TermLoaded, event.Fields{"token": t.token, "jobs": jobs, "took": t.Now().Sub(started).String()})
 		return true
 	}
 	return false
@@ -67,27 +70,17 @@
 	t.logRacks(workers)
 	t.engine.SetWorkers(workers, t.Now())
 	t.listedAt = sent
-	known := make(map[string]*work.Record, len(records))
-	for _, item := range records {
-		job := item.Key[len(work.RecordPrefix):]
-		record, err := work.DecodeRecord(item.Data)
-		if err != nil {
-			t.Log.Emit(event.RecordBad, event.Fields{"key": item.Key, "error": err.Error()})
-			known[job] = nil
-			continue
-		}
-		known[job] = record
-		t.revisions[job] = item.Revision
-	}
+	known := t.decodeRecords(records)
 	t.loadJobs(specs, known)
+	t.leftovers = leftoverKeys(records, specs)
 	t.loadedRevision = asOf
 	return nil
 }
 
-// loadJobs applies the specs of new jobs and cancels; known has the records by earlier owners, nil for one that can't be read: its
-// job may have ended, so it is not loaded. Items of an unknown job that are not newer than loadedRevision are skipped: the job was
+// loadJobs applies the specs of new jobs and cancels; known has the records by earlier owners. A job whose record can't be read may
+// have ended, so it is not loaded. Items of an unknown job that are not newer than loadedRevision are skipped: the job was
 // not loaded for that reason, or has ended and was deleted since they were read. The caller holds t.state.
-func (t *term) loadJobs(items []store.Item, known map[string]*work.Record) {
+func (t *term) loadJobs(items []store.Item, known map[string]*storedRecord) {
 	now := t.Now()
 	for _, item := range items {
 		job, cancel := work.ParseSpecKey(item.Key)
@@ -99,8 +92,7 @@
 			t.cancelJob(job, now)
 			continue
 		}
-		record, recorded := known[job]
-		if loaded || recorded && record == nil {
+		if loaded {
 			continue
 		}
 		spec, err := work.DecodeSpec(item.Data)
@@ -109,12 +101,17 @@
 			continue
 		}
 		spec.Job = job
+		record, err := known[job].join(spec.GroupCount())
+		if err != nil {
+			t.Log.Emit(event.RecordBad, event.Fields{"key": work.RecordKey(job), "error": err.Error()})
+			continue
+		}
 		wall := t.WallNow()
 		age := min(max(wall.Sub(spec.Accepted), 0), maxJobAge)
 		j := t.engine.Load(spec, record, age, now, wall)
 		queue := j.Queue()
 		t.Log.Emit(event.JobSeen, event.Fields{
-			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": recorded, "phase": j.Record.Phase.String(), "steps": spec.Steps, "inherited": j.AliveMembers(),
+			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": record != nil, "phase": j.Record.Phase.String(), "steps": spec.Steps, "inherited": j.AliveMembers(),
 			"repeat": spec.Repeat, "priority": queue.Priority, "stretch": queue.Stretch, "target": queue.Target.String(), "token": t.token,
 		})
 		if t.earlyCancels[job] {
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -86,7 +86,14 @@
 	pendingStops map[stopKey]bool
 	// earlyCancels has the jobs whose cancel was read before their spec.
 	earlyCancels map[string]bool
-	revisions    map[string]int64
+	// revisions are those of the records and their parts, by key, as far as known.
+	revisions map[string]int64
+	// partKeys are the keys of parts that may exist, by job, partLimits the sizes above which records are divided, by job, after the
+	// store has rejected larger ones.
+	partKeys   map[string]map[string]bool
+	partLimits map[string]int
+	// leftovers are keys of deleted jobs that an earlier owner was lost before it deleted.
+	leftovers []string
 	// loadedRevision is the store revision as of which all jobs were last loaded, zero until they are.
 	loadedRevision int64
 	// commitsInFlight counts the commits in progress; commitFailed is true if the last one that ended has failed.
@@ -120,7 +127,7 @@
 	return &term{
 		Elector: e, lease: lease, token: token, startedAt: e.Now(), engine: group.New(cfg), validUntil: sent.Add(leaseTTL - leaseMargin),
 		sessions: make(map[string]*session), pendingStops: make(map[stopKey]bool), earlyCancels: make(map[string]bool),
-		revisions: make(map[string]int64), pendingDecision: make(chan struct{}, 1), components: abort.Group{Log: e.Log},
+		revisions: make(map[string]int64), partKeys: make(map[string]map[string]bool), partLimits: make(map[string]int), pendingDecision: make(chan struct{}, 1), components: abort.Group{Log: e.Log},
 	}
 }
 
@@ -142,6 +149,7 @@
 		t.components.Go("workers", func() { t.listWorkers(ctx) })
 		t.components.Go("watch", func() { t.watchJobs(ctx) })
 		t.components.Go("pending", func() { t.scanWaiting(ctx) })
+		t.components.Go("leftovers", func() { t.deleteLeftovers(ctx) })
 		t.components.Go("substitutes", func() { t.runProxies(ctx) })
 		t.decisionLoop(ctx)
 	}
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -49,11 +50,31 @@
 	t      *testing.T
 	store  *fake.Transactor
 	agents *fake.Agents
+	// valueBytes and entries are the limits of the store, zero for the defaults.
+	valueBytes int
+	entries    int
 }
 
+// By hand, all tests with a store whose limits are reached by small jobs:
+// go test ./internal/node/term -store.valueBytes 200 -store.entries 4
+var (
+	storeValueBytes = flag.Int("store.valueBytes", 0, "size of the largest value that the store accepts, zero for no limit")
+	storeEntries    = flag.Int("store.entries", store.MaxEntries, "maximum number of entries of a transaction")
+)
+
 func newSite(t *testing.T) *site {
 	t.Helper()
-	return &site{t: t, store: fake.NewTransactor(), agents: fake.NewAgents("w1", "w2")}
+	s := &site{t: t, store: fake.NewTransactor(), agents: fake.NewAgents("w1", "w2")}
+	if *storeValueBytes > 0 {
+		s.limit(*storeValueBytes, *storeEntries)
+	}
+	return s
+}
+
+// limit sets the limits of the store.
+func (s *site) limit(valueBytes, entries int) {
+	s.valueBytes, s.entries = valueBytes, entries
+	s.store.SetLimits(valueBytes, entries)
 }
 
 // elect lets an instance compete for ownership; the returned function stops it and waits.
@@ -81,7 +102,7 @@
 	assert.NilError(s.t, holder.Refresh(s.t.Context()))
 	e := &term.Elector{
 		Instance: name, Store: kv, Agent: agents, Lister: fixedWorkers{"w1", "w2"}, Policy: holder,
-		Limits: term.Limits{MaxLease: 6 * time.Second, StopTimeout: time.Second, PolicyAge: time.Minute, ListAge: time.Minute, Retention: time.Minute, RemoteFactor: 3},
+		Limits: term.Limits{MaxLease: 6 * time.Second, StopTimeout: time.Second, PolicyAge: time.Minute, ListAge: time.Minute, Retention: time.Minute, RemoteFactor: 3, MaxValueBytes: s.valueBytes, MaxEntries: s.entries},
 		Peers:  others, Log: event.Discard(), Meter: meter.New(s.t.Name() + name), Now: time.Now, WallNow: time.Now,
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -62,13 +62,13 @@
 	j := m.Run.Group.Job
 	if evidence.suspect && !rec.MayCrash {
 		rec.MayCrash = true
-		e.markChanged(j)
+		e.markGroupChanged(m.Run.Group)
 	}
 	if !evidence.certain {
 		return
 	}
 	crashes := rec.AddCrash(task, m.Run.Number, evidence.blamed)
-	e.markChanged(j)
+	e.markGroupChanged(m.Run.Group)
 	e.emit(Decision{
 		Kind: WorkerCrashed, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number, Crashes: crashes.Count, Suspected: crashes.Suspected,
 	})
@@ -112,5 +112,5 @@
 	}
 	r.onProbation = false
 	r.Group.record().ClearSuspicion()
-	e.markChanged(r.Group.Job)
+	e.markGroupChanged(r.Group)
 }
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -412,7 +412,7 @@
 		run.beginProbation()
 	}
 	g.Job.urgent = true
-	e.markChanged(g.Job)
+	e.markGroupChanged(g)
 	g.Job.Waiting = ""
 	e.emit(Decision{
 		Kind: RunPlaced, Job: g.Job.ID(), Task: g.taskName(0), Run: run.Number, Worker: workers[0].ID, Cause: cause, Tasks: len(workers),
--- a/internal/place/group/durable.go
+++ b/internal/place/group/durable.go
@@ -7,9 +7,14 @@
 	requiredChanges int
 }
 
+// durable reports whether no owner needs the exit any more: its record is durable, or the end of its job is.
+func (p pendingExit) durable() bool {
+	return p.job.endDurable || p.job.durableChanges >= p.requiredChanges
+}
+
 // DurableExit returns the number up to which the worker may forget its exits, as their records are durable.
 func (w *Worker) DurableExit() int64 {
-	for len(w.pendingExits) > 0 && w.pendingExits[0].job.durableChanges >= w.pendingExits[0].requiredChanges {
+	for len(w.pendingExits) > 0 && w.pendingExits[0].durable() {
 		w.pendingExits = w.pendingExits[1:]
 	}
 	if len(w.pendingExits) > 0 {
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -141,6 +141,9 @@
 	return Queue{Name: j.Spec.Queue, Priority: 9, MaxAttempts: defaultMaxAttempts, Stretch: 1}
 }
 
+// Jobs returns the number of loaded jobs.
+func (e *Engine) Jobs() int { return len(e.jobs) }
+
 // OpenJobs returns the number of jobs that have not ended.
 func (e *Engine) OpenJobs() int { return len(e.openJobs) }
 
@@ -166,15 +169,24 @@
 
 // Update is a change of a job that must be made durable.
 type Update struct {
-	Job    string
+	Job string
+	// Record is the job's record; that of a divided one has no groups.
 	Record work.Record
+	// Parts are the changed parts of a divided record, in ascending order.
+	Parts []ChangedPart
+	// Head means that the record itself is to be written, and not only parts of it.
+	Head bool
 	// NoLongerPending means that the job no longer counts as pending.
 	NoLongerPending bool
 	// Delete means that the job and all its keys are to be deleted.
 	Delete bool
-	Queue  string
+	// Rejected is true if the store has rejected the last update of the job.
+	Rejected bool
+	Queue    string
 
 	plannedRuns []*Run
+	// groups are the task groups whose records have changed.
+	groups []*Group
 	// changes is how many changes of the job the record includes; urgent is true if a caller or worker is waiting for it.
 	changes int
 	urgent  bool
@@ -197,7 +209,7 @@
 	for _, j := range e.endedJobs {
 		if len(list) < limit && !j.dirty && !j.inFlight && !now.Before(j.rejectedUntil) && e.forgettable(j, now) {
 			j.inFlight = true
-			list = append(list, Update{Job: j.ID(), Queue: j.Spec.Queue, Delete: true})
+			list = append(list, Update{Job: j.ID(), Queue: j.Spec.Queue, Delete: true, Rejected: j.rejections > 0})
 		}
 	}
 	return list
@@ -207,8 +219,22 @@
 // update in flight.
 func (e *Engine) ChangedJobs() int { return len(e.changedJobs) }
 
-// markChanged marks the job's record as changed, so that it is made durable.
+// markChanged marks the job's own state as changed, so that it is made durable.
 func (e *Engine) markChanged(j *Job) {
+	j.headChanged = true
+	e.markDirty(j)
+}
+
+// markGroupChanged marks the record of the task group as changed, so that it is made durable.
+func (e *Engine) markGroupChanged(g *Group) {
+	if !g.changed {
+		g.changed = true
+		g.Job.changedGroups = append(g.Job.changedGroups, g)
+	}
+	e.markDirty(g.Job)
+}
+
+func (e *Engine) markDirty(j *Job) {
 	j.changes++
 	if !j.dirty {
 		j.dirty = true
@@ -244,14 +270,21 @@
 
 func (e *Engine) newUpdate(j *Job) Update {
 	j.Record.Change++
-	u := Update{Job: j.ID(), Record: j.Record, Queue: j.Spec.Queue, changes: j.changes, urgent: j.urgent}
-	u.Record.Groups = slices.Clone(j.Record.Groups)
+	u := Update{Job: j.ID(), Record: j.Record, Queue: j.Spec.Queue, Rejected: j.rejections > 0, groups: j.changedGroups, changes: j.changes, urgent: j.urgent}
 	u.NoLongerPending = j.hasPendingKey && (j.begun || j.Record.Phase.Final())
-	for _, g := range j.groups {
+	for _, g := range j.changedGroups {
+		g.changed = false
 		if g.Run != nil && g.Run.Members[0].State == Planned {
 			u.plannedRuns = append(u.plannedRuns, g.Run)
 		}
 	}
+	if j.Record.Division == 0 {
+		u.Head, u.Record.Groups = true, slices.Clone(j.Record.Groups)
+	} else {
+		u.Head, u.Record.Groups = j.headChanged || j.dividing || u.NoLongerPending, nil
+		u.Parts = j.changedParts()
+	}
+	j.changedGroups, j.headChanged = nil, false
 	return u
 }
 
@@ -268,8 +301,10 @@
 	}
 	j.inFlight, j.durableChanges = false, u.changes
 	j.rejections, j.rejectedUntil = 0, time.Time{}
-	if u.NoLongerPending {
-		j.hasPendingKey = false
+	j.partsCommitted()
+	if u.Head {
+		e.HeadCommitted(u)
+		j.dividing = j.dividing && u.Record.Division == 0
 	}
 	for _, run := range u.plannedRuns {
 		for _, m := range run.Members {
@@ -280,41 +315,33 @@
 	}
 }
 
-// Uncommitted records that an update did not become durable, so that Updates returns the change again.
-func (e *Engine) Uncommitted(u Update) {
+// HeadCommitted records that the record itself is durable, though not all parts of the update may be.
+func (e *Engine) HeadCommitted(u Update) {
 	j := e.jobs[u.Job]
 	if j == nil {
 		return
 	}
-	j.inFlight = false
-	j.urgent = j.urgent || u.urgent
-	if !u.Delete {
-		e.markChanged(j)
+	j.endDurable = u.Record.Phase.Final()
+	if u.NoLongerPending {
+		j.hasPendingKey = false
 	}
 }
 
-const (
-	// firstRejectionDelay is the delay before a rejected update is written again. It doubles with each rejection, up to
-	// maxRejectionDelay: only a change of the job or of the store helps.
-	firstRejectionDelay = 250 * time.Millisecond
-	maxRejectionDelay   = 8 * time.Second
-)
-
-// Rejected records that the store does not accept an update, and returns the delay until Updates returns the change again. The end
-// of the job comes at once.
-func (e *Engine) Rejected(u Update, now time.Time) time.Duration {
-	e.Uncommitted(u)
+// Uncommitted records that an update did not become durable, so that Updates returns the change again.
+func (e *Engine) Uncommitted(u Update) {
 	j := e.jobs[u.Job]
 	if j == nil {
-		return 0
+		return
 	}
-	delay := firstRejectionDelay
-	for n := 0; n < j.rejections && delay < maxRejectionDelay; n++ {
-		delay *= 2
+	j.inFlight = false
+	j.urgent = j.urgent || u.urgent
+	if u.Delete {
+		return
+	}
+	for _, g := range u.groups {
+		e.markGroupChanged(g)
 	}
-	j.rejections++
-	if u.Delete || u.Record.Phase == j.Record.Phase {
-		j.rejectedUntil = now.Add(delay)
+	if u.Head {
+		e.markChanged(j)
 	}
-	return delay
 }
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -193,6 +193,9 @@
 	case m.Run.unseenWorker():
 	case !e.mayStartOn(m.Worker, now) || m.Worker.overcommitted():
 		e.endMember(m, Void, "", now)
+	case !m.Run.Group.occ.dependenciesDone(m.Run.Group.Step):
+		// The ends of earlier steps were recorded in other parts of the record, which were not written.
+		e.endMember(m, Void, "", now)
 	default:
 		e.orderStart(m, now)
 	}
@@ -356,7 +359,7 @@
 	m.State = Ended
 	m.Worker.detach(m)
 	run.aliveMembers--
-	e.markChanged(g.Job)
+	e.markGroupChanged(g)
 	if checkpoint != "" && status != Done && g.step().Checkpoints {
 		g.record().Checkpoint = checkpoint
 	}
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -44,6 +44,16 @@
 	// Uncommitted is called.
 	dirty    bool
 	inFlight bool
+	// headChanged is true if the job's own state has changed since Updates last returned it, changedGroups are the task groups whose
+	// records have.
+	headChanged   bool
+	changedGroups []*Group
+	// newParts are the first groups of parts, in ascending order, that are not durable yet; Record.Parts has the durable ones.
+	newParts []int
+	// dividing is true from the division of the record until it is durable.
+	dividing bool
+	// endDurable is true once the job's final phase is durable.
+	endDurable bool
 	// urgent is true if a caller is waiting for the record of the job's end, or a worker for that of a planned run.
 	urgent bool
 	// rejections counts the updates in a row that the store has rejected; the next one is not made before rejectedUntil.
@@ -104,6 +114,8 @@
 	Run       *Run
 
 	recordIndex int
+	// changed is true while the group is among the job's changedGroups.
+	changed bool
 	// readyAt is when the group last became ready to run.
 	readyAt     time.Time
 	reservation *reservation
@@ -259,7 +271,7 @@
 		e.adopt(j, now)
 	}
 	if j.Record.Phase.Final() {
-		j.endedAt = now
+		j.endedAt, j.endDurable = now, true
 	}
 	for _, g := range j.groups {
 		g.readyAt = latest(now, g.occ.due)
--- a/internal/place/group/late_success.go
+++ b/internal/place/group/late_success.go
@@ -18,7 +18,7 @@
 	if g.Run == nil {
 		g.occ.withoutRun[g.Step]--
 	}
-	e.markChanged(g.Job)
+	e.markGroupChanged(g)
 	e.recordDone(g, Decision{Worker: w.ID, Task: entry.Task, Run: entry.Run, Text: "the end was listed after the run had been given up"}, now)
 	if g.Run != nil {
 		e.stopRun(g.Run, JobFinished, "an earlier run of the task has ended as done", now)
--- a/internal/proof/fake/transactor.go
+++ b/internal/proof/fake/transactor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -65,6 +66,14 @@
 	t.accepts = accepts
 }
 
+// SetLimits makes the store reject transactions with values of more bytes or with more entries.
+func (t *Transactor) SetLimits(valueBytes, entries int) {
+	t.SetAccepted(func(tx store.Transaction) bool {
+		tooLarge := slices.ContainsFunc(tx.Writes, func(w store.Write) bool { return len(w.Data) > valueBytes })
+		return !tooLarge && len(tx.Expected)+len(tx.Writes)+len(tx.Deletes) <= entries
+	})
+}
+
 func (t *Transactor) outcome(operation string) CallOutcome {
 	t.mu.Lock()
 	next := t.nextFate
--- a/internal/proof/world/check.go
+++ b/internal/proof/world/check.go
@@ -288,27 +288,57 @@
 // checkRecords checks the records that a transaction writes.
 func (w *World) checkRecords(tx store.Transaction, now time.Time) {
 	for _, write := range tx.Writes {
-		job, isRecord := cutRecordKey(write.Key)
-		if !isRecord {
+		if !strings.HasPrefix(write.Key, work.RecordPrefix) {
 			continue
 		}
-		record, err := work.DecodeRecord(write.Data)
-		if err != nil {
-			w.breach("RECORD", job, "%s", err)
-			continue
-		}
-		j := w.checks.jobs[job]
-		if j.phase.Final() && record.Phase != j.phase {
-			w.breach("FINAL", job, "its final phase %s is replaced by %s", j.phase, record.Phase)
-		}
-		if record.Phase.Final() && j.endedAt.IsZero() {
-			j.endedAt = now
+		job, _, isPart := work.ParseRecordKey(write.Key)
+		if isPart {
+			w.checkPart(job, write.Data)
+		} else {
+			w.checkRecord(job, write.Data, now)
 		}
-		j.phase, j.record = record.Phase, record
-		w.checkCompleted(j)
 	}
 }
 
+func (w *World) checkRecord(job string, data []byte, now time.Time) {
+	record, err := work.DecodeRecord(data)
+	if err != nil {
+		w.breach("RECORD", job, "%s", err)
+		return
+	}
+	j := w.checks.jobs[job]
+	if j.phase.Final() && record.Phase != j.phase {
+		w.breach("FINAL", job, "its final phase %s is replaced by %s", j.phase, record.Phase)
+	}
+	if record.Phase.Final() && j.endedAt.IsZero() {
+		j.endedAt = now
+	}
+	if record.Division != 0 {
+		// The last writes of its parts hold.
+		record.Groups = j.groups()
+	}
+	j.phase, j.record = record.Phase, record
+	w.checkCompleted(j)
+}
+
+// checkPart keeps the groups of a part that is written.
+func (w *World) checkPart(job string, data []byte) {
+	part, err := work.DecodePart(data)
+	if err != nil {
+		w.breach("RECORD", job, "%s", err)
+		return
+	}
+	copy(w.checks.jobs[job].groups()[part.First:], part.Groups)
+}
+
+// groups returns the groups of the job on record.
+func (j *jobState) groups() []work.GroupRecord {
+	if j.record == nil {
+		j.record = &work.Record{Groups: make([]work.GroupRecord, j.job.Spec.GroupCount())}
+	}
+	return j.record.Groups
+}
+
 // checkCompleted checks that a job is recorded as completed only once all its tasks have ended as done.
 func (w *World) checkCompleted(j *jobState) {
 	if j.phase != work.Completed {
@@ -358,8 +388,3 @@
 		w.breach("ACKS", "", "%d exits are still listed", count)
 	}
 }
-
-// cutRecordKey returns the job of a record's key.
-func cutRecordKey(key string) (job string, isRecord bool) {
-	return strings.CutPrefix(key, work.RecordPrefix)
-}
--- a/internal/proof/world/world.go
+++ b/internal/proof/world/world.go
@@ -22,7 +22,10 @@
 	Program   Program
 	Workers   []WorkerConfig
 	MaxLease  time.Duration
-	Queues    []group.Queue
+	// MaxValueBytes and MaxEntries are the limits of the store; zero MaxValueBytes means none.
+	MaxValueBytes int
+	MaxEntries    int
+	Queues        []group.Queue
 	// Jobs are submitted at their times.
 	Jobs []Job
 	// Events are the planned changes, Faults the disturbances by the number of the step at which they begin.
@@ -94,6 +97,9 @@
 		cfg: cfg, began: time.Now(), store: fake.NewTransactor(), wake: make(chan struct{}, 1), byID: make(map[string]*worker),
 		evacuated: make(map[string]time.Time), tasks: make(map[string]*task), checks: newChecks(),
 	}
+	if cfg.MaxValueBytes > 0 {
+		w.store.SetLimits(cfg.MaxValueBytes, cfg.MaxEntries)
+	}
 	for _, c := range cfg.Workers {
 		one := &worker{world: w, WorkerConfig: c}
 		w.workers = append(w.workers, one)
--- a/internal/state/store/transact.go
+++ b/internal/state/store/transact.go
@@ -42,8 +42,12 @@
 	Deletes  []string
 }
 
-// MaxEntries is the maximum number of expectations, writes and deletes together in one transaction.
-const MaxEntries = 32
+const (
+	// MaxEntries is the maximum number of expectations, writes and deletes together in one transaction.
+	MaxEntries = 32
+	// DefaultMaxValueBytes is the size of the largest value where the settings give none.
+	DefaultMaxValueBytes = 1 << 20
+)
 
 // Transactor is a key-value store with transactions over several keys.
 //
--- a/internal/state/work/keys.go
+++ b/internal/state/work/keys.go
@@ -1,6 +1,10 @@
 package work
 
-import "strings"
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
 
 // Keys and key prefixes in the key-value store.
 const (
@@ -23,6 +27,18 @@
 // RecordKey returns the key of the job's record.
 func RecordKey(job string) string { return RecordPrefix + job }
 
+// PartKey returns the key of the part of the job's record that begins with the task group first. Keys sort as their groups do.
+func PartKey(job string, first int) string { return fmt.Sprintf("%s%s/%05d", RecordPrefix, job, first) }
+
+// ParseRecordKey returns the job of a key below RecordPrefix, and for the key of a part the part's first task group and true.
+func ParseRecordKey(key string) (job string, first int, part bool) {
+	job, text, part := strings.Cut(strings.TrimPrefix(key, RecordPrefix), "/")
+	if first, err := strconv.Atoi(text); err == nil {
+		return job, first, part
+	}
+	return job, 0, part
+}
+
 // CancelKey returns the key that exists once a caller has cancelled the job.
 func CancelKey(job string) string { return SpecPrefix + job + cancelSuffix }
 
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -26,23 +27,23 @@
 // GroupRecord is the durable state of one task group: a gang, or a single task of a step without a gang.
 type GroupRecord struct {
 	// Run is the number of the last run, one attempt to run the task group; zero before the first.
-	Run int `json:"run,omitempty"`
+	Run int `json:"run,omitempty" cbor:"1,keyasint,omitempty"`
 	// Failures is the number of failed runs; FailedRun is the last one counted, so that each run counts once.
-	Failures  int `json:"failures,omitempty"`
-	FailedRun int `json:"failedRun,omitempty"`
+	Failures  int `json:"failures,omitempty" cbor:"2,keyasint,omitempty"`
+	FailedRun int `json:"failedRun,omitempty" cbor:"3,keyasint,omitempty"`
 	// FailedOn are workers on which runs failed, at most MaxFailedOn; the group prefers others.
-	FailedOn []string `json:"failedOn,omitempty"`
-	Done     bool     `json:"done,omitempty"`
+	FailedOn []string `json:"failedOn,omitempty" cbor:"4,keyasint,omitempty"`
+	Done     bool     `json:"done,omitempty" cbor:"5,keyasint,omitempty"`
 	// Checkpoint is the last known checkpoint.
-	Checkpoint string `json:"saved,omitempty"`
+	Checkpoint string `json:"saved,omitempty" cbor:"6,keyasint,omitempty"`
 	// StartedFrom is the checkpoint that the members of the run in Workers started from.
-	StartedFrom string `json:"from,omitempty"`
+	StartedFrom string `json:"from,omitempty" cbor:"7,keyasint,omitempty"`
 	// Workers holds the worker of each member while the run may be alive there; otherwise it is empty.
-	Workers []string `json:"on,omitempty"`
+	Workers []string `json:"on,omitempty" cbor:"8,keyasint,omitempty"`
 	// MayCrash is true if a task of the group may have crashed a worker, and no run has lasted long enough since.
-	MayCrash bool `json:"mayCrash,omitempty"`
+	MayCrash bool `json:"mayCrash,omitempty" cbor:"9,keyasint,omitempty"`
 	// Crashes has an entry for each task of the group under which a worker has crashed.
-	Crashes []TaskCrashes `json:"crashes,omitempty"`
+	Crashes []TaskCrashes `json:"crashes,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // MaxFailedOn bounds what failures add to a record.
@@ -61,12 +62,12 @@
 // TaskCrashes counts the workers that have crashed under one task.
 type TaskCrashes struct {
 	// Task is the task's index in its group.
-	Task int `json:"task,omitempty"`
+	Task int `json:"task,omitempty" cbor:"1,keyasint,omitempty"`
 	// Count is the number of crashes, Suspected the number of those that count against the task.
-	Count     int `json:"count"`
-	Suspected int `json:"suspected,omitempty"`
+	Count     int `json:"count" cbor:"2,keyasint,omitempty"`
+	Suspected int `json:"suspected,omitempty" cbor:"3,keyasint,omitempty"`
 	// Run is the last run counted, so that each run counts once.
-	Run int `json:"run"`
+	Run int `json:"run" cbor:"4,keyasint,omitempty"`
 }
 
 // CrashesOf returns the crashes under the task with that index, all zero if there were none.
@@ -103,23 +104,81 @@
 	return crashes
 }
 
-// Record is the owner's durable state of a job; each change replaces it as a whole.
+// Record is the owner's durable state of a job. A small one is a single value; the task groups of a large one are divided into parts
+// with keys of their own.
 type Record struct {
-	Phase Phase `json:"phase"`
-	// Change rises with each write, so that the owner recognises its own writes.
+	Phase Phase
+	// Change rises with each write.
+	Change int64
+	// Groups are the task groups in the order of occurrences, of steps and, within a step, of tasks. A divided record that was
+	// decoded has none until those of its parts are joined.
+	Groups []GroupRecord
+	// Division is a number that only this division into parts has, zero for a record in one value; Parts are the first groups of
+	// the parts, in ascending order.
+	Division int64
+	Parts    []int
+}
+
+// storedRecord is the stored form of a record.
+type storedRecord struct {
+	Phase  Phase `json:"phase"`
 	Change int64 `json:"change"`
-	// Groups are the task groups in the order of steps and, within a step, of tasks.
-	Groups []GroupRecord `json:"sets,omitempty"`
+	// Groups is the list of task groups, or a division. Releases that know no parts can't decode a division, and leave its job alone.
+	Groups json.RawMessage `json:"sets,omitempty"`
+}
+
+type division struct {
+	Division int64 `json:"division"`
 }
 
-// Encode returns the stored form, JSON.
-func (r *Record) Encode() ([]byte, error) { return json.Marshal(r) }
+// Encode returns the stored form, JSON; that of a divided record is small and has no groups.
+func (r *Record) Encode() ([]byte, error) {
+	stored := storedRecord{Phase: r.Phase, Change: r.Change}
+	var err error
+	switch {
+	case r.Division != 0:
+		stored.Groups, err = encodeJSON(division{Division: r.Division})
+	case len(r.Groups) > 0:
+		stored.Groups, err = encodeJSON(r.Groups)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return encodeJSON(stored)
+}
 
-// DecodeRecord decodes the stored form.
+// encodeJSON encodes without the escapes that only HTML needs.
+func encodeJSON(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(value); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(buffer.Bytes(), []byte("\n")), nil
+}
+
+// DecodeRecord decodes the stored form; a divided record has no groups yet.
 func DecodeRecord(data []byte) (*Record, error) {
-	r := new(Record)
-	if err := json.Unmarshal(data, r); err != nil {
+	var stored storedRecord
+	if err := json.Unmarshal(data, &stored); err != nil {
 		return nil, fmt.Errorf("job: stored record: %w", err)
 	}
+	r := &Record{Phase: stored.Phase, Change: stored.Change}
+	if len(stored.Groups) == 0 {
+		return r, nil
+	}
+	var divided division
+	into := any(&r.Groups)
+	if stored.Groups[0] == '{' {
+		into = &divided
+	}
+	if err := json.Unmarshal(stored.Groups, into); err != nil {
+		return nil, fmt.Errorf("job: stored record: %w", err)
+	}
+	r.Division = divided.Division
+	if stored.Groups[0] == '{' && r.Division == 0 {
+		return nil, fmt.Errorf("job: stored record: its division has no number")
+	}
 	return r, nil
 }
--- a/internal/state/work/spec.go
+++ b/internal/state/work/spec.go
@@ -161,6 +161,19 @@
 	return s.Repeat.Count
 }
 
+// GroupCount returns the number of task groups of all occurrences.
+func (s *Spec) GroupCount() int {
+	count := 0
+	for i := range s.Steps {
+		if s.Steps[i].Gang {
+			count++
+		} else {
+			count += s.Steps[i].Count
+		}
+	}
+	return count * s.Occurrences()
+}
+
 // Encode returns the stored form, JSON.
 func (s *Spec) Encode() ([]byte, error) { return json.Marshal(s) }
 
