admit: jobs that do not fit into a value of the store are refused at once

Callers saw (by reading, and in the test): a job whose encoded spec is above valueBytes, for example through a long label or rack name, was answered 504 until its caller gave up, and so was each repeat. A gang of thousands of tasks would have been accepted, with a record that can't be divided.

Cause: the spec was bounded by the size of the request's body alone, and the record of a gang by nothing.

Change: a new job is refused with 400 and the limit in the answer if its spec, or the record of one of its gangs with the most of everything, may exceed valueBytes of the settings, or if it requires a label longer than workers may have. Earlier steps that are named twice count once. Jobs that were accepted before are read on.

Tests: TestJobAboveTheLimitOfTheStoreIsRefused (fails with the check taken out), TestJobsThatDoNotFitIntoAValueAreRefused, TestStoredSpecNamesEachEarlierStepOnce.

--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -97,7 +97,7 @@
 	s := &Server{Options: options, Meter: meter.New(options.Instance)}
 	s.policy = policy.NewHolder(options.Source, clock.Now, s.logActivePolicy)
 	s.Jobs = &admit.Service{
-		Store: options.Store, Policy: s.policy, MaxPolicyAge: options.KeyAge, Log: log, Meter: s.Meter, Now: clock.Now, WallNow: time.Now,
+		Store: options.Store, Policy: s.policy, MaxPolicyAge: options.KeyAge, MaxValueBytes: options.Limits.MaxValueBytes, Log: log, Meter: s.Meter, Now: clock.Now, WallNow: time.Now,
 	}
 	s.workerSizes = &workerSizes{lister: options.Lister, store: options.Store, reads: event.ListReads(log, "workers"), log: log, now: clock.Now, wallNow: time.Now}
 	s.Jobs.UnservableReason = s.workerSizes.unservableReason
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -75,6 +76,8 @@
 	Policy *policy.Holder
 	// MaxPolicyAge is the maximum age of the policy's last confirmation at which a key is accepted.
 	MaxPolicyAge time.Duration
+	// MaxValueBytes is the size of the largest value that the store accepts; zero stands for store.DefaultMaxValueBytes.
+	MaxValueBytes int
 	// UnservableReason returns why no worker of the service could ever run the job, or an empty string; nil skips
 	// the check.
 	UnservableReason func(ctx context.Context, service string, spec *work.Spec) string
@@ -247,6 +250,9 @@
 	if a.unknown {
 		return t, nil
 	}
+	if err := spec.CheckAccepted(cmp.Or(s.MaxValueBytes, store.DefaultMaxValueBytes)); err != nil {
+		return target{}, &Reply{Result: BadRequest, Why: err.Error()}
+	}
 	if s.UnservableReason != nil {
 		if why := s.UnservableReason(ctx, t.queue.Service, spec); why != "" {
 			return target{}, &Reply{Result: BadRequest, Why: why}
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -181,6 +182,19 @@
 	assert.Assert(t, !f.jobCreated(t))
 }
 
+// Guards against jobs that are accepted and never run, as their spec or their record is above the limit of the store, whatever it is.
+func TestJobAboveTheLimitOfTheStoreIsRefused(t *testing.T) {
+	gang := &work.Spec{Steps: []work.Step{{Count: 100, Gang: true}}}
+	for maxValueBytes, want := range map[int]admit.Result{0: admit.OK, 64 << 10: admit.OK, 16 << 10: admit.BadRequest} {
+		f := newFixture(t)
+		f.service.MaxValueBytes = maxValueBytes
+		reply := f.service.Submit(shortContext(t), caller(), gang)
+		assert.Equal(t, reply.Result, want, "%d", maxValueBytes)
+		assert.Equal(t, f.jobCreated(t), want == admit.OK)
+		assert.Equal(t, strings.Contains(reply.Why, "at most 16384 are allowed"), want != admit.OK, "%s", reply.Why)
+	}
+}
+
 // Guards against a refusal of a job that runs: the answer to an earlier attempt was lost, and the store rejects the next one.
 func TestRejectionAfterALostAnswerIsNotFinal(t *testing.T) {
 	f := newFixture(t)
--- a/internal/state/work/spec.go
+++ b/internal/state/work/spec.go
@@ -89,13 +89,17 @@
 }
 
 // Bound replaces estimates and limits that are out of bounds by the nearest bound: an estimate is rough, and no limit above the
-// number of tasks has an effect.
+// number of tasks has an effect. It drops earlier steps that are named twice.
 func (s *Spec) Bound() {
 	for i := range s.Steps {
 		step := &s.Steps[i]
 		step.Estimate = min(step.Estimate, MaxEstimate)
 		step.MaxPerWorker = min(step.MaxPerWorker, MaxTasks)
 		step.MaxUnavailable = min(step.MaxUnavailable, MaxTasks)
+		if len(step.After) > 1 {
+			slices.Sort(step.After)
+			step.After = slices.Compact(step.After)
+		}
 	}
 }
 
@@ -148,6 +152,41 @@
 	return nil
 }
 
+// MaxLabelBytes is the size of the longest label that a worker may have.
+const MaxLabelBytes = 200
+
+// CheckAccepted returns a Problem if a new job can't be served: its spec or a record of it may be larger than maxValueBytes, or it
+// requires a label that no worker can have. The record of a gang can't be divided.
+func (s *Spec) CheckAccepted(maxValueBytes int) error {
+	data, err := s.Encode()
+	if err != nil {
+		return err
+	}
+	if len(data) > maxValueBytes {
+		return problem("the job takes %d bytes, at most %d are allowed", len(data), maxValueBytes)
+	}
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		if len(step.Requires) > MaxLabelBytes {
+			return problem("step %d requires a label of %d bytes, at most %d are allowed", i, len(step.Requires), MaxLabelBytes)
+		}
+		tasks := 1
+		if step.Gang {
+			tasks = step.Count
+		}
+		if size := MaxPartBytes(tasks, step.Checkpoints); size > maxValueBytes {
+			return problem("a record of step %d may take %d bytes, at most %d are allowed; a gang may have %d tasks", i, size, maxValueBytes, maxGang(step.Checkpoints, maxValueBytes))
+		}
+	}
+	return nil
+}
+
+// maxGang returns how many tasks a gang may have so that its record is within maxValueBytes.
+func maxGang(checkpoints bool, maxValueBytes int) int {
+	base := MaxPartBytes(0, checkpoints)
+	return max(0, (maxValueBytes-base)/(MaxPartBytes(1, checkpoints)-base))
+}
+
 // LongRunning reports whether any step is a long-running service.
 func (s *Spec) LongRunning() bool {
 	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.LongRunning })
--- a/internal/state/work/spec_test.go
+++ b/internal/state/work/spec_test.go
@@ -1,7 +1,9 @@
 package work_test
 
 import (
+	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +70,37 @@
 		assert.ErrorContains(t, spec.Check(), "in the year")
 	}
 }
+
+// Guards against jobs that are accepted and can never run, as the store takes no value that large: the spec, or the record of a gang.
+func TestJobsThatDoNotFitIntoAValueAreRefused(t *testing.T) {
+	const limit = 64 << 10
+	most := 0
+	for tasks := 1; (&work.Spec{Steps: []work.Step{{Count: tasks, Gang: true, Checkpoints: true}}}).CheckAccepted(limit) == nil; tasks++ {
+		assert.Assert(t, work.MaxPartBytes(tasks, true) <= limit)
+		most = tasks
+	}
+	assert.Assert(t, most > 100)
+	for want, step := range map[string]work.Step{
+		fmt.Sprintf("a gang may have %d tasks", most): {Count: most + 1, Gang: true, Checkpoints: true},
+		"at most 65536 are allowed":                   {Count: 1, Affinity: strings.Repeat("r", limit)},
+		"at most 200 are allowed":                     {Count: 1, Requires: strings.Repeat("k", 201)},
+	} {
+		spec := &work.Spec{Steps: []work.Step{step}}
+		assert.NilError(t, spec.Check())
+		assert.ErrorContains(t, spec.CheckAccepted(limit), want)
+	}
+	single := &work.Spec{Steps: []work.Step{{Count: work.MaxTasks, Checkpoints: true}}}
+	assert.NilError(t, single.CheckAccepted(limit))
+	assert.ErrorContains(t, single.CheckAccepted(work.MaxPartBytes(1, true)-1), "a gang may have 0 tasks")
+}
+
+// Guards against specs that grow with repetitions, and against later releases that refuse what an earlier one has accepted.
+func TestStoredSpecNamesEachEarlierStepOnce(t *testing.T) {
+	spec := &work.Spec{Steps: []work.Step{{Count: 1}, {Count: 1, Requires: strings.Repeat("k", 500)}, {Count: 1, After: []int{1, 0, 1, 1, 0}}}}
+	data, err := spec.Encode()
+	assert.NilError(t, err)
+	stored, err := work.DecodeSpec(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, stored.Steps[2].After, []int{0, 1})
+	assert.Equal(t, len(stored.Steps[1].Requires), 500)
+}
