term: reads of all jobs get longer timeouts after each failure

Cause: a load of a term and a list of all jobs had a fixed timeout and began anew after it, so a read that takes longer never succeeded. Nothing bounds the sum of what they read.

Change: each failure in a row doubles the timeout, from 2 s up to 16 s.

Test: TestReadsThatTakeLongSucceedInTheEnd, which fails with the fixed timeout.

--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -20,14 +20,22 @@
 	relistInterval = 2 * time.Second
 	// scanInterval limits how long a new job can go unnoticed if the watch misses it; the keys read are few and empty.
 	scanInterval = 250 * time.Millisecond
+	// maxReadTimeout limits a read of all jobs: the slowest link of an instance, 10 Mbit/s, takes as long for 20 MB.
+	maxReadTimeout = 16 * time.Second
 )
 
+// readTimeout returns the timeout of a read of all jobs after a number of failed ones in a row. Each failure doubles it, as a read that
+// takes longer than its timeout would never succeed.
+func readTimeout(failures int) time.Duration {
+	return min(2*storeTimeout<<min(failures, 8), maxReadTimeout)
+}
+
 // load reads the workers and all jobs with their records, and retries until it succeeds. It reports false if the term ended
 // first.
 func (t *term) load(ctx context.Context) bool {
 	started := t.Now()
-	for ctx.Err() == nil {
-		if err := t.tryLoad(ctx); err != nil {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		if err := t.tryLoad(ctx, readTimeout(failures)); err != nil {
 			t.Log.Emit(event.StoreLost, event.Fields{"call": "load", "error": err.Error()})
 			pause.For(ctx, t.jitter(storeRetryDelay/2))
 			continue
@@ -41,8 +49,8 @@
 	return false
 }
 
-func (t *term) tryLoad(ctx context.Context) error {
-	call, done := context.WithTimeout(ctx, 2*storeTimeout)
+func (t *term) tryLoad(ctx context.Context, timeout time.Duration) error {
+	call, done := context.WithTimeout(ctx, timeout)
 	defer done()
 	if snapshot, _ := t.Policy.Current(); snapshot.Policy == nil {
 		if err := t.Policy.Refresh(call); err != nil {
@@ -146,16 +154,17 @@
 func (t *term) watchJobs(ctx context.Context) {
 	var after int64
 	var listedAt time.Time
+	failures := 0
 	for ctx.Err() == nil {
 		now := t.Now()
 		if now.Sub(listedAt) >= relistInterval {
-			upTo, err := t.relist(ctx)
+			upTo, err := t.relist(ctx, readTimeout(failures))
 			if err != nil {
+				failures++
 				pause.For(ctx, t.jitter(storeRetryDelay/2))
 				continue
 			}
-			listedAt = now
-			after = upTo
+			listedAt, after, failures = now, upTo, 0
 		}
 		// The watch ends when the next list is due. Its wait is in whole milliseconds, rounded up, so that no short one follows.
 		wait := (listedAt.Add(relistInterval).Sub(now) + time.Millisecond - 1).Truncate(time.Millisecond)
@@ -233,8 +242,8 @@
 	return jobs
 }
 
-func (t *term) relist(ctx context.Context) (int64, error) {
-	call, done := context.WithTimeout(ctx, 2*storeTimeout)
+func (t *term) relist(ctx context.Context, timeout time.Duration) (int64, error) {
+	call, done := context.WithTimeout(ctx, timeout)
 	defer done()
 	items, asOf, err := t.Store.Range(call, work.SpecPrefix)
 	if err != nil {
--- /dev/null
+++ b/internal/node/term/slow_read_test.go
@@ -0,0 +1,47 @@
+package term_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"gotest.tools/v3/assert"
+)
+
+// slowReads takes a time for each read of all jobs or all records, as over a slow link.
+type slowReads struct {
+	store.Transactor
+	takes time.Duration
+}
+
+func (s *slowReads) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	if prefix != work.SpecPrefix && prefix != work.RecordPrefix {
+		return s.Transactor.Range(ctx, prefix)
+	}
+	select {
+	case <-ctx.Done():
+		return nil, 0, &store.LostError{Cause: ctx.Err().Error()}
+	case <-time.After(s.takes):
+		return s.Transactor.Range(ctx, prefix)
+	}
+}
+
+// Guards against an installation without an owner, and against cancels that nobody sees: reads of all jobs take longer than their first
+// timeout, so each attempt was as futile as the one before.
+func TestReadsThatTakeLongSucceedInTheEnd(t *testing.T) {
+	for _, takes := range []time.Duration{1500 * time.Millisecond, 4 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t)
+			s.submit()
+			s.electOn("a", &slowReads{Transactor: s.store, takes: takes}, s.agents, nil)
+			time.Sleep(40 * time.Second)
+			assert.Assert(t, s.running(), "%s", takes)
+			s.store.Put(work.CancelKey(job), nil)
+			time.Sleep(30 * time.Second)
+			assert.Assert(t, !s.running(), "%s", takes)
+		})
+	}
+}
