term: a waiting job that can't be read hides no other

Cause (by reading; not seen in a run): the scan of waiting jobs ended with the first spec that could not be read, so the jobs behind it were found by the watch and the list of all jobs alone.

Change: the scan goes on with the next job.

Test: TestJobThatCanNotBeReadHidesNoOther, which failed before.

--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -208,15 +208,18 @@
 	}
 }
 
+// readWaiting loads the jobs with a pending key that are not loaded yet; one that can't be read hides no other.
 func (t *term) readWaiting(ctx context.Context) error {
 	waiting, _, err := t.Store.Range(ctx, work.WaitPrefix)
 	if err != nil {
 		return err
 	}
+	var failed error
 	for _, job := range t.notLoaded(waiting) {
 		item, err := t.Store.Item(ctx, work.SpecKey(job))
 		if err != nil {
-			return err
+			failed = err
+			continue
 		}
 		if item.Revision == 0 {
 			continue
@@ -226,7 +229,7 @@
 		t.state.Unlock()
 		t.notify()
 	}
-	return nil
+	return failed
 }
 
 // notLoaded returns the waiting jobs that the engine does not know.
