--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -119,7 +119,7 @@
 		j := t.engine.Load(spec, record, age, now, wall)
 		queue := j.Queue()
 		t.Log.Emit(event.JobSeen, event.Fields{
-			"job": job, "queue": spec.Queue, "workspace": spec.Workspace, "age": age.String(), "recorded": record != nil, "phase": j.Record.Phase.String(), "steps": spec.Steps, "inherited": j.AliveMembers(),
+			"job": job, "queue": spec.Queue, "service": queue.Service, "workspace": spec.Workspace, "age": age.String(), "recorded": record != nil, "phase": j.Record.Phase.String(), "steps": spec.Steps, "inherited": j.AliveMembers(),
 			"repeat": spec.Repeat, "priority": queue.Priority, "stretch": queue.Stretch, "target": queue.Target.String(), "token": t.token,
 		})
 		if t.earlyCancels[job] {
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -131,13 +131,18 @@
 	e.guaranteed, e.evacuated = guaranteed, evacuated
 }
 
-// defaultMaxAttempts applies to jobs of a queue that this owner has never seen in a configuration.
+// defaultMaxAttempts applies to jobs of earlier releases whose queue this owner has never seen in a configuration.
 const defaultMaxAttempts = 2
 
+// queue returns the configuration of the job's queue: the last one that this owner has seen, or else the one with which the job was
+// accepted.
 func (e *Engine) queue(j *Job) Queue {
 	if q, ok := e.queues[j.Spec.Queue]; ok {
 		return q
 	}
+	if c := j.Spec.Config; c != nil {
+		return Queue{Name: j.Spec.Queue, Service: c.Service, Priority: c.Priority, MaxAttempts: c.MaxAttempts, Stretch: c.Stretch, Target: c.Target}
+	}
 	return Queue{Name: j.Spec.Queue, Priority: 9, MaxAttempts: defaultMaxAttempts, Stretch: 1}
 }
 
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -244,6 +244,9 @@
 		return target{}, &Reply{Result: BadRequest, Why: "a job ID has 16 hexadecimal digits"}
 	}
 	spec.Job, spec.Workspace, spec.Queue, spec.Accepted = t.jobID, t.workspace, t.queue.Name, s.WallNow()
+	spec.Config = &work.QueueConfig{
+		Service: t.queue.Service, Priority: t.queue.Priority, MaxAttempts: t.queue.MaxAttempts, Stretch: t.queue.Stretch, Target: t.queue.Target,
+	}
 	if err := spec.Check(); err != nil {
 		return target{}, &Reply{Result: BadRequest, Why: err.Error()}
 	}
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -45,7 +45,7 @@
 	}
 	p := &policy.Policy{
 		Version:    item.Revision,
-		Queues:     []policy.Queue{{Queue: group.Queue{Name: "plan"}, Host: "host", Prefix: "/plan/"}},
+		Queues:     []policy.Queue{{Queue: group.Queue{Name: "plan", Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3, Target: time.Second}, Host: "host", Prefix: "/plan/"}},
 		Workspaces: []policy.Workspace{{Name: "alpha", Keys: append([]string(nil), s.keys...)}},
 	}
 	p.Prepare()
@@ -213,6 +213,17 @@
 	assert.Equal(t, f.service.Submit(shortContext(t), caller(), spec()).Result, admit.Unknown)
 }
 
+// Guards against a new owner that does not know where the jobs of a removed queue run (review/5).
+func TestAcceptedJobKeepsTheConfigurationOfItsQueue(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.service.Submit(shortContext(t), caller(), spec()).Result, admit.OK)
+	item, err := f.store.Item(t.Context(), work.SpecKey(job))
+	assert.NilError(t, err)
+	stored, err := work.DecodeSpec(item.Data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, stored.Config, &work.QueueConfig{Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3, Target: time.Second})
+}
+
 func TestSecondSubmitIsTheSameJob(t *testing.T) {
 	f := newFixture(t)
 	assert.Equal(t, f.service.Submit(shortContext(t), caller(), spec()).Result, admit.OK)
--- a/internal/state/work/spec.go
+++ b/internal/state/work/spec.go
@@ -45,11 +45,27 @@
 	Interval time.Duration `json:"interval"`
 }
 
+// QueueConfig is the configuration of a job's queue.
+type QueueConfig struct {
+	// Service is the service whose workers run the job's tasks.
+	Service string `json:"service"`
+	// Priority orders the queues, 0 first.
+	Priority int `json:"priority,omitempty"`
+	// MaxAttempts is how many runs of a task group may fail before the job fails.
+	MaxAttempts int `json:"maxAttempts,omitempty"`
+	// Stretch and Target set the objective of a job: Stretch times its critical path, plus Target.
+	Stretch float64       `json:"stretch,omitempty"`
+	Target  time.Duration `json:"target,omitempty"`
+}
+
 // Spec is a job as it was accepted; it never changes.
 type Spec struct {
 	Job       string `json:"job"`
 	Workspace string `json:"workspace"`
 	Queue     string `json:"queue"`
+	// Config is the configuration of the queue when the job was accepted, for when the queue is removed before the job ends; nil
+	// in jobs of earlier releases.
+	Config *QueueConfig `json:"queueConfig,omitempty"`
 	// Payload is passed to the workers unchanged.
 	Payload string `json:"payload,omitempty"`
 	Steps   []Step `json:"steps"`
