term: a write is stopped or postponed, and has no outcome besides

Read as a newcomer: the outcomes of a write had values that nothing asked for. Two flags say what the commit needs.

--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -60,7 +60,7 @@
 	}
 	t.state.Lock()
 	for _, w := range writes {
-		if w.outcome == writeFailed {
+		if w.stopped && !w.postponed {
 			t.engine.Uncommitted(w.update)
 		}
 	}
@@ -129,7 +129,7 @@
 // earlier piece is not durable are left out. A transaction that the store rejects is halved until the pieces that it does not accept
 // are alone.
 func (t *term) commitPieces(ctx context.Context, pieces []piece) bool {
-	pieces = slices.DeleteFunc(slices.Clone(pieces), func(p piece) bool { return p.of.outcome != writePending })
+	pieces = slices.DeleteFunc(slices.Clone(pieces), func(p piece) bool { return p.of.stopped })
 	if len(pieces) == 0 {
 		return true
 	}
@@ -195,11 +195,10 @@
 			t.engine.HeadCommitted(u)
 		}
 		if p.of.left--; p.of.left == 0 {
-			p.of.outcome = writeDurable
 			t.engine.Committed(u, now)
-		}
-		if u.Delete && p.of.left == 0 {
-			t.forget(u.Job)
+			if u.Delete {
+				t.forget(u.Job)
+			}
 		}
 	}
 }
@@ -216,7 +215,7 @@
 	defer t.state.Unlock()
 	t.Meter.Group(len(pieces))
 	for _, p := range pieces {
-		p.of.outcome = writeFailed
+		p.of.stopped = true
 	}
 	var refused *store.RefusedError
 	if errors.As(err, &refused) {
@@ -244,31 +243,30 @@
 // reject handles a piece that the store does not accept. If it can be divided, the record is divided further and written at once;
 // otherwise the update is postponed.
 func (t *term) reject(p piece, err error) {
-	p.of.outcome = writeFailed
-	if p.divisible {
-		t.state.Lock()
-		t.partLimits[p.of.update.Job] = len(p.data) / 2
-		t.state.Unlock()
-		t.logRejection(p, err, 0)
+	p.of.stopped = true
+	if !p.divisible {
+		p.of.postponed = true
+		t.postpone(p.of.update, p, err)
 		return
 	}
-	p.of.outcome = writeRejected
-	t.postpone(p.of.update, p, err)
+	t.state.Lock()
+	t.partLimits[p.of.update.Job] = len(p.data) / 2
+	t.state.Unlock()
+	t.logRejection(p.of.update, p, err, 0)
 }
 
-// postpone returns an update to the engine that can't be written as it is.
+// postpone returns an update to the engine of which a piece can't be written as it is.
 func (t *term) postpone(u group.Update, p piece, err error) {
 	t.state.Lock()
 	delay := t.engine.Rejected(u, t.Now())
 	t.state.Unlock()
-	p.of = &write{update: u}
-	t.logRejection(p, err, delay)
+	t.logRejection(u, p, err, delay)
 }
 
-func (t *term) logRejection(p piece, err error, delay time.Duration) {
+func (t *term) logRejection(u group.Update, p piece, err error, delay time.Duration) {
 	t.Meter.Count("records.rejected")
 	t.Log.Emit(event.RecordRejected, event.Fields{
-		"job": p.of.update.Job, "key": p.key, "bytes": len(p.data), "limit": t.Limits.valueBytes(), "phase": p.of.update.Record.Phase.String(), "error": err.Error(),
+		"job": u.Job, "key": p.key, "bytes": len(p.data), "limit": t.Limits.valueBytes(), "phase": u.Record.Phase.String(), "error": err.Error(),
 		"retryIn": delay.String(), "token": t.token,
 	})
 }
--- a/internal/node/term/write.go
+++ b/internal/node/term/write.go
@@ -17,22 +17,14 @@
 type write struct {
 	update group.Update
 	// pieces are written in this order; left counts those that are not durable yet.
-	pieces  []piece
-	left    int
-	outcome writeOutcome
+	pieces []piece
+	left   int
+	// stopped is true once a piece failed or was rejected, so that the pieces after it are not sent; postponed is true if the
+	// engine has been told so.
+	stopped   bool
+	postponed bool
 }
 
-// writeOutcome is what has become of a write.
-type writeOutcome int
-
-// The outcomes. A failed write is tried again at once, a rejected one later.
-const (
-	writePending writeOutcome = iota
-	writeDurable
-	writeFailed
-	writeRejected
-)
-
 // piece is what one transaction must hold of a write.
 type piece struct {
 	of *write
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -179,7 +179,7 @@
 	Record work.Record
 	// Parts are the changed parts of a divided record, in ascending order.
 	Parts []ChangedPart
-	// Head means that the record itself is to be written, and not only parts of it.
+	// Head means that the record itself, which has the job's phase, is to be written, and not only parts of it.
 	Head bool
 	// NoLongerPending means that the job no longer counts as pending.
 	NoLongerPending bool
