--- a/internal/node/term/rejected_record_test.go
+++ b/internal/node/term/rejected_record_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,17 +25,17 @@
 
 // rejectRecordOf makes the store reject all transactions that write the record of the job, and returns how many it has rejected.
 func rejectRecordOf(kv *fake.Transactor, job string) (count func() int) {
-	rejected := 0
+	var rejected atomic.Int64
 	kv.SetAccepted(func(tx store.Transaction) bool {
 		for _, w := range tx.Writes {
 			if strings.HasPrefix(w.Key, work.RecordKey(job)) {
-				rejected++
+				rejected.Add(1)
 				return false
 			}
 		}
 		return true
 	})
-	return func() int { return rejected }
+	return func() int { return int(rejected.Load()) }
 }
 
 // Guards against jobs that never start: their records are written in the same transactions as one that the store rejects.
