--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -119,12 +119,18 @@
 	Parts    []int
 }
 
-// storedRecord is the stored form of a record.
-type storedRecord struct {
-	Phase  Phase `json:"phase"`
-	Change int64 `json:"change"`
-	// Groups is the list of task groups, or a division. Releases that know no parts can't decode a division, and leave its job alone.
-	Groups json.RawMessage `json:"sets,omitempty"`
+// wholeRecord is the stored form of a record in one value.
+type wholeRecord struct {
+	Phase  Phase         `json:"phase"`
+	Change int64         `json:"change"`
+	Groups []GroupRecord `json:"sets,omitempty"`
+}
+
+// dividedRecord is the stored form of a divided record. Releases that know no parts can't decode it, as it has no list of groups.
+type dividedRecord struct {
+	Phase  Phase    `json:"phase"`
+	Change int64    `json:"change"`
+	Groups division `json:"sets"`
 }
 
 type division struct {
@@ -133,18 +139,10 @@
 
 // Encode returns the stored form, JSON; that of a divided record is small and has no groups.
 func (r *Record) Encode() ([]byte, error) {
-	stored := storedRecord{Phase: r.Phase, Change: r.Change}
-	var err error
-	switch {
-	case r.Division != 0:
-		stored.Groups, err = encodeJSON(division{Division: r.Division})
-	case len(r.Groups) > 0:
-		stored.Groups, err = encodeJSON(r.Groups)
-	}
-	if err != nil {
-		return nil, err
+	if r.Division != 0 {
+		return encodeJSON(dividedRecord{Phase: r.Phase, Change: r.Change, Groups: division{Division: r.Division}})
 	}
-	return encodeJSON(stored)
+	return encodeJSON(wholeRecord{Phase: r.Phase, Change: r.Change, Groups: r.Groups})
 }
 
 // encodeJSON encodes without the escapes that only HTML needs.
@@ -160,25 +158,14 @@
 
 // DecodeRecord decodes the stored form; a divided record has no groups yet.
 func DecodeRecord(data []byte) (*Record, error) {
-	var stored storedRecord
-	if err := json.Unmarshal(data, &stored); err != nil {
-		return nil, fmt.Errorf("job: stored record: %w", err)
-	}
-	r := &Record{Phase: stored.Phase, Change: stored.Change}
-	if len(stored.Groups) == 0 {
-		return r, nil
-	}
-	var divided division
-	into := any(&r.Groups)
-	if stored.Groups[0] == '{' {
-		into = &divided
-	}
-	if err := json.Unmarshal(stored.Groups, into); err != nil {
-		return nil, fmt.Errorf("job: stored record: %w", err)
+	var whole wholeRecord
+	err := json.Unmarshal(data, &whole)
+	if err == nil {
+		return &Record{Phase: whole.Phase, Change: whole.Change, Groups: whole.Groups}, nil
 	}
-	r.Division = divided.Division
-	if stored.Groups[0] == '{' && r.Division == 0 {
-		return nil, fmt.Errorf("job: stored record: its division has no number")
+	var divided dividedRecord
+	if json.Unmarshal(data, &divided) == nil && divided.Groups.Division != 0 {
+		return &Record{Phase: divided.Phase, Change: divided.Change, Division: divided.Groups.Division}, nil
 	}
-	return r, nil
+	return nil, fmt.Errorf("job: stored record: %w", err)
 }
