--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -400,6 +400,7 @@
 // recordDone marks the task group as done and logs the decision, and completes the job once all its task groups are done.
 func (e *Engine) recordDone(g *Group, d Decision, now time.Time) {
 	j := g.Job
+	j.lastRan = now
 	g.record().Done, g.record().FailedOn = true, nil
 	d.Kind, d.Job = RunDone, j.ID()
 	e.emit(d)
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -74,6 +74,8 @@
 	withinGuarantee bool
 	// tier orders jobs, the lowest first: 0 within the guarantee, else one more than the queue's priority.
 	tier int
+	// lastRan is when a task of the job was last known to run, for Standing.
+	lastRan time.Time
 }
 
 // occurrence is one execution of all steps of a job; a job that does not repeat has one.
