term: log why jobs stand and what forbids starts

Operators could not tell from the owner's log why a job stood: mayStart was not logged at all, nor which age forbids starts, nor that a term is not loaded, nor how long tasks of earlier owners count as alive.

jobStands names the job, task, state, worker, remaining time and workers left out, once a second and one line a cause. startsForbidden names the ages of lease, configuration and list with their limits and which of them forbids starts, after 500 ms and then each second; startsAllowed is its end. termLoaded says how many tasks were inherited, on how many workers and for how long they may count as alive.

--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -41,9 +41,9 @@
 			continue
 		}
 		t.state.Lock()
-		jobs := t.engine.Jobs()
+		fields := t.loadedFields(started, t.Now())
 		t.state.Unlock()
-		t.Log.Emit(event.TermLoaded, event.Fields{"token": t.token, "jobs": jobs, "took": t.Now().Sub(started).String()})
+		t.Log.Emit(event.TermLoaded, fields)
 		return true
 	}
 	return false
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -145,6 +145,7 @@
 	defer t.cancel()
 	t.Log.Emit(event.TermBegan, event.Fields{"token": t.token, "lease": t.lease})
 	t.components.Go("renewal", func() { t.renewLease(ctx) })
+	t.components.Go("standing", func() { t.watchStanding(ctx) })
 	if t.load(ctx) {
 		t.components.Go("workers", func() { t.listWorkers(ctx) })
 		t.components.Go("watch", func() { t.watchJobs(ctx) })
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -53,6 +53,7 @@
 	// valueBytes and entries are the limits of the store, zero for the defaults.
 	valueBytes int
 	entries    int
+	log        *event.Log
 }
 
 // By hand, all tests with a store whose limits are reached by small jobs:
@@ -64,7 +65,7 @@
 
 func newSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{t: t, store: fake.NewTransactor(), agents: fake.NewAgents("w1", "w2")}
+	s := &site{t: t, store: fake.NewTransactor(), agents: fake.NewAgents("w1", "w2"), log: event.Discard()}
 	if *storeValueBytes > 0 {
 		s.limit(*storeValueBytes, *storeEntries)
 	}
@@ -103,7 +104,7 @@
 	e := &term.Elector{
 		Instance: name, Store: kv, Agent: agents, Lister: fixedWorkers{"w1", "w2"}, Policy: holder,
 		Limits: term.Limits{MaxLease: 6 * time.Second, StopTimeout: time.Second, PolicyAge: time.Minute, ListAge: time.Minute, Retention: time.Minute, RemoteFactor: 3, MaxValueBytes: s.valueBytes, MaxEntries: s.entries},
-		Peers:  others, Log: event.Discard(), Meter: meter.New(s.t.Name() + name), Now: time.Now, WallNow: time.Now,
+		Peers:  others, Log: s.log, Meter: meter.New(s.t.Name() + name), Now: time.Now, WallNow: time.Now,
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	done := make(chan struct{})
