--- a/internal/place/group/standing_test.go
+++ b/internal/place/group/standing_test.go
@@ -269,3 +269,21 @@
 	assert.Equal(t, list[1].State, group.StandsInherited)
 	assert.Equal(t, list[1].Worker, "w0-0")
 }
+
+// Guards against a time that counts from the start of a run that was stopped, and not from when it was last known to run.
+func TestJobStandsSinceItLastRan(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.submit("service", planQueue, "beta", work.Step{Count: 1, MilliCores: 1000, Estimate: time.Hour, LongRunning: true})
+	c.step()
+	c.watch(10)
+	c.infos[0].Draining = true
+	c.engine.SetWorkers(c.infos, c.now)
+	assert.Equal(t, len(c.engine.Standing(c.now)), 0)
+	c.engine.Decide(true, c.now)
+	assert.Equal(t, len(c.engine.Standing(c.now)), 0)
+	c.now = c.now.Add(3 * time.Second)
+	c.pollAll()
+	s := c.standing()
+	assert.Equal(t, s.State, group.StandsStopping)
+	assert.Equal(t, s.Lasted, 3*time.Second)
+}
