group: leases of earlier owners are kept apart from an owner's own

No change of behaviour: InheritedEnds holds what earlier owners may have granted, LeaseEnds what this one has, and the functions about both are in a file of their own. What becomes known of earlier owners later can shorten the former.

--- a/internal/node/term/lease_test.go
+++ b/internal/node/term/lease_test.go
@@ -48,5 +48,5 @@
 // Guards against a successor that counts a lease of an earlier release as expired too early.
 func TestInheritedLeasesMayBeAsLongAsTheInstallationAllows(t *testing.T) {
 	tm, w := termWithInheritedRun(t, agent.Invalid)
-	assert.Equal(t, w.LeaseEnds, tm.Now().Add(2*time.Second+worstCaseLease(10*time.Second)))
+	assert.Equal(t, w.HeldUntil(), tm.Now().Add(2*time.Second+worstCaseLease(10*time.Second)))
 }
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -12,7 +12,7 @@
 type Config struct {
 	// SeenWithin is the maximum time since a worker's last response for it to get new tasks.
 	SeenWithin time.Duration
-	// InheritedLease is the longest lease that an earlier owner may have left on a worker.
+	// InheritedLease is the longest lease that an earlier owner may have left on a worker of which nothing else is known.
 	InheritedLease time.Duration
 	// StopTimeout is the maximum time that a worker takes to stop a task.
 	StopTimeout time.Duration
@@ -92,7 +92,9 @@
 	queues      map[string]Queue
 	guaranteed  map[string]int
 	evacuated   map[string]bool
-	actions     []Action
+	// inherited is what is known of the leases of earlier owners, beside Config.InheritedLease.
+	inherited InheritedLeases
+	actions   []Action
 	// workersWithExits are the workers with exits that NewlyDurableExits has not returned as durable yet.
 	workersWithExits map[*Worker]bool
 	// usableAccelerators is the number of accelerators of all usable workers, utilization the share of them that is in use.
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -330,7 +330,7 @@
 		for i, id := range rec.Workers {
 			w := e.workers[id]
 			if w == nil {
-				w = newWorker(WorkerInfo{ID: id}, now.Add(e.cfg.InheritedLease))
+				w = newWorker(WorkerInfo{ID: id}, earliestKnown(now.Add(e.cfg.InheritedLease), e.inherited.of(id)))
 				w.Listed = false
 				e.addWorker(w)
 			}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -55,8 +55,10 @@
 	brokenAt time.Time
 	// startAckedAt is when the worker last acknowledged a start.
 	startAckedAt time.Time
-	// LeaseEnds is when everything on the worker has certainly been killed, unless its lease is renewed or extended.
-	LeaseEnds time.Time
+	// LeaseEnds is when the leases that this owner has granted have certainly expired, InheritedEnds the same for those of earlier
+	// owners: then everything on the worker has been killed.
+	LeaseEnds     time.Time
+	InheritedEnds time.Time
 	// leaseExtension is until when tasks may live because a lease proxy may extend their leases for the owner.
 	leaseExtension leaseExtension
 	// AvoidUntil is when the worker gets new tasks again after failures, refusals or slowness.
@@ -104,10 +106,10 @@
 	memberCache []*Member
 }
 
-// newWorker returns a worker that may hold a lease of an earlier owner until leaseEnds.
-func newWorker(info WorkerInfo, leaseEnds time.Time) *Worker {
+// newWorker returns a worker that may hold a lease of an earlier owner until inheritedEnds.
+func newWorker(info WorkerInfo, inheritedEnds time.Time) *Worker {
 	return &Worker{
-		WorkerInfo: info, Listed: true, listedIncarnation: info.Incarnation, speed: 1, LeaseEnds: leaseEnds,
+		WorkerInfo: info, Listed: true, listedIncarnation: info.Incarnation, speed: 1, InheritedEnds: inheritedEnds,
 		pastIncarnations: make(map[int64]bool),
 		members:          make(map[runKey]*Member), orphans: make(map[runKey]bool), abandoned: make(map[runKey]bool),
 	}
@@ -195,7 +197,7 @@
 		listed[info.ID] = true
 		w := e.workers[info.ID]
 		if w == nil {
-			w = newWorker(info, now.Add(e.cfg.InheritedLease))
+			w = newWorker(info, earliestKnown(now.Add(e.cfg.InheritedLease), e.inherited.of(info.ID)))
 			w.updateLeavesAt(now)
 			e.addWorker(w)
 			continue
@@ -236,7 +238,7 @@
 	if w.Busy() || w.DurableExit() < w.LastExit {
 		return false
 	}
-	return len(w.abandoned) == 0 || now.Sub(latest(w.answeredAt, w.LeaseEnds)) > abandonedRetention
+	return len(w.abandoned) == 0 || now.Sub(latest(w.answeredAt, w.HeldUntil())) > abandonedRetention
 }
 
 // updateLeavesAt computes when the worker shuts down. The earliest time counts, as a stale list entry that is read again
@@ -296,63 +298,6 @@
 // Workers returns all workers in the order of their IDs; the slice belongs to the engine and must not be changed.
 func (e *Engine) Workers() []*Worker { return e.sortedWorkers }
 
-// LeaseRenewed records that a lease renewal was sent to the worker, so what runs there may live until the given time.
-func (e *Engine) LeaseRenewed(id string, until time.Time) {
-	if w := e.workers[id]; w != nil {
-		w.LeaseEnds = latest(w.LeaseEnds, until)
-	}
-}
-
-// leaseExtension holds until when lease proxies may extend a worker's leases: until applies to the current proxy,
-// earlierUntil to those before it, whose permission can no longer be revoked.
-type leaseExtension struct {
-	proxy        string
-	until        time.Time
-	earlierUntil time.Time
-}
-
-// AllowExtension records that the proxy may extend the worker's leases, so what runs there may live until the given time.
-func (e *Engine) AllowExtension(id, proxy string, until time.Time) {
-	w := e.workers[id]
-	if w == nil {
-		return
-	}
-	extension := &w.leaseExtension
-	if extension.proxy != proxy {
-		extension.proxy, extension.until, extension.earlierUntil = proxy, time.Time{}, latest(extension.earlierUntil, extension.until)
-	}
-	extension.until = latest(extension.until, until)
-}
-
-// EndExtension records that the proxy no longer extends the worker's leases; its extensions end by the given time.
-func (e *Engine) EndExtension(id, proxy string, until time.Time) {
-	if w := e.workers[id]; w != nil && w.leaseExtension.proxy == proxy {
-		w.leaseExtension.until = until
-	}
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// heldUntil returns until when anything on the worker may be alive, and what allows that.
-func (w *Worker) heldUntil() (until time.Time, holder string) {
-	extended := latest(w.leaseExtension.until, w.leaseExtension.earlierUntil)
-	if extended.After(w.LeaseEnds) {
-		return extended, "a lease proxy may extend its lease"
-	}
-	return w.LeaseEnds, "its lease has not expired"
-}
-
-// leaseExpired reports whether everything on the worker has certainly been killed.
-func (w *Worker) leaseExpired(now time.Time) bool {
-	until, _ := w.heldUntil()
-	return now.After(until)
-}
-
 // NeedsStop reports whether the task of that run may be alive on the worker or may still start there.
 func (w *Worker) NeedsStop(task string, run int) bool {
 	key := runKey{task, run}
