--- a/internal/node/term/commit.go
+++ b/internal/node/term/commit.go
@@ -180,6 +180,7 @@
 	t.state.Lock()
 	defer t.state.Unlock()
 	t.Meter.Group(len(pieces))
+	t.ownedAt = max(t.ownedAt, revision)
 	for _, p := range pieces {
 		if p.data != nil {
 			t.revisions[p.key] = revision
--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -98,8 +98,10 @@
 	DataCentre string
 	Peers      Peers
 	Proxies    Proxies
-	Log        *event.Log
-	Meter      *meter.Metrics
+	// Predecessors is nil where instances can't ask each other.
+	Predecessors Predecessors
+	Log          *event.Log
+	Meter        *meter.Metrics
 	// Now is the monotonic clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
@@ -113,8 +115,11 @@
 
 	mu      sync.Mutex
 	current *term
-	// knownOwner is the owner's name as last read from its key, or empty.
+	// past is the last term of this instance that has ended.
+	past *pastTerm
+	// knownOwner is the owner's name as last read from its key, or empty; lastOwner is the last name that was not.
 	knownOwner string
+	lastOwner  string
 }
 
 // ownerRecord is the stored value of the owner's key.
@@ -136,11 +141,13 @@
 		}
 		t := newTerm(e, lease, token, sent)
 		e.mu.Lock()
+		t.predecessor, e.lastOwner = e.lastOwner, e.Instance
 		e.current = t
 		e.mu.Unlock()
 		cause := t.run(ctx)
+		past := t.close()
 		e.mu.Lock()
-		e.current = nil
+		e.current, e.past = nil, past
 		e.mu.Unlock()
 		e.Log.Emit(event.TermEnded, event.Fields{"token": token, "why": cause.Error()})
 		var cut *cutOffError
@@ -206,15 +213,25 @@
 
 // noteOwner stores the name of the owner, or an empty one if there is no key.
 func (e *Elector) noteOwner(items []store.Item) {
-	var record ownerRecord
+	name := ""
 	if len(items) > 0 {
-		if err := json.Unmarshal(items[0].Data, &record); err != nil {
-			e.Log.Emit(event.RecordBad, event.Fields{"key": work.OwnerKey, "error": err.Error()})
-		}
+		name = e.ownerName(items[0])
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.knownOwner = record.Instance
+	e.knownOwner = name
+	if name != "" {
+		e.lastOwner = name
+	}
+}
+
+// ownerName returns the owner's name from an item of its key, or an empty one if it can't be read.
+func (e *Elector) ownerName(item store.Item) string {
+	var record ownerRecord
+	if err := json.Unmarshal(item.Data, &record); err != nil {
+		e.Log.Emit(event.RecordBad, event.Fields{"key": work.OwnerKey, "error": err.Error()})
+	}
+	return record.Instance
 }
 
 // KnownOwner returns the name of the owner as last read from the store, or an empty string.
--- a/internal/node/term/explore_test.go
+++ b/internal/node/term/explore_test.go
@@ -80,6 +80,7 @@
 
 // runInstance is the world.Program of an instance that competes for ownership of a world with the given limits of the store.
 func runInstance(t *testing.T, maxValueBytes, maxEntries int) world.Program {
+	instances := &directory{}
 	return func(ctx context.Context, access *world.Process, done chan<- struct{}) (owns func() bool) {
 		now := strictClock()
 		holder := policy.NewHolder(access, now, func(policy.Snapshot) {})
@@ -99,12 +100,15 @@
 				Retention: time.Hour, RemoteFactor: 3, MaxValueBytes: maxValueBytes, MaxEntries: maxEntries,
 			},
 			Log: event.NewLog(&log.Logger{Handler: log.HandlerFunc(note), Level: log.DebugLevel}), Meter: meter.New(t.Name() + access.Name()),
-			Now: now, WallNow: now, Jitter: func(mean time.Duration) time.Duration { return mean },
+			Now: now, WallNow: now, Jitter: func(mean time.Duration) time.Duration { return mean }, Predecessors: instances,
 		}
+		instances.add(elector)
 		go func() {
 			refreshed, ended := make(chan struct{}), make(chan struct{})
 			go refreshPolicy(ctx, holder, access, refreshed)
 			go elector.Run(ctx, ended)
+			<-ctx.Done()
+			instances.remove(elector.Instance)
 			<-ended
 			<-refreshed
 			close(done)
--- a/internal/node/term/proxy.go
+++ b/internal/node/term/proxy.go
@@ -113,7 +113,7 @@
 func (t *term) nextProxyRequest(centre string, p *proxy, now time.Time) (*extend.Request, bool) {
 	t.state.Lock()
 	defer t.state.Unlock()
-	if !t.leaseValid(now) {
+	if t.closed || !t.leaseValid(now) {
 		return nil, false
 	}
 	p.number++
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -165,7 +165,7 @@
 	}
 	to := targetOf(w)
 	busy, processed, known := w.Busy(), w.LastExit, s.knows(w.Incarnation)
-	extend := busy && now.Before(t.validUntil.Add(extendPastLapse)) && now.Sub(s.lastSeen()) < silentAfter
+	extend := busy && !t.closed && now.Before(t.validUntil.Add(extendPastLapse)) && now.Sub(s.lastSeen()) < silentAfter
 	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w, now), Wait: idlePollWait}
 	if extend {
 		lease := t.leaseDuration()
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -75,6 +75,8 @@
 	lease     int64
 	token     int64
 	startedAt time.Time
+	// predecessor is the last owner before this term as far as known, or empty.
+	predecessor string
 
 	state        sync.Mutex
 	engine       *group.Engine
@@ -102,6 +104,9 @@
 	lastDecisionTook time.Duration
 	slowLoggedAt     time.Time
 	cause            error
+	// closed is true once the term grants no more leases. ownedAt is a revision at which this instance was certainly the owner.
+	closed  bool
+	ownedAt int64
 	// renewalsInFlight counts the renewals of the owner's lease without an answer.
 	renewalsInFlight int
 
@@ -124,8 +129,11 @@
 	// An earlier owner, possibly of a release that knows no longestLease, may have renewed leases until extendPastLapse after
 	// its own lease lapsed, each for MaxLease.
 	cfg.InheritedLease = extendPastLapse + worstCaseLease(e.Limits.MaxLease)
+	now := e.Now()
+	engine := group.New(cfg)
+	engine.InheritLeases(group.InheritedLeases{Others: now.Add(cfg.InheritedLease)})
 	return &term{
-		Elector: e, lease: lease, token: token, startedAt: e.Now(), engine: group.New(cfg), validUntil: sent.Add(leaseTTL - leaseMargin),
+		Elector: e, lease: lease, token: token, startedAt: now, ownedAt: token, engine: engine, validUntil: sent.Add(leaseTTL - leaseMargin),
 		sessions: make(map[string]*session), pendingStops: make(map[stopKey]bool), earlyCancels: make(map[string]bool),
 		revisions: make(map[string]int64), partKeys: make(map[string]map[string]bool), partLimits: make(map[string]int), pendingDecision: make(chan struct{}, 1), components: abort.Group{Log: e.Log},
 	}
@@ -145,6 +153,7 @@
 	defer t.cancel()
 	t.Log.Emit(event.TermBegan, event.Fields{"token": t.token, "lease": t.lease})
 	t.components.Go("renewal", func() { t.renewLease(ctx) })
+	t.components.Go("predecessor", func() { t.inheritLeases(ctx) })
 	if t.load(ctx) {
 		t.components.Go("workers", func() { t.listWorkers(ctx) })
 		t.components.Go("watch", func() { t.watchJobs(ctx) })
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -53,6 +53,8 @@
 	// valueBytes and entries are the limits of the store, zero for the defaults.
 	valueBytes int
 	entries    int
+	// instances can ask each other for their leases.
+	instances directory
 }
 
 // By hand, all tests with a store whose limits are reached by small jobs:
@@ -104,7 +106,9 @@
 		Instance: name, Store: kv, Agent: agents, Lister: fixedWorkers{"w1", "w2"}, Policy: holder,
 		Limits: term.Limits{MaxLease: 6 * time.Second, StopTimeout: time.Second, PolicyAge: time.Minute, ListAge: time.Minute, Retention: time.Minute, RemoteFactor: 3, MaxValueBytes: s.valueBytes, MaxEntries: s.entries},
 		Peers:  others, Log: event.Discard(), Meter: meter.New(s.t.Name() + name), Now: time.Now, WallNow: time.Now,
+		Predecessors: &s.instances,
 	}
+	s.instances.add(e)
 	ctx, cancel := context.WithCancel(s.t.Context())
 	done := make(chan struct{})
 	go e.Run(ctx, done)
--- a/internal/proof/fake/agents.go
+++ b/internal/proof/fake/agents.go
@@ -242,6 +242,13 @@
 	return ""
 }
 
+// Started returns how many runs of the task have started.
+func (a *Agents) Started(task string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Starts[task]
+}
+
 // UnacknowledgedExits counts the exits that the workers still list.
 func (a *Agents) UnacknowledgedExits() int {
 	a.mu.Lock()
--- a/internal/proof/fake/transactor.go
+++ b/internal/proof/fake/transactor.go
@@ -263,6 +263,15 @@
 	}
 }
 
+// PutWithLease writes a key that is deleted when the lease ends.
+func (t *Transactor) PutWithLease(key string, data []byte, lease int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, err := t.apply(store.Transaction{Writes: []store.Write{{Key: key, Data: data, Lease: lease}}}); err != nil {
+		panic("fake: an unconditional write was refused: " + err.Error())
+	}
+}
+
 // Grant creates a lease and returns its ID; it ends only by Revoke or ExpireLease.
 func (t *Transactor) Grant(context.Context, time.Duration) (int64, error) {
 	if err := outcomeError(t.outcome("grant")); err != nil {
