--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -125,6 +125,8 @@
 // ownerRecord is the stored value of the owner's key.
 type ownerRecord struct {
 	Instance string `json:"instance"`
+	// Withholds is true if the owner grants no leases to the workers that the LeaseRecord lists.
+	Withholds bool `json:"withholds,omitempty"`
 }
 
 // Run competes for ownership until ctx ends, then revokes the lease if it holds one, and closes done.
@@ -188,7 +190,7 @@
 	if e.deferToLarger(ctx) {
 		return 0, 0, sent, nil
 	}
-	data, err := json.Marshal(ownerRecord{Instance: e.Instance})
+	data, err := json.Marshal(ownerRecord{Instance: e.Instance, Withholds: true})
 	if err != nil {
 		return 0, 0, sent, err
 	}
@@ -215,7 +217,7 @@
 func (e *Elector) noteOwner(items []store.Item) {
 	name := ""
 	if len(items) > 0 {
-		name = e.ownerName(items[0])
+		name = e.decodeOwner(items[0]).Instance
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -225,13 +227,13 @@
 	}
 }
 
-// ownerName returns the owner's name from an item of its key, or an empty one if it can't be read.
-func (e *Elector) ownerName(item store.Item) string {
+// decodeOwner returns the stored value of the owner's key, or an empty one if it can't be read.
+func (e *Elector) decodeOwner(item store.Item) ownerRecord {
 	var record ownerRecord
 	if err := json.Unmarshal(item.Data, &record); err != nil {
 		e.Log.Emit(event.RecordBad, event.Fields{"key": work.OwnerKey, "error": err.Error()})
 	}
-	return record.Instance
+	return record
 }
 
 // KnownOwner returns the name of the owner as last read from the store, or an empty string.
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -70,8 +70,13 @@
 	if err != nil {
 		return err
 	}
+	leases, err := t.Store.Item(call, work.LeasesKey)
+	if err != nil {
+		return err
+	}
 	t.state.Lock()
 	defer t.state.Unlock()
+	t.loadWithheld(leases, t.Now())
 	if snapshot, _ := t.Policy.Current(); snapshot.Policy != nil {
 		t.engine.SetPolicy(snapshot.Policy.PlacementQueues(), snapshot.Policy.Guarantees(), snapshot.Evacuated)
 	}
--- a/internal/node/term/order.go
+++ b/internal/node/term/order.go
@@ -97,7 +97,7 @@
 		return agent.Target{}, agent.Start{}, false
 	}
 	w, s := t.engine.Worker(order.Worker), t.sessions[order.Worker]
-	if w == nil || s == nil || t.closed || !t.mayStart(now) {
+	if w == nil || s == nil || !t.mayGrant(w.ID) || !t.mayStart(now) {
 		return agent.Target{}, agent.Start{}, true
 	}
 	if t.engine.Closed(w) {
--- a/internal/node/term/predecessor.go
+++ b/internal/node/term/predecessor.go
@@ -88,7 +88,7 @@
 			t.applyGrants(instance, reply, now)
 			return
 		}
-		instance = later[len(later)-1]
+		instance = later[len(later)-1].Instance
 	}
 }
 
@@ -119,9 +119,9 @@
 // Error names the instance.
 func (e *noTermError) Error() string { return "instance " + e.instance + " remembers no term" }
 
-// ownersSince returns the instances that became the owner after the revision and before this term.
-func (t *term) ownersSince(ctx context.Context, revision int64) ([]string, error) {
-	var owners []string
+// ownersSince returns the owners from after the revision until before this term.
+func (t *term) ownersSince(ctx context.Context, revision int64) ([]ownerRecord, error) {
+	var owners []ownerRecord
 	for revision < t.token {
 		call, done := context.WithTimeout(ctx, storeTimeout)
 		changes, upTo, err := t.Store.Changes(call, work.OwnerKey, revision, historyWait)
@@ -131,7 +131,7 @@
 		}
 		for _, change := range changes {
 			if change.Key == work.OwnerKey && !change.Deleted && change.Revision < t.token {
-				owners = append(owners, t.ownerName(change.Item))
+				owners = append(owners, t.decodeOwner(change.Item))
 			}
 		}
 		if upTo <= revision {
--- a/internal/node/term/proxy.go
+++ b/internal/node/term/proxy.go
@@ -124,7 +124,7 @@
 	request.Until = p.clock + now.Sub(p.clockAt) + proxyExtension
 	for _, w := range t.engine.Workers() {
 		session := t.sessions[w.ID]
-		if w.DataCentre != centre || session == nil || !w.Listed || w.Draining || !w.Busy() || now.Sub(session.lastSeen()) > silentAfter {
+		if w.DataCentre != centre || session == nil || !w.Listed || w.Draining || !w.Busy() || !t.mayGrant(w.ID) || now.Sub(session.lastSeen()) > silentAfter {
 			continue
 		}
 		request.Workers = append(request.Workers, agent.Target{Worker: w.ID, Address: w.Address})
--- a/internal/node/term/renewal_test.go
+++ b/internal/node/term/renewal_test.go
@@ -40,7 +40,7 @@
 
 // renewFor renews the lease of a term for ten seconds, and returns the cause of the term's end and how often it was not certain of its
 // lease, of 100 looks.
-func renewFor(t *testing.T, answers func(call int) time.Duration) (cause error, uncertain int) {
+func renewFor(t *testing.T, answers func(call int) time.Duration) (uncertain int, cause error) {
 	t.Helper()
 	kv := &lossyStore{answers: answers, lapsesAt: time.Now().Add(leaseTTL)}
 	tm := newTerm(&Elector{Store: kv, Log: event.Discard(), Now: time.Now}, 1, 7, time.Now())
@@ -63,7 +63,7 @@
 	cancel()
 	<-done
 	tm.components.Wait()
-	return cause, uncertain
+	return uncertain, cause
 }
 
 // Guards against owners that are replaced every two seconds, as a single lost answer to a renewal ends a term (issue 48, LOST).
@@ -74,7 +74,7 @@
 		"three of four": func(call int) bool { return call%4 != 0 },
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			cause, uncertain := renewFor(t, func(call int) time.Duration {
+			uncertain, cause := renewFor(t, func(call int) time.Duration {
 				if lost(call) {
 					return -1
 				}
@@ -89,7 +89,7 @@
 // Guards against renewals that are too far apart while the store is slow.
 func TestSlowAnswersOfRenewalsEndNoTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cause, uncertain := renewFor(t, func(int) time.Duration { return 700 * time.Millisecond })
+		uncertain, cause := renewFor(t, func(int) time.Duration { return 700 * time.Millisecond })
 		assert.NilError(t, cause)
 		assert.Equal(t, uncertain, 0)
 	})
--- a/internal/node/term/session.go
+++ b/internal/node/term/session.go
@@ -154,6 +154,7 @@
 // poll polls the worker once and renews its lease; it closes the session and reports false if the worker is neither listed
 // nor busy.
 func (s *session) poll(ctx context.Context) bool {
+	s.awaitGrant(ctx)
 	t := s.term
 	now := t.Now()
 	t.state.Lock()
@@ -165,7 +166,7 @@
 	}
 	to := targetOf(w)
 	busy, processed, known := w.Busy(), w.LastExit, s.knows(w.Incarnation)
-	extend := busy && !t.closed && now.Before(t.validUntil.Add(extendPastLapse)) && now.Sub(s.lastSeen()) < silentAfter
+	extend := busy && t.mayGrant(s.id) && now.Before(t.validUntil.Add(extendPastLapse)) && now.Sub(s.lastSeen()) < silentAfter
 	request := agent.Poll{Token: t.token, Acknowledged: s.acknowledgeable(w, now), Wait: idlePollWait}
 	if extend {
 		lease := t.leaseDuration()
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -105,8 +105,9 @@
 	slowLoggedAt     time.Time
 	cause            error
 	// closed is true once the term grants no more leases. ownedAt is a revision at which this instance was certainly the owner.
-	closed  bool
-	ownedAt int64
+	closed   bool
+	ownedAt  int64
+	withheld withheld
 	// renewalsInFlight counts the renewals of the owner's lease without an answer.
 	renewalsInFlight int
 
@@ -135,7 +136,9 @@
 	return &term{
 		Elector: e, lease: lease, token: token, startedAt: now, ownedAt: token, engine: engine, validUntil: sent.Add(leaseTTL - leaseMargin),
 		sessions: make(map[string]*session), pendingStops: make(map[stopKey]bool), earlyCancels: make(map[string]bool),
-		revisions: make(map[string]int64), partKeys: make(map[string]map[string]bool), partLimits: make(map[string]int), pendingDecision: make(chan struct{}, 1), components: abort.Group{Log: e.Log},
+		revisions: make(map[string]int64), partKeys: make(map[string]map[string]bool), partLimits: make(map[string]int), pendingDecision: make(chan struct{}, 1),
+		withheld:   withheld{workers: make(map[string]bool), changed: make(chan struct{}, 1)},
+		components: abort.Group{Log: e.Log},
 	}
 }
 
@@ -155,6 +158,10 @@
 	t.components.Go("renewal", func() { t.renewLease(ctx) })
 	t.components.Go("predecessor", func() { t.inheritLeases(ctx) })
 	if t.load(ctx) {
+		t.components.Go("leases", func() {
+			t.inheritRecord(ctx)
+			t.withholdLeases(ctx)
+		})
 		t.components.Go("workers", func() { t.listWorkers(ctx) })
 		t.components.Go("watch", func() { t.watchJobs(ctx) })
 		t.components.Go("pending", func() { t.scanWaiting(ctx) })
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -304,11 +304,11 @@
 	s.eventually("the small instance has read the free key", func() bool { return reads.Load() > 0 })
 	s.elect("large")
 	s.eventually("an owner", func() bool { return s.owner() != "" })
-	assert.Equal(t, s.owner(), `{"instance":"large"}`)
+	assert.Equal(t, s.owner(), `{"instance":"large","withholds":true}`)
 }
 
 func TestSmallInstanceDecidesIfNoLargerOneDoes(t *testing.T) {
 	s := newSite(t)
 	s.electAmong("small", largerPeer{})
-	s.eventually("an owner", func() bool { return s.owner() == `{"instance":"small"}` })
+	s.eventually("an owner", func() bool { return s.owner() == `{"instance":"small","withholds":true}` })
 }
--- /dev/null
+++ b/internal/node/term/withheld_test.go
@@ -0,0 +1,157 @@
+package term_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/edge/agent"
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"gotest.tools/v3/assert"
+)
+
+// killOwner stops the last instance, which can't be asked any more, and starts another one.
+func (s *succession) killOwner() {
+	last := len(s.stops) - 1
+	s.instances.remove(fmt.Sprint("owner-", last))
+	s.stops[last]()
+	s.stops = append(s.stops, s.electWith(fmt.Sprint("owner-", last+1), s.workers, nil))
+}
+
+// Guards against tasks of a lost worker that wait for the longest lease anew with each owner that is killed (issue 48, LOST).
+func TestKilledOwnersDoNotProlongTheWaitForALostWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuccession(t, "owner-0")
+		s.loseWorker()
+		for range 4 {
+			time.Sleep(2500 * time.Millisecond)
+			s.killOwner()
+		}
+		waited := s.startsAgainAfter()
+		assert.Assert(t, waited < 2*time.Second, "%s after the last owner was killed", waited)
+	})
+}
+
+// The same with owners that don't live long enough to notice that the worker is silent: they pass on what they have read.
+func TestOwnersOfShortTermsKeepTheRecordOfALostWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuccession(t, "owner-0")
+		s.loseWorker()
+		time.Sleep(4 * time.Second)
+		for range 3 {
+			s.killOwner()
+			time.Sleep(700 * time.Millisecond)
+		}
+		waited := s.startsAgainAfter()
+		assert.Assert(t, waited < 5*time.Second, "%s", waited)
+	})
+}
+
+// Guards against two runs of a task: an owner of an earlier release may have granted leases that the record withholds.
+func TestRecordOfLeasesIsNotTrustedAfterAnOwnerOfAnEarlierRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuccession(t, "owner-0")
+		s.loseWorker()
+		time.Sleep(4 * time.Second)
+		s.stops[0]()
+		lease, err := s.store.Grant(t.Context(), time.Second)
+		assert.NilError(t, err)
+		s.store.PutWithLease(work.OwnerKey, []byte(`{"instance":"x"}`), lease)
+		s.store.ExpireLease(lease)
+		s.instances.remove("owner-0")
+		s.electWith("b", s.workers, nil)
+		waited := s.startsAgainAfter()
+		assert.Assert(t, waited > 8*time.Second, "%s", waited)
+	})
+}
+
+// grantChecker is the agents of an owner, and checks that no lease is granted to a worker that the stored record lists.
+type grantChecker struct {
+	*crashingAgents
+	store   *fake.Transactor
+	mu      sync.Mutex
+	granted int
+	broken  []string
+}
+
+func (g *grantChecker) grants(worker string) {
+	item, err := g.store.Item(context.Background(), work.LeasesKey)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.granted++
+	if err != nil || item.Revision == 0 {
+		return
+	}
+	record, err := work.DecodeLeaseRecord(item.Data)
+	if _, listed := record.Remaining[worker]; err != nil || listed {
+		g.broken = append(g.broken, worker)
+	}
+}
+
+func (g *grantChecker) Start(ctx context.Context, to agent.Target, start agent.Start) error {
+	g.grants(to.Worker)
+	return g.crashingAgents.Start(ctx, to, start)
+}
+
+func (g *grantChecker) Poll(ctx context.Context, to agent.Target, poll agent.Poll) (agent.PollResponse, error) {
+	if poll.Deadline != 0 {
+		g.grants(to.Worker)
+	}
+	answer, err := g.crashingAgents.Poll(ctx, to, poll)
+	for i := range answer.Running {
+		// A task without progress would be stopped.
+		answer.Running[i].Percent = int(time.Now().Unix() % 98)
+	}
+	return answer, err
+}
+
+// lateWrites is a store that executes writes of the record of leases late, or loses their answers.
+type lateWrites struct {
+	*fake.Transactor
+	calls int
+}
+
+func (l *lateWrites) Commit(ctx context.Context, tx store.Transaction) (int64, error) {
+	if len(tx.Writes) != 1 || tx.Writes[0].Key != work.LeasesKey {
+		return l.Transactor.Commit(ctx, tx)
+	}
+	l.calls++
+	switch l.calls % 4 {
+	case 0:
+		return l.Transactor.Commit(ctx, tx)
+	case 1, 3:
+		time.AfterFunc(2500*time.Millisecond, func() { _, _ = l.Transactor.Commit(context.Background(), tx) })
+	default:
+		if _, err := l.Transactor.Commit(ctx, tx); err != nil {
+			return 0, err
+		}
+	}
+	<-ctx.Done()
+	return 0, &store.LostError{Cause: ctx.Err().Error()}
+}
+
+// Guards against two runs of a task: a worker that answers again gets leases while the next owner would still read that it gets none.
+func TestWorkerThatAnswersAgainGetsNoLeaseWhileTheRecordListsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuccession(t)
+		checker := &grantChecker{crashingAgents: s.workers, store: s.store}
+		s.electOn("a", &lateWrites{Transactor: s.store}, checker, nil)
+		s.loseWorker()
+		for round := range 40 {
+			s.workers.crash(s.agents.WorkerOf(task))
+			time.Sleep(1500*time.Millisecond + time.Duration(round)*50*time.Millisecond)
+			s.workers.crash("")
+			granted := checker.granted
+			time.Sleep(6 * time.Second)
+			assert.Assert(t, checker.granted > granted, "no leases are granted any more")
+		}
+		checker.mu.Lock()
+		defer checker.mu.Unlock()
+		assert.Equal(t, len(checker.broken), 0, "%v", checker.broken)
+	})
+}
--- a/internal/state/work/keys.go
+++ b/internal/state/work/keys.go
@@ -16,6 +16,8 @@
 	WaitPrefix = "wait/"
 	// OwnerKey holds the name of the owner, the instance that decides; its creation revision is the fencing token.
 	OwnerKey = "owner"
+	// LeasesKey holds the LeaseRecord.
+	LeasesKey = "leases"
 	// SizesKey holds the largest capacities that workers have had, by service.
 	SizesKey     = "sizes"
 	cancelSuffix = "/cancel"
