--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -87,6 +87,7 @@
 	t.loadJobs(specs, known)
 	t.leftovers = leftoverKeys(records, specs)
 	t.loadedRevision = asOf
+	t.applyHeardExits(t.Now())
 	return nil
 }
 
--- a/internal/node/term/predecessor.go
+++ b/internal/node/term/predecessor.go
@@ -18,6 +18,9 @@
 	maxPredecessors = 4
 	// historyWait is the wait of a watch that has something to return at once.
 	historyWait = 100 * time.Millisecond
+	// maxExitsBytes limits the exits in one reply; exitBytes is what one takes beside its checkpoint.
+	maxExitsBytes = 1 << 20
+	exitBytes     = 256
 )
 
 // Predecessors gives access to the leases that earlier owners have granted.
@@ -32,6 +35,8 @@
 	// revision is a revision of the store at which the term was certainly not over.
 	revision int64
 	leases   group.InheritedLeases
+	// exits are those that may not be on record.
+	exits []group.WorkerExit
 }
 
 // close makes the term grant no more leases, and returns those that it has granted.
@@ -39,7 +44,7 @@
 	t.state.Lock()
 	defer t.state.Unlock()
 	t.closed = true
-	return &pastTerm{token: t.token, revision: t.ownedAt, leases: t.engine.Leases()}
+	return &pastTerm{token: t.token, revision: t.ownedAt, leases: t.engine.Leases(), exits: append(t.engine.UnrecordedExits(), t.heardExits...)}
 }
 
 // reply reports the term to a successor.
@@ -51,6 +56,13 @@
 			reply.ByWorker[id] = remaining
 		}
 	}
+	reply.Exits = p.exits
+	for size, i := 0, 0; i < len(p.exits); i++ {
+		if size += exitBytes + len(p.exits[i].Exit.Checkpoint); size > maxExitsBytes {
+			reply.Exits = p.exits[:i]
+			break
+		}
+	}
 	return reply
 }
 
@@ -158,13 +170,23 @@
 	}
 	t.state.Lock()
 	t.engine.InheritLeases(known)
+	t.heardExits = reply.Exits
+	if t.loadedRevision != 0 {
+		t.applyHeardExits(now)
+	}
 	t.state.Unlock()
 	t.notify()
 	t.Log.Emit(event.LeasesInherited, event.Fields{
-		"token": t.token, "from": instance, "fromToken": reply.Token, "workers": len(reply.ByWorker), "others": reply.Others.String(),
+		"token": t.token, "from": instance, "fromToken": reply.Token, "workers": len(reply.ByWorker), "others": reply.Others.String(), "exits": len(reply.Exits),
 	})
 }
 
+// applyHeardExits applies the exits that the last owner has heard of, once all jobs are loaded. The caller holds t.state.
+func (t *term) applyHeardExits(now time.Time) {
+	t.engine.ApplyHeardExits(t.heardExits, now)
+	t.heardExits = nil
+}
+
 // onThisClock returns an upper bound, on the clock of this instance, of a time on that of another one.
 func onThisClock(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * clockDriftFactor)
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -108,6 +108,8 @@
 	closed   bool
 	ownedAt  int64
 	withheld withheld
+	// heardExits are exits that the last owner has heard of, until they are applied.
+	heardExits []group.WorkerExit
 	// renewalsInFlight counts the renewals of the owner's lease without an answer.
 	renewalsInFlight int
 
--- a/internal/peer/grants/protocol.go
+++ b/internal/peer/grants/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/peer/link"
+	"github.com/lentildeck/lentildeck/internal/place/group"
 	"storj.io/drpc"
 )
 
@@ -21,6 +22,8 @@
 	// other workers.
 	ByWorker map[string]time.Duration
 	Others   time.Duration
+	// Exits are the exits that workers have listed and that may not be on record.
+	Exits []group.WorkerExit
 }
 
 // Handler receives the questions of new owners.
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -94,7 +94,10 @@
 	evacuated   map[string]bool
 	// inherited is what is known of the leases of earlier owners, beside Config.InheritedLease.
 	inherited InheritedLeases
-	actions   []Action
+	// heardExits are the exits whose records may not be durable, heardExitsKept is their number when durable ones were last dropped.
+	heardExits     []heardExit
+	heardExitsKept int
+	actions        []Action
 	// workersWithExits are the workers with exits that NewlyDurableExits has not returned as durable yet.
 	workersWithExits map[*Worker]bool
 	// usableAccelerators is the number of accelerators of all usable workers, utilization the share of them that is in use.
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -63,7 +63,13 @@
 		}
 		w.LastExit = entry.Number
 		delete(w.orphans, runKey{entry.Task, entry.Run})
-		if j := e.applyExit(w, entry, now); j != nil {
+		j := e.applyExit(w, entry, now)
+		if j != nil {
+			e.noteExit(w.ID, entry, j)
+		} else {
+			j = e.unrecordedJob(entry)
+		}
+		if j != nil {
 			w.pendingExits = append(w.pendingExits, pendingExit{exitNumber: entry.Number, job: j, requiredChanges: j.changes})
 		}
 		e.workersWithExits[w] = true
--- /dev/null
+++ b/internal/place/group/heard.go
@@ -0,0 +1,68 @@
+package group
+
+import (
+	"slices"
+	"time"
+)
+
+// WorkerExit is an exit and the worker that listed it.
+type WorkerExit struct {
+	Worker string
+	Exit   ExitEntry
+}
+
+// heardExit is an exit that was applied and whose record may not be durable yet.
+type heardExit struct {
+	WorkerExit
+	pendingExit
+}
+
+// minHeardExits is the number of heard exits from which those with durable records are dropped.
+const minHeardExits = 256
+
+// noteExit remembers an exit that has changed the job.
+func (e *Engine) noteExit(worker string, entry ExitEntry, j *Job) {
+	if len(e.heardExits) >= max(minHeardExits, 2*e.heardExitsKept) {
+		e.dropDurableExits()
+	}
+	e.heardExits = append(e.heardExits, heardExit{
+		WorkerExit: WorkerExit{Worker: worker, Exit: entry}, pendingExit: pendingExit{exitNumber: entry.Number, job: j, requiredChanges: j.changes},
+	})
+}
+
+func (e *Engine) dropDurableExits() {
+	e.heardExits = slices.DeleteFunc(e.heardExits, func(h heardExit) bool { return h.durable() })
+	e.heardExitsKept = len(e.heardExits)
+}
+
+// UnrecordedExits returns the exits whose records may not be durable, the oldest first. Their workers may be lost before they list them
+// to another owner.
+func (e *Engine) UnrecordedExits() []WorkerExit {
+	e.dropDurableExits()
+	exits := make([]WorkerExit, len(e.heardExits))
+	for i, h := range e.heardExits {
+		exits[i] = h.WorkerExit
+	}
+	return exits
+}
+
+// ApplyHeardExits applies exits that workers have listed to an earlier owner.
+func (e *Engine) ApplyHeardExits(exits []WorkerExit, now time.Time) {
+	for _, x := range exits {
+		if w := e.workers[x.Worker]; w != nil && x.Exit.Status.IsAExitStatus() {
+			if j := e.applyExit(w, x.Exit, now); j != nil {
+				e.noteExit(x.Worker, x.Exit, j)
+			}
+		}
+	}
+}
+
+// unrecordedJob returns the job that the exit has changed when it was heard before, nil if that is on record.
+func (e *Engine) unrecordedJob(entry ExitEntry) *Job {
+	for _, h := range e.heardExits {
+		if h.Exit.Task == entry.Task && h.Exit.Run == entry.Run && !h.durable() {
+			return h.job
+		}
+	}
+	return nil
+}
