--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -24,7 +24,7 @@
 	// leaseTTL is how long the owner's lease lives without renewal: no instance decides for that long when an owner is lost.
 	// A store that is slower by a factor of 100 still answers a renewal in a third of it.
 	leaseTTL = 1200 * time.Millisecond
-	// renewInterval leaves four attempts to renew within a TTL.
+	// renewInterval leaves four attempts to renew within a TTL; after one without an answer, the next comes in half of it.
 	renewInterval = leaseTTL / 5
 	// leaseMargin is how much earlier than the store the owner considers its lease lapsed: two calls to a store without load
 	// and a late timer.
@@ -98,8 +98,10 @@
 	DataCentre string
 	Peers      Peers
 	Proxies    Proxies
-	Log        *event.Log
-	Meter      *meter.Metrics
+	// Predecessors is nil where instances can't ask each other.
+	Predecessors Predecessors
+	Log          *event.Log
+	Meter        *meter.Metrics
 	// Now is the monotonic clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
@@ -113,13 +115,18 @@
 
 	mu      sync.Mutex
 	current *term
-	// knownOwner is the owner's name as last read from its key, or empty.
+	// past is the last term of this instance that has ended.
+	past *pastTerm
+	// knownOwner is the owner's name as last read from its key, or empty; lastOwner is the last name that was not.
 	knownOwner string
+	lastOwner  string
 }
 
 // ownerRecord is the stored value of the owner's key.
 type ownerRecord struct {
 	Instance string `json:"instance"`
+	// Withholds is true if the owner grants no leases to the workers that the LeaseRecord lists.
+	Withholds bool `json:"withholds,omitempty"`
 }
 
 // Run competes for ownership until ctx ends, then revokes the lease if it holds one, and closes done.
@@ -136,11 +143,13 @@
 		}
 		t := newTerm(e, lease, token, sent)
 		e.mu.Lock()
+		t.predecessor, e.lastOwner = e.lastOwner, e.Instance
 		e.current = t
 		e.mu.Unlock()
 		cause := t.run(ctx)
+		past := t.close()
 		e.mu.Lock()
-		e.current = nil
+		e.current, e.past = nil, past
 		e.mu.Unlock()
 		e.Log.Emit(event.TermEnded, event.Fields{"token": token, "why": cause.Error()})
 		var cut *cutOffError
@@ -181,7 +190,7 @@
 	if e.deferToLarger(ctx) {
 		return 0, 0, sent, nil
 	}
-	data, err := json.Marshal(ownerRecord{Instance: e.Instance})
+	data, err := json.Marshal(ownerRecord{Instance: e.Instance, Withholds: true})
 	if err != nil {
 		return 0, 0, sent, err
 	}
@@ -206,15 +215,25 @@
 
 // noteOwner stores the name of the owner, or an empty one if there is no key.
 func (e *Elector) noteOwner(items []store.Item) {
-	var record ownerRecord
+	name := ""
 	if len(items) > 0 {
-		if err := json.Unmarshal(items[0].Data, &record); err != nil {
-			e.Log.Emit(event.RecordBad, event.Fields{"key": work.OwnerKey, "error": err.Error()})
-		}
+		name = e.decodeOwner(items[0]).Instance
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.knownOwner = record.Instance
+	e.knownOwner = name
+	if name != "" {
+		e.lastOwner = name
+	}
+}
+
+// decodeOwner returns the stored value of the owner's key, or an empty one if it can't be read.
+func (e *Elector) decodeOwner(item store.Item) ownerRecord {
+	var record ownerRecord
+	if err := json.Unmarshal(item.Data, &record); err != nil {
+		e.Log.Emit(event.RecordBad, event.Fields{"key": work.OwnerKey, "error": err.Error()})
+	}
+	return record
 }
 
 // KnownOwner returns the name of the owner as last read from the store, or an empty string.
--- a/internal/node/term/proxy.go
+++ b/internal/node/term/proxy.go
@@ -113,7 +113,7 @@
 func (t *term) nextProxyRequest(centre string, p *proxy, now time.Time) (*extend.Request, bool) {
 	t.state.Lock()
 	defer t.state.Unlock()
-	if !t.leaseValid(now) {
+	if t.closed || !t.leaseValid(now) {
 		return nil, false
 	}
 	p.number++
@@ -124,7 +124,7 @@
 	request.Until = p.clock + now.Sub(p.clockAt) + proxyExtension
 	for _, w := range t.engine.Workers() {
 		session := t.sessions[w.ID]
-		if w.DataCentre != centre || session == nil || !w.Listed || w.Draining || !w.Busy() || now.Sub(session.lastSeen()) > silentAfter {
+		if w.DataCentre != centre || session == nil || !w.Listed || w.Draining || !w.Busy() || !t.mayGrant(w.ID) || now.Sub(session.lastSeen()) > silentAfter {
 			continue
 		}
 		request.Workers = append(request.Workers, agent.Target{Worker: w.ID, Address: w.Address})
