term: owners record silent workers at once, and renewals don't depend on the clock

A worker that has left polls unanswered and has answered none in this term has no lease of it, so it is listed with the next write; the record is written again when 0.2 s less are left.

--- a/internal/node/term/renewal.go
+++ b/internal/node/term/renewal.go
@@ -10,22 +10,22 @@
 	"github.com/lentildeck/lentildeck/internal/state/store"
 )
 
-// renewLease renews the owner's lease until the term ends. Renewals overlap, as the answer to one may be lost, or late.
+// renewLease renews the owner's lease until the term ends: at intervals of renewInterval, or half of it while a renewal has no answer.
+// Renewals overlap, as the answer to one may be lost, or late.
 func (t *term) renewLease(ctx context.Context) {
-	sent := t.startedAt
-	for pause.For(ctx, renewInterval/2) {
-		if now := t.Now(); t.renewalDue(sent, now) {
-			sent = now
-			t.components.Go("renewal", func() { t.renewOnce(ctx, now) })
+	for tick := 1; pause.For(ctx, renewInterval/2); tick++ {
+		if tick%2 == 0 || t.renewalUnanswered() {
+			sent := t.Now()
+			t.components.Go("renewal", func() { t.renewOnce(ctx, sent) })
 		}
 	}
 }
 
-// renewalDue reports whether to renew the lease although the last renewal was sent at sent: it may have no answer, or be too old.
-func (t *term) renewalDue(sent, now time.Time) bool {
+// renewalUnanswered reports whether a renewal has no answer yet.
+func (t *term) renewalUnanswered() bool {
 	t.state.Lock()
 	defer t.state.Unlock()
-	return t.renewalsInFlight > 0 || now.Sub(sent) >= renewInterval
+	return t.renewalsInFlight > 0
 }
 
 // renewOnce renews the lease as of sent, and ends the term if the lease has lapsed.
--- a/internal/node/term/withheld.go
+++ b/internal/node/term/withheld.go
@@ -17,9 +17,9 @@
 	// withholdAfter is how long a worker does not answer before it is listed in the record of leases.
 	withholdAfter = 1500 * time.Millisecond
 	// withholdInterval is the time between checks whether the record of leases is up to date.
-	withholdInterval = 230 * time.Millisecond
+	withholdInterval = 233 * time.Millisecond
 	// withholdStep is how much less time a stored record must leave to a lease than it does to be written again.
-	withholdStep = time.Second
+	withholdStep = 200 * time.Millisecond
 	// withholdTimeout limits one write of the record; then it is read back.
 	withholdTimeout = 300 * time.Millisecond
 	// maxLeaseRecordBytes limits the size of the record, which the slowest instances must read in each term.
@@ -166,16 +166,20 @@
 	return record.Remaining
 }
 
-// mayWithhold reports whether the worker does not answer, and may have tasks or is listed already. The caller holds t.state.
+// mayWithhold reports whether the worker does not answer, and may have tasks or is listed already. One that has never answered in this
+// term has no lease of it. The caller holds t.state.
 func (t *term) mayWithhold(w *group.Worker, now time.Time) bool {
-	heardAt := t.startedAt
-	if s := t.sessions[w.ID]; s != nil {
-		if s.answeredWithin(withholdAfter, now) {
-			return false
-		}
-		heardAt = s.lastSeen()
+	s := t.sessions[w.ID]
+	switch {
+	case s != nil && s.answeredWithin(withholdAfter, now):
+		return false
+	case t.withheld.workers[w.ID]:
+		return true
+	case s == nil:
+		return w.Busy()
+	default:
+		return w.Busy() && (s.neverAnswered() || now.Sub(s.lastSeen()) >= withholdAfter)
 	}
-	return t.withheld.workers[w.ID] || w.Busy() && now.Sub(heardAt) >= withholdAfter
 }
 
 // recordDue reports whether the stored record lists other workers, or leaves them much more time. The caller holds t.state.
@@ -258,6 +262,13 @@
 	}
 }
 
+// neverAnswered reports whether the worker has left polls unanswered, and answered none.
+func (s *session) neverAnswered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appliedAt.IsZero() && s.missedPolls > 0
+}
+
 // awaitGrant waits until leases may be granted again to a worker that has answered.
 func (s *session) awaitGrant(ctx context.Context) {
 	t := s.term
--- a/internal/node/term/withheld_test.go
+++ b/internal/node/term/withheld_test.go
@@ -52,6 +52,20 @@
 	})
 }
 
+// The same if the first owner is lost together with the worker, and the next ones soon after.
+func TestOwnersOfShortTermsRecordAWorkerThatTheyNeverReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuccession(t, "owner-0")
+		s.loseWorker()
+		for range 10 {
+			s.killOwner()
+			time.Sleep(1300 * time.Millisecond)
+		}
+		waited := s.startsAgainAfter()
+		assert.Assert(t, waited < 2*time.Second, "%s", waited)
+	})
+}
+
 // Guards against two runs of a task: an owner of an earlier release may have granted leases that the record withholds.
 func TestRecordOfLeasesIsNotTrustedAfterAnOwnerOfAnEarlierRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
