--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -112,6 +112,8 @@
 	// over to one.
 	deferred     bool
 	handedOverAt time.Time
+	// sightings are the last ones, the oldest first.
+	sightings []sighting
 
 	mu      sync.Mutex
 	current *term
@@ -125,7 +127,7 @@
 // ownerRecord is the stored value of the owner's key.
 type ownerRecord struct {
 	Instance string `json:"instance"`
-	// Withholds is true if the owner grants no leases to the workers that the LeaseRecord lists.
+	// Withholds is true if the owner grants no leases to the workers that the LeaseRecord lists, and none longer than longestLease.
 	Withholds bool `json:"withholds,omitempty"`
 }
 
@@ -144,6 +146,7 @@
 		t := newTerm(e, lease, token, sent)
 		e.mu.Lock()
 		t.predecessor, e.lastOwner = e.lastOwner, e.Instance
+		t.sighting, _ = e.sightingBefore(t.startedAt.Add(t.shortInheritedLease() - t.inheritedLease))
 		e.current = t
 		e.mu.Unlock()
 		cause := t.run(ctx)
@@ -183,9 +186,11 @@
 		return 0, 0, sent, err
 	}
 	e.noteOwner(items)
+	limits := e.limitsLeases(items)
+	e.sighted(asOf, limits)
 	if len(items) > 0 {
 		e.deferred = false
-		return 0, 0, sent, e.awaitRelease(ctx, asOf)
+		return 0, 0, sent, e.awaitRelease(ctx, asOf, limits)
 	}
 	if e.deferToLarger(ctx) {
 		return 0, 0, sent, nil
@@ -270,9 +275,9 @@
 
 // awaitRelease returns once the owner's key has changed or may have, and after watchesPerRead watches in any case.
 //
-// Each watch starts from the revision of the read or of the watch before: the key's own revision is soon older than the
+// The owner limits leases, or not, as its record in the key says. Each watch starts from the revision of the read or of the watch before: the key's own revision is soon older than the
 // history that the store keeps.
-func (e *Elector) awaitRelease(ctx context.Context, after int64) error {
+func (e *Elector) awaitRelease(ctx context.Context, after int64, limits bool) error {
 	for range watchesPerRead {
 		call, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
 		changes, upTo, err := e.Store.Changes(call, work.OwnerKey, after, watchWait)
@@ -286,6 +291,7 @@
 			return err
 		}
 		after = upTo
+		e.sighted(upTo, limits)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/node/term/sighting.go
@@ -0,0 +1,76 @@
+package term
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
+	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/store"
+)
+
+// maxSightings is the number of sightings that are kept: somewhat more than the store's history reaches back, at one for each watch.
+const maxSightings = 24
+
+// sighting is a state of the owner's key that an instance without ownership has read: at or before the time at, the store had the
+// revision, and there was no owner, or one that limits is true for: it grants no leases longer than longestLease.
+type sighting struct {
+	revision int64
+	at       time.Time
+	limits   bool
+}
+
+// sighted records that the owner's key was unchanged up to the revision.
+func (e *Elector) sighted(revision int64, limits bool) {
+	e.sightings = append(e.sightings, sighting{revision: revision, at: e.Now(), limits: limits})
+	if len(e.sightings) > maxSightings {
+		e.sightings = e.sightings[1:]
+	}
+}
+
+// sightingBefore returns the last sighting that is not after the time, or else the first one.
+func (e *Elector) sightingBefore(at time.Time) (last sighting, ok bool) {
+	for i, s := range e.sightings {
+		if i == 0 || !s.at.After(at) {
+			last, ok = s, true
+		}
+	}
+	return last, ok
+}
+
+// shortInheritedLease is the longest time for which leases can last that owners with longestLease have granted, from the loss of their
+// ownership on.
+func (t *term) shortInheritedLease() time.Duration {
+	return extendPastLapse + worstCaseLease(t.leaseDuration())
+}
+
+// inheritBound shortens the time for which all workers may hold leases of earlier owners, if the sighting and the history of the owner's
+// key show that only owners with longestLease could grant any for long enough.
+func (t *term) inheritBound(ctx context.Context) {
+	if !t.sighting.limits || t.shortInheritedLease() >= t.inheritedLease {
+		return
+	}
+	err := t.checkWithheld(ctx, t.sighting.revision)
+	for mayRetry(err) && pause.For(ctx, t.jitter(storeRetryDelay)) {
+		err = t.checkWithheld(ctx, t.sighting.revision)
+	}
+	if err != nil {
+		t.Log.Emit(event.LeasesInherited, event.Fields{"token": t.token, "from": "history", "error": err.Error()})
+		return
+	}
+	until := t.startedAt.Add(t.shortInheritedLease())
+	if earlier := t.sighting.at.Add(t.inheritedLease); earlier.After(until) {
+		until = earlier
+	}
+	t.state.Lock()
+	t.engine.InheritLeases(group.InheritedLeases{Others: until})
+	t.state.Unlock()
+	t.notify()
+	t.Log.Emit(event.LeasesInherited, event.Fields{"token": t.token, "from": "history", "others": until.Sub(t.Now()).String()})
+}
+
+// limitsLeases reports whether there is no owner, or one that grants no leases longer than longestLease.
+func (e *Elector) limitsLeases(items []store.Item) bool {
+	return len(items) == 0 || e.decodeOwner(items[0]).Withholds
+}
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -77,6 +77,9 @@
 	startedAt time.Time
 	// predecessor is the last owner before this term as far as known, or empty.
 	predecessor string
+	// inheritedLease is the longest time for which leases of any earlier owner may last, sighting the state of the owner's key before.
+	inheritedLease time.Duration
+	sighting       sighting
 
 	state        sync.Mutex
 	engine       *group.Engine
@@ -136,7 +139,7 @@
 	engine := group.New(cfg)
 	engine.InheritLeases(group.InheritedLeases{Others: now.Add(cfg.InheritedLease)})
 	return &term{
-		Elector: e, lease: lease, token: token, startedAt: now, ownedAt: token, engine: engine, validUntil: sent.Add(leaseTTL - leaseMargin),
+		Elector: e, lease: lease, token: token, startedAt: now, inheritedLease: cfg.InheritedLease, ownedAt: token, engine: engine, validUntil: sent.Add(leaseTTL - leaseMargin),
 		sessions: make(map[string]*session), pendingStops: make(map[stopKey]bool), earlyCancels: make(map[string]bool),
 		revisions: make(map[string]int64), partKeys: make(map[string]map[string]bool), partLimits: make(map[string]int), pendingDecision: make(chan struct{}, 1),
 		withheld:   withheld{workers: make(map[string]bool), changed: make(chan struct{}, 1)},
@@ -159,7 +162,10 @@
 	t.Log.Emit(event.TermBegan, event.Fields{"token": t.token, "lease": t.lease})
 	t.components.Go("renewal", func() { t.renewLease(ctx) })
 	t.components.Go("standing", func() { t.watchStanding(ctx) })
-	t.components.Go("predecessor", func() { t.inheritLeases(ctx) })
+	t.components.Go("predecessor", func() {
+		t.inheritBound(ctx)
+		t.inheritLeases(ctx)
+	})
 	if t.load(ctx) {
 		t.components.Go("leases", func() {
 			t.inheritRecord(ctx)
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -54,6 +54,7 @@
 	valueBytes int
 	entries    int
 	log        *event.Log
+	maxLease   time.Duration
 	// instances can ask each other for their leases.
 	instances directory
 }
@@ -67,7 +68,7 @@
 
 func newSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{t: t, store: fake.NewTransactor(), agents: fake.NewAgents("w1", "w2"), log: event.Discard()}
+	s := &site{t: t, maxLease: 6 * time.Second, store: fake.NewTransactor(), agents: fake.NewAgents("w1", "w2"), log: event.Discard()}
 	if *storeValueBytes > 0 {
 		s.limit(*storeValueBytes, *storeEntries)
 	}
@@ -105,7 +106,7 @@
 	assert.NilError(s.t, holder.Refresh(s.t.Context()))
 	e := &term.Elector{
 		Instance: name, Store: kv, Agent: agents, Lister: fixedWorkers{"w1", "w2"}, Policy: holder,
-		Limits: term.Limits{MaxLease: 6 * time.Second, StopTimeout: time.Second, PolicyAge: time.Minute, ListAge: time.Minute, Retention: time.Minute, RemoteFactor: 3, MaxValueBytes: s.valueBytes, MaxEntries: s.entries},
+		Limits: term.Limits{MaxLease: s.maxLease, StopTimeout: time.Second, PolicyAge: time.Minute, ListAge: time.Minute, Retention: time.Minute, RemoteFactor: 3, MaxValueBytes: s.valueBytes, MaxEntries: s.entries},
 		Peers:  others, Log: s.log, Meter: meter.New(s.t.Name() + name), Now: time.Now, WallNow: time.Now,
 		Predecessors: &s.instances,
 	}
