--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -13,6 +13,7 @@
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/node/meter"
 	"github.com/lentildeck/lentildeck/internal/peer/extend"
+	"github.com/lentildeck/lentildeck/internal/peer/grants"
 	"github.com/lentildeck/lentildeck/internal/peer/notify"
 	"github.com/lentildeck/lentildeck/internal/place/group"
 	"github.com/lentildeck/lentildeck/internal/state/policy"
@@ -119,6 +120,8 @@
 	current *term
 	// past is the last term of this instance that has ended.
 	past *pastTerm
+	// kept are the exits that an owner has left with this instance.
+	kept grants.Exits
 	// knownOwner is the owner's name as last read from its key, or empty; lastOwner is the last name that was not.
 	knownOwner string
 	lastOwner  string
--- a/internal/node/term/predecessor.go
+++ b/internal/node/term/predecessor.go
@@ -18,7 +18,7 @@
 	maxPredecessors = 4
 	// historyWait is the wait of a watch that has something to return at once.
 	historyWait = 100 * time.Millisecond
-	// maxExitsBytes limits the exits in one reply; exitBytes is what one takes beside its checkpoint.
+	// maxExitsBytes limits the exits in one message; exitBytes is what one takes beside its checkpoint.
 	maxExitsBytes = 1 << 20
 	exitBytes     = 256
 )
@@ -27,6 +27,10 @@
 type Predecessors interface {
 	// Grants asks the instance of that name; ctx must have a deadline.
 	Grants(ctx context.Context, instance string, request *grants.Request) (*grants.Reply, error)
+	// Keep leaves exits with the instance at the address, KeptExits asks it for those that earlier owners have left; ctx must have a
+	// deadline.
+	Keep(ctx context.Context, address string, exits *grants.Exits) error
+	KeptExits(ctx context.Context, address string, request *grants.Request) (*grants.Exits, error)
 }
 
 // pastTerm is what remains of a term that grants no more leases.
@@ -56,14 +60,19 @@
 			reply.ByWorker[id] = remaining
 		}
 	}
-	reply.Exits = p.exits
-	for size, i := 0, 0; i < len(p.exits); i++ {
-		if size += exitBytes + len(p.exits[i].Exit.Checkpoint); size > maxExitsBytes {
-			reply.Exits = p.exits[:i]
-			break
+	reply.Exits = limitExits(p.exits)
+	return reply
+}
+
+// limitExits returns as many of the exits as fit into one message.
+func limitExits(exits []group.WorkerExit) []group.WorkerExit {
+	size := 0
+	for i, x := range exits {
+		if size += exitBytes + len(x.Exit.Checkpoint); size > maxExitsBytes {
+			return exits[:i]
 		}
 	}
-	return reply
+	return exits
 }
 
 // Grants ends a term of this instance that is older than the request, and reports the leases of its last term.
@@ -88,6 +97,7 @@
 		reply, err := t.askPredecessor(ctx, instance)
 		if err != nil {
 			t.Log.Emit(event.LeasesInherited, event.Fields{"token": t.token, "from": instance, "error": err.Error()})
+			t.collectExits(ctx)
 			return
 		}
 		now := t.Now()
@@ -170,10 +180,7 @@
 	}
 	t.state.Lock()
 	t.engine.InheritLeases(known)
-	t.heardExits = reply.Exits
-	if t.loadedRevision != 0 {
-		t.applyHeardExits(now)
-	}
+	t.hearExits(reply.Exits, now)
 	t.state.Unlock()
 	t.notify()
 	t.Log.Emit(event.LeasesInherited, event.Fields{
@@ -181,6 +188,14 @@
 	})
 }
 
+// hearExits applies the exits that earlier owners have heard of, or keeps them until all jobs are loaded. The caller holds t.state.
+func (t *term) hearExits(exits []group.WorkerExit, now time.Time) {
+	t.heardExits = append(t.heardExits, exits...)
+	if t.loadedRevision != 0 {
+		t.applyHeardExits(now)
+	}
+}
+
 // applyHeardExits applies the exits that the last owner has heard of, once all jobs are loaded. The caller holds t.state.
 func (t *term) applyHeardExits(now time.Time) {
 	t.engine.ApplyHeardExits(t.heardExits, now)
--- a/internal/node/term/predecessor_test.go
+++ b/internal/node/term/predecessor_test.go
@@ -31,6 +31,27 @@
 	return e.Grants(ctx, request)
 }
 
+func (d *directory) Keep(ctx context.Context, address string, exits *grants.Exits) error {
+	d.mu.Lock()
+	e := d.electors[address]
+	d.mu.Unlock()
+	if e == nil {
+		return &grants.UnknownInstanceError{Instance: address}
+	}
+	_, err := e.Keep(ctx, exits)
+	return err
+}
+
+func (d *directory) KeptExits(ctx context.Context, address string, request *grants.Request) (*grants.Exits, error) {
+	d.mu.Lock()
+	e := d.electors[address]
+	d.mu.Unlock()
+	if e == nil {
+		return nil, &grants.UnknownInstanceError{Instance: address}
+	}
+	return e.KeptExits(ctx, request)
+}
+
 func (d *directory) add(e *term.Elector) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -171,6 +171,7 @@
 			t.inheritRecord(ctx)
 			t.withholdLeases(ctx)
 		})
+		t.components.Go("exits", func() { t.leaveExits(ctx) })
 		t.components.Go("workers", func() { t.listWorkers(ctx) })
 		t.components.Go("watch", func() { t.watchJobs(ctx) })
 		t.components.Go("pending", func() { t.scanWaiting(ctx) })
--- a/internal/node/term/unrecorded_exit_test.go
+++ b/internal/node/term/unrecorded_exit_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/node/term"
 	"github.com/lentildeck/lentildeck/internal/place/group"
 	"github.com/lentildeck/lentildeck/internal/proof/fake"
 	"github.com/lentildeck/lentildeck/internal/state/store"
@@ -58,6 +59,37 @@
 	})
 }
 
+// neighbours are the other instances of an instance's data centre.
+type neighbours []string
+
+// HasLargerPeer returns false: all are alike.
+func (neighbours) HasLargerPeer() bool { return false }
+
+// AddressesIn returns the neighbours.
+func (n neighbours) AddressesIn(string) []string { return n }
+
+// The same if the last owner is gone too.
+func TestEndThatALostOwnerCouldNotRecordIsNotForgotten(t *testing.T) {
+	for name, first := range map[string]neighbours{"left with the successor": {"b", "c"}, "left with another instance": {"c", "b"}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSuccession(t)
+			s.stops = append(s.stops, s.electWith("a", s.workers, first))
+			s.eventually("a is the owner", func() bool { return s.owner() != "" })
+			s.instances.add(&term.Elector{Instance: "c"})
+			s.electWith("b", s.workers, neighbours{"a", "c"})
+			recovered := s.endWithoutRecord()
+			time.Sleep(time.Second)
+			s.workers.crash(s.record().Groups[0].Workers[0])
+			s.instances.remove("a")
+			s.stops[0]()
+			recovered()
+			time.Sleep(3 * time.Second)
+			assert.Equal(t, s.record().Phase, work.Completed, name)
+			assert.Equal(t, s.agents.Started(task), 1, name)
+		})
+	}
+}
+
 // Guards against two runs of a task: its worker forgets an end that a new owner knows of and has not recorded.
 func TestEndIsNotAcknowledgedBeforeTheNextOwnerHasRecordedIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/peer/grants/protocol.go
+++ b/internal/peer/grants/protocol.go
@@ -26,26 +26,49 @@
 	Exits []group.WorkerExit
 }
 
-// Handler receives the questions of new owners.
+// Exits are exits that an owner has heard of and could not record for a while; Token is its fencing token.
+type Exits struct {
+	Token int64
+	Exits []group.WorkerExit
+}
+
+// Kept is the answer to Exits.
+type Kept struct{}
+
+// Handler receives the questions of new owners, and what owners leave with other instances.
 type Handler interface {
 	// Grants ends a term that is older than the request and reports its leases.
 	Grants(ctx context.Context, request *Request) (*Reply, error)
+	// Keep keeps the exits in place of those that an owner with the same token, or a lower one, has left before.
+	Keep(ctx context.Context, exits *Exits) (*Kept, error)
+	// KeptExits returns the exits that an owner with a lower token than the request's has left.
+	KeptExits(ctx context.Context, request *Request) (*Exits, error)
 }
 
-const methodReport = "/lentildeck.Grants/Report"
+const (
+	methodReport = "/lentildeck.Grants/Report"
+	methodKeep   = "/lentildeck.Grants/Keep"
+	methodKept   = "/lentildeck.Grants/Kept"
+)
 
 // Description describes the service to drpc.
 type Description struct{}
 
-// NumMethods returns 1, the number of methods.
-func (Description) NumMethods() int { return 1 }
+// NumMethods returns 3, the number of methods.
+func (Description) NumMethods() int { return 3 }
 
 // Method describes method n, counted from zero; the last result is false if there is none.
 func (Description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if n != 0 {
+	switch n {
+	case 0:
+		return methodReport, link.Codec{}, link.Receive(Handler.Grants), Handler.Grants, true
+	case 1:
+		return methodKeep, link.Codec{}, link.Receive(Handler.Keep), Handler.Keep, true
+	case 2:
+		return methodKept, link.Codec{}, link.Receive(Handler.KeptExits), Handler.KeptExits, true
+	default:
 		return "", nil, nil, nil, false
 	}
-	return methodReport, link.Codec{}, link.Receive(Handler.Grants), Handler.Grants, true
 }
 
 // UnknownInstanceError means that an instance is not listed, so it can't be asked.
@@ -71,3 +94,14 @@
 	}
 	return link.Invoke[Request, Reply](ctx, c.Link, address, methodReport, request)
 }
+
+// Keep leaves exits with the instance at the address; ctx must have a deadline.
+func (c *Client) Keep(ctx context.Context, address string, exits *Exits) error {
+	_, err := link.Invoke[Exits, Kept](ctx, c.Link, address, methodKeep, exits)
+	return err
+}
+
+// KeptExits asks the instance at the address for the exits that earlier owners have left with it; ctx must have a deadline.
+func (c *Client) KeptExits(ctx context.Context, address string, request *Request) (*Exits, error) {
+	return link.Invoke[Request, Exits](ctx, c.Link, address, methodKept, request)
+}
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -65,7 +65,7 @@
 		delete(w.orphans, runKey{entry.Task, entry.Run})
 		j := e.applyExit(w, entry, now)
 		if j != nil {
-			e.noteExit(w.ID, entry, j)
+			e.noteExit(w.ID, entry, j, now)
 		} else {
 			j = e.unrecordedJob(entry)
 		}
--- a/internal/place/group/heard.go
+++ b/internal/place/group/heard.go
@@ -15,18 +15,19 @@
 type heardExit struct {
 	WorkerExit
 	pendingExit
+	at time.Time
 }
 
 // minHeardExits is the number of heard exits from which those with durable records are dropped.
 const minHeardExits = 256
 
 // noteExit remembers an exit that has changed the job.
-func (e *Engine) noteExit(worker string, entry ExitEntry, j *Job) {
+func (e *Engine) noteExit(worker string, entry ExitEntry, j *Job, now time.Time) {
 	if len(e.heardExits) >= max(minHeardExits, 2*e.heardExitsKept) {
 		e.dropDurableExits()
 	}
 	e.heardExits = append(e.heardExits, heardExit{
-		WorkerExit: WorkerExit{Worker: worker, Exit: entry}, pendingExit: pendingExit{exitNumber: entry.Number, job: j, requiredChanges: j.changes},
+		WorkerExit: WorkerExit{Worker: worker, Exit: entry}, at: now, pendingExit: pendingExit{exitNumber: entry.Number, job: j, requiredChanges: j.changes},
 	})
 }
 
@@ -46,12 +47,22 @@
 	return exits
 }
 
+// UnrecordedSince returns since when the oldest of these exits is known; zero if there is none.
+func (e *Engine) UnrecordedSince() time.Time {
+	for _, h := range e.heardExits {
+		if !h.durable() {
+			return h.at
+		}
+	}
+	return time.Time{}
+}
+
 // ApplyHeardExits applies exits that workers have listed to an earlier owner.
 func (e *Engine) ApplyHeardExits(exits []WorkerExit, now time.Time) {
 	for _, x := range exits {
 		if w := e.workers[x.Worker]; w != nil && x.Exit.Status.IsAExitStatus() {
 			if j := e.applyExit(w, x.Exit, now); j != nil {
-				e.noteExit(x.Worker, x.Exit, j)
+				e.noteExit(x.Worker, x.Exit, j, now)
 			}
 		}
 	}
