group: tasks use a worker on which another of their step has failed (LOST)

Tasks of a step stood for up to six seconds though a worker was free: the first one of them had failed there and waited before it returns. The tasks of a step share a search for room. It left out the workers on which the first task had failed, contrary to its comment, because the copy of the group that it searched for had the record of that task.

The search now lists these workers too; each task still uses only those that its own filter allows. TestTaskUsesAWorkerOnWhichAnotherOfItsStepFailed failed before: the second task had no worker.

--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -67,8 +67,9 @@
 // stay free for large tasks, unless the group is suspected of a crash; for quick jobs, fast workers come before all others.
 func (e *Engine) searchTaskSlots(g *Group, f filter) *taskSlots {
 	// The search includes workers on which this task has failed, as they may suit the other tasks.
-	sibling := &Group{Job: g.Job, Step: g.Step, occ: g.occ, Count: g.Count, recordIndex: g.recordIndex}
-	list := e.listFreeSlots(sibling, f)
+	all := f
+	all.retryFailed = true
+	list := e.listFreeSlots(g, all)
 	slots := slices.Clone(list.slots)
 	quick := g.Job.queue.Priority == 0
 	slices.SortStableFunc(slots, func(a, b slot) int {
