--- a/internal/place/group/filter.go
+++ b/internal/place/group/filter.go
@@ -11,7 +11,7 @@
 	// dataRackOnly is true if the group may only use the rack that holds its data.
 	dataRackOnly bool
 	// quickRacksToo is true if the group may use racks that are set aside for quick jobs: the other racks could not hold it
-	// even if they were empty, or utilization is low and the group has waited longer than quickRackDelay.
+	// even if they were empty, or little of its service is in use and the group has waited longer than quickRackDelay.
 	quickRacksToo bool
 	// emptiestFirst is true if the group prefers empty workers, as it may crash them.
 	emptiestFirst bool
@@ -22,7 +22,7 @@
 	retryFailed bool
 }
 
-// quickRackDelay is how long a group waits, while less than half of the fleet is in use, before it uses racks that are set
+// quickRackDelay is how long a group waits, while less than half of its service is in use, before it uses racks that are set
 // aside for quick jobs: at that utilization all work must run within three seconds.
 const quickRackDelay = 2 * time.Second
 
@@ -59,7 +59,7 @@
 	if g.Count == 1 && step.MaxPerWorker > 0 {
 		withRun = g.occ.unfinished[g.Step] - g.occ.withoutRun[g.Step]
 	}
-	f.quickRacksToo = capacity.openOutsideQuick-withRun < g.Count || e.fragmented() && now.Sub(g.readyAt) > quickRackDelay
+	f.quickRacksToo = capacity.openOutsideQuick-withRun < g.Count || e.fragmented(g) && now.Sub(g.readyAt) > quickRackDelay
 	if f.quickRacksToo {
 		capacity.maxPerRack = max(capacity.maxPerRack, capacity.maxPerQuickRack)
 	}
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -21,7 +21,7 @@
 const reservationRetryDelay = time.Second
 
 const (
-	// fragmentedBelow is the share of the accelerators in use below which a gang that finds no room is blocked by
+	// fragmentedBelow is the share of a service's accelerators in use below which a gang that finds no room is blocked by
 	// fragmentation rather than lack of capacity: all work must be able to run while less than half is in use.
 	fragmentedBelow = 0.5
 	// gangPreemptionDelay is how long a gang waits before it may preempt.
@@ -60,6 +60,7 @@
 type requester struct {
 	priority        int
 	withinGuarantee bool
+	service         string
 }
 
 // candidates are the runs that may be stopped: those of quick jobs last, otherwise in ascending order of wastePerCore.
@@ -102,12 +103,9 @@
 	if g.Job.queue.Priority == 0 && (stillUseful || g.Job.withinGuarantee) {
 		return true
 	}
-	return g.Count > 1 && (stillUseful || e.fragmented()) && now.Sub(g.readyAt) > gangPreemptionDelay
+	return g.Count > 1 && (stillUseful || e.fragmented(g)) && now.Sub(g.readyAt) > gangPreemptionDelay
 }
 
-// fragmented reports whether a gang that finds no room is blocked by fragmentation rather than lack of capacity.
-func (e *Engine) fragmented() bool { return e.utilization < fragmentedBelow }
-
 // preemption is a plan to make room: the runs to stop, and the slots once they have stopped.
 type preemption struct {
 	slotList
@@ -189,7 +187,7 @@
 
 // candidates returns the runs that may be stopped for the task group; they are listed once for each requester in a pass.
 func (e *Engine) candidates(g *Group, p *pass, now time.Time) *candidates {
-	key := requester{priority: g.Job.queue.Priority, withinGuarantee: g.Job.withinGuarantee}
+	key := requester{priority: g.Job.queue.Priority, withinGuarantee: g.Job.withinGuarantee, service: g.Job.queue.Service}
 	if cand := p.candidates[key]; cand != nil {
 		return cand
 	}
@@ -237,7 +235,7 @@
 		return false
 	}
 	step := other.step()
-	return e.fragmented() || step.Checkpoints && !step.LongRunning && other.Job.queue.Priority > g.Job.queue.Priority
+	return e.fragmented(g) || step.Checkpoints && !step.LongRunning && other.Job.queue.Priority > g.Job.queue.Priority
 }
 
 // preemptible reports whether a job's runs may be stopped for another job.
--- a/internal/place/group/rack.go
+++ b/internal/place/group/rack.go
@@ -46,6 +46,7 @@
 // refreshIndex determines for one decision which workers may get tasks, how full they are, and which racks are set aside.
 func (e *Engine) refreshIndex(now time.Time) {
 	e.refreshRacks()
+	e.refreshUsage(now)
 	e.examined = 0
 	e.freeIndex.reset()
 	e.usableAccelerators = 0
