--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -318,7 +318,7 @@
 }
 
 // findRoom returns the result of find with the filter of the group, or nil if there is no room. Workers on which the group failed
-// come last. It also returns the last filter that was used.
+// come last, and then, if it is overdue, any others. It also returns the last filter that was used.
 func (e *Engine) findRoom(g *Group, p *pass, now time.Time, find func(filter) []*Worker) ([]*Worker, filter) {
 	f := e.newFilter(g, p, false, now)
 	workers := find(f)
@@ -326,6 +326,10 @@
 		f = e.newFilter(g, p, true, now)
 		workers = find(f)
 	}
+	if workers == nil && e.overdue(g, now) {
+		f = g.overdueFilter(now)
+		workers = find(f)
+	}
 	return workers, f
 }
 
--- a/internal/place/group/filter.go
+++ b/internal/place/group/filter.go
@@ -11,7 +11,7 @@
 	// dataRackOnly is true if the group may only use the rack that holds its data.
 	dataRackOnly bool
 	// quickRacksToo is true if the group may use racks that are set aside for quick jobs: the other racks could not hold it
-	// even if they were empty, or little of its service is in use and the group has waited longer than quickRackDelay.
+	// even if they were empty, or little of its service is in use and the group has waited longer than overdueDelay.
 	quickRacksToo bool
 	// emptiestFirst is true if the group prefers empty workers, as it may crash them.
 	emptiestFirst bool
@@ -22,10 +22,6 @@
 	retryFailed bool
 }
 
-// quickRackDelay is how long a group waits, while less than half of its service is in use, before it uses racks that are set
-// aside for quick jobs: at that utilization all work must run within three seconds.
-const quickRackDelay = 2 * time.Second
-
 // emptyCapacity is how many tasks of one kind the workers could hold if they were empty.
 type emptyCapacity struct {
 	// openOutsideQuick is the number for the open workers of all racks that are not set aside for quick jobs.
@@ -59,7 +55,7 @@
 	if g.Count == 1 && step.MaxPerWorker > 0 {
 		withRun = g.occ.unfinished[g.Step] - g.occ.withoutRun[g.Step]
 	}
-	f.quickRacksToo = capacity.openOutsideQuick-withRun < g.Count || e.fragmented(g) && now.Sub(g.readyAt) > quickRackDelay
+	f.quickRacksToo = capacity.openOutsideQuick-withRun < g.Count || e.fragmented(g) && now.Sub(g.readyAt) > overdueDelay
 	if f.quickRacksToo {
 		capacity.maxPerRack = max(capacity.maxPerRack, capacity.maxPerQuickRack)
 	}
@@ -67,6 +63,11 @@
 	return f
 }
 
+// overdueFilter returns the filter of an overdue group, which may use any room.
+func (g *Group) overdueFilter(now time.Time) filter {
+	return filter{emptiestFirst: g.suspected(), retryFailed: g.mayRetryFailed(now), quickRacksToo: true}
+}
+
 // emptyCapacity returns how many tasks of the group's kind the workers could hold if they were empty. It is computed once in
 // a decision, except for groups that have failed on some worker.
 func (e *Engine) emptyCapacity(g *Group, f filter, p *pass, includeUnavailable bool) emptyCapacity {
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -29,6 +29,10 @@
 			f = e.newFilter(g, p, true, now)
 			placed = e.placeTask(g, f, searches, p, now)
 		}
+		if !placed && e.overdue(g, now) {
+			f = g.overdueFilter(now)
+			placed = e.placeTask(g, f, searches, p, now)
+		}
 		if placed {
 			continue
 		}
--- a/internal/place/group/usage.go
+++ b/internal/place/group/usage.go
@@ -1,6 +1,9 @@
 package group
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // usage is the capacity of a service's workers that answer, and how much of it is in use.
 type usage struct{ capacity, used Resources }
@@ -18,6 +21,14 @@
 	return float64(u.used.Accelerators) / float64(max(u.capacity.Accelerators, 1))
 }
 
+// lowestShare returns the share that is in use of the accelerators, or of all cores and accelerators together, whichever is lower.
+func (u *usage) lowestShare() float64 {
+	if capacity := u.capacity.Cores(); capacity > 0 {
+		return min(u.acceleratorShare(), u.used.Cores()/capacity)
+	}
+	return 0
+}
+
 // refreshUsage determines for one decision how much of each service is in use.
 func (e *Engine) refreshUsage(now time.Time) {
 	e.usages = make(map[string]*usage, len(e.usages))
@@ -40,6 +51,27 @@
 	return &usage{}
 }
 
+// overdueDelay is how long a group waits for the room that suits it best while less than half of its service is in use: some of each job
+// and all long-running tasks must run within three seconds then.
+const overdueDelay = 2 * time.Second
+
+// overdue reports whether the group has waited so long that any room is better for it than to wait on.
+func (e *Engine) overdue(g *Group, now time.Time) bool {
+	return now.Sub(g.readyAt) > overdueDelay && e.usageFor(g).lowestShare() < fragmentedBelow && (g.step().LongRunning || g.Job.stands(now))
+}
+
+// stands reports whether nothing of the job runs or is about to, apart from what may be alive on workers that don't answer.
+func (j *Job) stands(now time.Time) bool {
+	return !slices.ContainsFunc(j.groups, func(g *Group) bool {
+		return g.Run != nil && g.Run.stopReason == "" && !g.Run.broken() && !g.Run.silent(now)
+	})
+}
+
+// silent reports whether a worker of the run has not answered for a while.
+func (r *Run) silent(now time.Time) bool {
+	return slices.ContainsFunc(r.Members, func(m *Member) bool { return now.Sub(m.Worker.LastSeen) > silentAfter })
+}
+
 // fragmented reports whether the group, if it is a gang that finds no room, is blocked by fragmentation rather than lack of capacity.
 func (e *Engine) fragmented(g *Group) bool {
 	return e.usageFor(g).acceleratorShare() < fragmentedBelow
