group: a job that stands uses the room of backfill reservations (LOST)

Jobs had nothing running though three of four workers were free: a gang had reserved them until a long run on the fourth one ends, and such reservations are renewed for as long as that takes. Only quick jobs and long-running tasks could use that room.

Overdue groups may use it too. TestTaskUsesRoomThatIsKeptForABackfillWhileMostWorkersAreFree failed before: no run after three seconds.

--- a/internal/place/group/filter.go
+++ b/internal/place/group/filter.go
@@ -18,6 +18,8 @@
 	// sameRack is true if the group must stay within one rack, as some rack could hold it if it were empty. For a while this
 	// includes workers that are only temporarily unavailable, as right after a change of owner.
 	sameRack bool
+	// overdue is true if the group may also use the room of backfill reservations, as it has waited for too long.
+	overdue bool
 	// retryFailed is true if the group may use workers on which it failed, as it found no room elsewhere.
 	retryFailed bool
 }
@@ -65,7 +67,7 @@
 
 // overdueFilter returns the filter of an overdue group, which may use any room.
 func (g *Group) overdueFilter(now time.Time) filter {
-	return filter{emptiestFirst: g.suspected(), retryFailed: g.mayRetryFailed(now), quickRacksToo: true}
+	return filter{emptiestFirst: g.suspected(), retryFailed: g.mayRetryFailed(now), quickRacksToo: true, overdue: true}
 }
 
 // emptyCapacity returns how many tasks of the group's kind the workers could hold if they were empty. It is computed once in
--- a/internal/place/group/find.go
+++ b/internal/place/group/find.go
@@ -57,7 +57,7 @@
 		if !w.open || !f.quickRacksToo && e.excludesRack(g, w.rack) || !f.allows(g, w) {
 			continue
 		}
-		sl := w.slotFor(g)
+		sl := w.slotFor(g, f)
 		list.anyRoom = list.anyRoom || g.taskNeed().Count(sl.free, 1) > 0
 		if sl.fits > 0 {
 			list.slots = append(list.slots, sl)
@@ -79,7 +79,7 @@
 			if !w.open || !f.allows(g, w) {
 				continue
 			}
-			sl := w.slotFor(g)
+			sl := w.slotFor(g, f)
 			if g.taskNeed().Count(w.Capacity, sl.maxTasks) == 0 {
 				continue
 			}
@@ -92,8 +92,8 @@
 }
 
 // slotFor returns the room on the worker for tasks of the group's step.
-func (w *Worker) slotFor(g *Group) slot {
-	sl := slot{worker: w, free: w.freeFor(g), maxTasks: g.step().Count}
+func (w *Worker) slotFor(g *Group, f filter) slot {
+	sl := slot{worker: w, free: w.freeFor(g, f), maxTasks: g.step().Count}
 	if limit := g.step().MaxPerWorker; limit > 0 {
 		sl.maxTasks = min(sl.maxTasks, limit-w.membersOfStep(g))
 	}
--- a/internal/place/group/overdue_test.go
+++ b/internal/place/group/overdue_test.go
@@ -64,3 +64,13 @@
 	c.advanceTime(3 * time.Second)
 	c.assertRunsWithin(maxWait, "near")
 }
+
+// Guards against a job that stands although workers are free (LOST): their room is kept for a gang that waits for a long run to end.
+func TestTaskUsesRoomThatIsKeptForABackfillWhileMostWorkersAreFree(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	c.fill("a", 1)
+	c.submit("wide", planQueue, "beta", gang(4, 8))
+	c.advanceTime(5 * time.Second)
+	c.submit("small", batchQueue, "beta", single(1, 1))
+	c.assertRunsWithin(maxWait, "small")
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -113,11 +113,11 @@
 	}
 }
 
-// freeFor is the room that is neither used nor reserved; quick jobs and long-running tasks may also use the room of backfill
-// reservations.
-func (w *Worker) freeFor(g *Group) Resources {
+// freeFor is the room that is neither used nor reserved; quick jobs, long-running tasks and overdue groups may also use the room of
+// backfill reservations.
+func (w *Worker) freeFor(g *Group, f filter) Resources {
 	free := w.Capacity.Sub(w.Used).Sub(w.reserved)
-	if g.Job.queue.Priority == 0 || g.step().LongRunning {
+	if f.overdue || g.Job.queue.Priority == 0 || g.step().LongRunning {
 		return free
 	}
 	return free.Sub(w.backfillReserved)
