group: a job that stands uses workers that are avoided or have a run on probation (LOST)

Jobs had nothing running though workers were free: each of these was avoided for up to six seconds after failures, or task groups that are suspected of a crash took turns on them, each alone for a second. Both keep work off workers that are likely to fail, which is worse for it than another worker but not worse than none.

Overdue groups may use such workers; one that is suspected itself still keeps off those with a run on probation, as a crash tells little about two suspects. TestTaskUsesAvoidedWorkersWhileMostAreFree and TestTaskUsesWorkersWithRunsOnProbationWhileMostAreFree failed before: no run after three seconds.

TestJobWithoutAPartOfItsRecordIsNotStarted looked for the other job's task exactly ten seconds after the start. Tasks of the stand-in make no progress there, so each run is stopped after 2.5 seconds and the worker avoided; with the shorter wait that instant fell between two runs (it failed in four of four series of five or ten plays). It now has to run after one second, and nothing of the job with the bad record may run after ten, as before.

--- a/internal/node/term/divided_record_test.go
+++ b/internal/node/term/divided_record_test.go
@@ -335,11 +335,12 @@
 					s.store.Put(work.PartKey(job, 2), last)
 				}
 				s.elect("a")
-				time.Sleep(10 * time.Second)
+				time.Sleep(time.Second)
+				assert.Assert(t, s.agents.WorkerOf(taskOf("00000000000000b2", 0)) != "", "another job starts")
+				time.Sleep(9 * time.Second)
 				for n := range 4 {
 					assert.Equal(t, s.agents.WorkerOf(taskOf(job, n)), "")
 				}
-				assert.Assert(t, s.agents.WorkerOf(taskOf("00000000000000b2", 0)) != "", "another job starts")
 			})
 		})
 	}
--- a/internal/place/group/find.go
+++ b/internal/place/group/find.go
@@ -40,6 +40,10 @@
 	list := slotList{slots: e.slotBuffer[:0], sameRack: f.sameRack}
 	if f.dataRackOnly {
 		list.addFreeSlots(e, g, f, e.rackByName(g.step().Affinity).workers)
+	} else if f.overdue {
+		for _, r := range e.racks {
+			list.addFreeSlots(e, g, f, r.workers)
+		}
 	} else {
 		for _, workers := range e.freeIndex.atLeast(g.taskNeed().Accelerators) {
 			list.addFreeSlots(e, g, f, workers)
@@ -54,7 +58,7 @@
 func (list *slotList) addFreeSlots(e *Engine, g *Group, f filter, workers []*Worker) {
 	for _, w := range workers {
 		e.examined++
-		if !w.open || !f.quickRacksToo && e.excludesRack(g, w.rack) || !f.allows(g, w) {
+		if !w.openFor(g, f) || !f.quickRacksToo && e.excludesRack(g, w.rack) || !f.allows(g, w) {
 			continue
 		}
 		sl := w.slotFor(g, f)
@@ -66,6 +70,11 @@
 	}
 }
 
+// openFor reports whether tasks of the group may be placed on the worker in the current decision.
+func (w *Worker) openFor(g *Group, f filter) bool {
+	return w.open || f.overdue && w.spare && !(g.suspected() && w.onProbation())
+}
+
 // listSlots lists the workers on which a task of the group may start, including full ones; the result is valid until the
 // next search.
 func (e *Engine) listSlots(g *Group, f filter) slotList {
--- a/internal/place/group/overdue_test.go
+++ b/internal/place/group/overdue_test.go
@@ -1,9 +1,12 @@
 package group_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/work"
 	"gotest.tools/v3/assert"
 )
 
@@ -74,3 +77,32 @@
 	c.submit("small", batchQueue, "beta", single(1, 1))
 	c.assertRunsWithin(maxWait, "small")
 }
+
+// Guards against a job that stands although workers are free (LOST): tasks of other jobs have failed on each of them.
+func TestTaskUsesAvoidedWorkersWhileMostAreFree(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	for _, job := range []string{"job-a", "job-b"} {
+		spread := work.Step{Count: 2, MilliCores: 1000, Accelerators: 1, Estimate: time.Second, MaxPerWorker: 1}
+		c.submit(job, batchQueue, "beta", spread)
+	}
+	c.step()
+	for _, task := range []string{"job-a.0.0.0", "job-a.0.0.1", "job-b.0.0.0", "job-b.0.0.1"} {
+		c.exitTask(task, group.Failed)
+	}
+	c.submit("sound", batchQueue, "beta", single(1, 1))
+	c.assertRunsWithin(maxWait, "sound")
+}
+
+// Guards against a job that stands although workers are free (LOST): task groups that are suspected of a crash take turns on them, each
+// on probation.
+func TestTaskUsesWorkersWithRunsOnProbationWhileMostAreFree(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	for n := range 12 {
+		record := &work.Record{Phase: work.Running, Groups: []work.GroupRecord{{Run: 1, MayCrash: true}}}
+		spec := &work.Spec{Job: fmt.Sprintf("suspect-%d", n), Queue: batchQueue, Steps: []work.Step{single(1, 1)}}
+		c.engine.Load(spec, record, 0, c.now, c.now)
+	}
+	c.step()
+	c.submit("unsuspected", batchQueue, "beta", single(1, 1))
+	c.assertRunsWithin(maxWait, "unsuspected")
+}
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -96,8 +96,10 @@
 	freeIndex         *freeIndex
 	freeIndexLevel    int
 	freeIndexPosition int
-	// open is true if new tasks may be placed here in the current decision.
-	open bool
+	// open is true if new tasks may be placed here in the current decision, spare if only those of overdue groups may, as the worker is
+	// avoided or a run is on probation here.
+	open  bool
+	spare bool
 	// searchSlot is one plus the worker's index among the slots of the current preemption plan; zero if it is not among them.
 	searchSlot int
 	// memberCache caches the members in a fixed order until one is added or removed.
@@ -139,15 +141,18 @@
 
 // mayStartOn is usable for the tasks of a run that is placed there already, perhaps on probation.
 func (e *Engine) mayStartOn(w *Worker, now time.Time) bool {
+	return !now.Before(w.AvoidUntil) && e.answers(w, now)
+}
+
+// answers reports whether the worker is open to new tasks and answers, and nothing unknown may be alive there.
+func (e *Engine) answers(w *Worker, now time.Time) bool {
 	switch {
 	case !w.Listed || w.Draining || e.evacuated[w.DataCentre] || w.entryOutdated():
 		return false
 	case now.Sub(w.LastSeen) > e.cfg.SeenWithin || w.LastSeen.IsZero() || w.suspect():
 		return false
-	case len(w.orphans) > 0 || len(w.abandoned) > 0:
-		return false
 	default:
-		return !now.Before(w.AvoidUntil)
+		return len(w.orphans) == 0 && len(w.abandoned) == 0
 	}
 }
 
