group: a new owner does not repeat the whole delay after a failure (LOST)

A task that had failed on each worker that could run it stood for six seconds after every change of owner, if one attempt was left: the time of the failure is not on record, so each owner began the delay anew, however long ago the failure was. Several changes in a row prolonged the wait without a limit.

An inherited delay lasts two seconds at most. A failure under the present owner delays the last attempt by six seconds as before: TestTaskReturnsToWorkersOnWhichItFailed shows that a shorter delay uses up the attempts on workers that fail for that long. TestDelayAfterAFailureDoesNotGrowWithChangesOfOwner failed before: no run after three seconds.

--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -276,8 +276,8 @@
 	for _, g := range j.groups {
 		g.readyAt = latest(now, g.occ.due)
 		if g.hasFailed() {
-			// When the last failure was is not on record.
-			g.retryFailedAt = now.Add(e.failureDelay(g))
+			// When the last failure was is not on record, and earlier owners may have waited too.
+			g.retryFailedAt = now.Add(min(e.failureDelay(g), overdueDelay))
 		}
 	}
 	return j
