--- a/internal/place/group/filter.go
+++ b/internal/place/group/filter.go
@@ -11,21 +11,20 @@
 	// dataRackOnly is true if the group may only use the rack that holds its data.
 	dataRackOnly bool
 	// quickRacksToo is true if the group may use racks that are set aside for quick jobs: the other racks could not hold it
-	// even if they were empty, or utilization is low and the group has waited longer than quickRackDelay.
+	// even if they were empty, or little of its service is in use and the group has waited longer than overdueDelay.
 	quickRacksToo bool
 	// emptiestFirst is true if the group prefers empty workers, as it may crash them.
 	emptiestFirst bool
 	// sameRack is true if the group must stay within one rack, as some rack could hold it if it were empty. For a while this
 	// includes workers that are only temporarily unavailable, as right after a change of owner.
 	sameRack bool
+	// overdue is true if the group has waited for too long: it may also use the room of backfill reservations, workers that are avoided
+	// and, unless it is suspected of a crash itself, those with a run on probation.
+	overdue bool
 	// retryFailed is true if the group may use workers on which it failed, as it found no room elsewhere.
 	retryFailed bool
 }
 
-// quickRackDelay is how long a group waits, while less than half of the fleet is in use, before it uses racks that are set
-// aside for quick jobs: at that utilization all work must run within three seconds.
-const quickRackDelay = 2 * time.Second
-
 // emptyCapacity is how many tasks of one kind the workers could hold if they were empty.
 type emptyCapacity struct {
 	// openOutsideQuick is the number for the open workers of all racks that are not set aside for quick jobs.
@@ -59,7 +58,7 @@
 	if g.Count == 1 && step.MaxPerWorker > 0 {
 		withRun = g.occ.unfinished[g.Step] - g.occ.withoutRun[g.Step]
 	}
-	f.quickRacksToo = capacity.openOutsideQuick-withRun < g.Count || e.fragmented() && now.Sub(g.readyAt) > quickRackDelay
+	f.quickRacksToo = capacity.openOutsideQuick-withRun < g.Count || e.fragmented(g) && now.Sub(g.readyAt) > overdueDelay
 	if f.quickRacksToo {
 		capacity.maxPerRack = max(capacity.maxPerRack, capacity.maxPerQuickRack)
 	}
@@ -67,6 +66,11 @@
 	return f
 }
 
+// overdueFilter returns the filter of an overdue group, which may use any room.
+func (g *Group) overdueFilter(now time.Time) filter {
+	return filter{emptiestFirst: g.suspected(), retryFailed: g.mayRetryFailed(now), quickRacksToo: true, overdue: true}
+}
+
 // emptyCapacity returns how many tasks of the group's kind the workers could hold if they were empty. It is computed once in
 // a decision, except for groups that have failed on some worker.
 func (e *Engine) emptyCapacity(g *Group, f filter, p *pass, includeUnavailable bool) emptyCapacity {
--- a/internal/place/group/find.go
+++ b/internal/place/group/find.go
@@ -40,6 +40,10 @@
 	list := slotList{slots: e.slotBuffer[:0], sameRack: f.sameRack}
 	if f.dataRackOnly {
 		list.addFreeSlots(e, g, f, e.rackByName(g.step().Affinity).workers)
+	} else if f.overdue {
+		for _, r := range e.racks {
+			list.addFreeSlots(e, g, f, r.workers)
+		}
 	} else {
 		for _, workers := range e.freeIndex.atLeast(g.taskNeed().Accelerators) {
 			list.addFreeSlots(e, g, f, workers)
@@ -54,10 +58,10 @@
 func (list *slotList) addFreeSlots(e *Engine, g *Group, f filter, workers []*Worker) {
 	for _, w := range workers {
 		e.examined++
-		if !w.open || !f.quickRacksToo && e.excludesRack(g, w.rack) || !f.allows(g, w) {
+		if !w.openFor(g, f) || !f.quickRacksToo && e.excludesRack(g, w.rack) || !f.allows(g, w) {
 			continue
 		}
-		sl := w.slotFor(g)
+		sl := w.slotFor(g, f)
 		list.anyRoom = list.anyRoom || g.taskNeed().Count(sl.free, 1) > 0
 		if sl.fits > 0 {
 			list.slots = append(list.slots, sl)
@@ -66,6 +70,11 @@
 	}
 }
 
+// openFor reports whether tasks of the group may be placed on the worker in the current decision.
+func (w *Worker) openFor(g *Group, f filter) bool {
+	return w.open || f.overdue && w.spare && !(g.suspected() && w.onProbation())
+}
+
 // listSlots lists the workers on which a task of the group may start, including full ones; the result is valid until the
 // next search.
 func (e *Engine) listSlots(g *Group, f filter) slotList {
@@ -79,7 +88,7 @@
 			if !w.open || !f.allows(g, w) {
 				continue
 			}
-			sl := w.slotFor(g)
+			sl := w.slotFor(g, f)
 			if g.taskNeed().Count(w.Capacity, sl.maxTasks) == 0 {
 				continue
 			}
@@ -92,8 +101,8 @@
 }
 
 // slotFor returns the room on the worker for tasks of the group's step.
-func (w *Worker) slotFor(g *Group) slot {
-	sl := slot{worker: w, free: w.freeFor(g), maxTasks: g.step().Count}
+func (w *Worker) slotFor(g *Group, f filter) slot {
+	sl := slot{worker: w, free: w.freeFor(g, f), maxTasks: g.step().Count}
 	if limit := g.step().MaxPerWorker; limit > 0 {
 		sl.maxTasks = min(sl.maxTasks, limit-w.membersOfStep(g))
 	}
--- a/internal/place/group/rack.go
+++ b/internal/place/group/rack.go
@@ -46,12 +46,14 @@
 // refreshIndex determines for one decision which workers may get tasks, how full they are, and which racks are set aside.
 func (e *Engine) refreshIndex(now time.Time) {
 	e.refreshRacks()
+	e.refreshUsage(now)
 	e.examined = 0
 	e.freeIndex.reset()
 	e.usableAccelerators = 0
 	used := 0
 	for _, w := range e.sortedWorkers {
 		w.open, w.freeIndex = e.usable(w, now), nil
+		w.spare = !w.open && e.answers(w, now)
 		if w.open {
 			e.freeIndex.add(w)
 			e.usableAccelerators += w.Capacity.Accelerators
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -29,6 +29,10 @@
 			f = e.newFilter(g, p, true, now)
 			placed = e.placeTask(g, f, searches, p, now)
 		}
+		if !placed && e.overdue(g, now) {
+			f = g.overdueFilter(now)
+			placed = e.placeTask(g, f, searches, p, now)
+		}
 		if placed {
 			continue
 		}
@@ -67,8 +71,9 @@
 // stay free for large tasks, unless the group is suspected of a crash; for quick jobs, fast workers come before all others.
 func (e *Engine) searchTaskSlots(g *Group, f filter) *taskSlots {
 	// The search includes workers on which this task has failed, as they may suit the other tasks.
-	sibling := &Group{Job: g.Job, Step: g.Step, occ: g.occ, Count: g.Count, recordIndex: g.recordIndex}
-	list := e.listFreeSlots(sibling, f)
+	all := f
+	all.retryFailed = true
+	list := e.listFreeSlots(g, all)
 	slots := slices.Clone(list.slots)
 	quick := g.Job.queue.Priority == 0
 	slices.SortStableFunc(slots, func(a, b slot) int {
@@ -94,7 +99,7 @@
 		if sl.fits == 0 || !f.allows(g, sl.worker) {
 			continue
 		}
-		if !sl.worker.open || sl.worker.slotFor(g).fits == 0 {
+		if !sl.worker.openFor(g, f) || sl.worker.slotFor(g, f).fits == 0 {
 			sl.fits = 0
 			continue
 		}
