term: an owner that can't load its jobs leaves its turn to another instance

Operators saw no `termLoaded`, and nothing started in the fleet, for as long as one instance renewed its lease while its reads of all jobs failed (rejected in part, or longer than their timeout): load retried without a limit, and no other instance may compete for a key that is held.

A load now has the time of one turn, 2 s at first, and then ends the term. The instance leaves a free key to others for a second each time, during ten seconds; without another candidate it goes on itself. Failed terms in a row are counted in the owner's record and by the instance itself, and each turn is twice as long as the one before, up to 16 s as so far, so that reads that take long for all instances still succeed.

Before, of the tests in turn_test.go: OwnerThatCanNotLoad and InstanceThatCouldNotLoad: nothing ran, as `a` stayed the owner; TimeToLoadGrows: nothing ran within 30 s. Without the count in the record ReadsThatTakeLongForAll fails, without the delay InstanceThatCouldNotLoad, without the instance's own count ReadsThatTakeLongSucceedInTheEnd.

--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -108,10 +108,11 @@
 	// Jitter returns a delay with the given mean before something is tried again; if it is nil, the delays are random.
 	Jitter func(mean time.Duration) time.Duration
 
-	// deferred is true after the free key was left to larger instances once. handedOverAt is when a term was last handed
+	// deferred is true after the free key was left to other instances once. handedOverAt is when a term was last handed
 	// over to one.
 	deferred     bool
 	handedOverAt time.Time
+	turns        turns
 
 	mu      sync.Mutex
 	current *term
@@ -127,6 +128,8 @@
 	Instance string `json:"instance"`
 	// Withholds is true if the owner grants no leases to the workers that the LeaseRecord lists.
 	Withholds bool `json:"withholds,omitempty"`
+	// FailedLoads is the number of terms in a row before this one that ended before the jobs were loaded.
+	FailedLoads int `json:"failedLoads,omitempty"`
 }
 
 // Run competes for ownership until ctx ends, then revokes the lease if it holds one, and closes done.
@@ -148,6 +151,9 @@
 		e.mu.Unlock()
 		cause := t.run(ctx)
 		past := t.close()
+		if ctx.Err() == nil {
+			e.turns.ended(t.loadedRevision != 0, t.failedLoads, e.Now())
+		}
 		e.mu.Lock()
 		e.current, e.past = nil, past
 		e.mu.Unlock()
@@ -187,14 +193,14 @@
 		e.deferred = false
 		return 0, 0, sent, e.awaitRelease(ctx, asOf)
 	}
-	if e.deferToLarger(ctx) {
+	if e.deferToOthers(ctx) {
 		return 0, 0, sent, nil
 	}
-	data, err := json.Marshal(ownerRecord{Instance: e.Instance, Withholds: true})
+	sent = e.Now()
+	data, err := json.Marshal(ownerRecord{Instance: e.Instance, Withholds: true, FailedLoads: e.turns.count(sent)})
 	if err != nil {
 		return 0, 0, sent, err
 	}
-	sent = e.Now()
 	if lease, err = e.Store.Grant(call, leaseTTL); err != nil {
 		return 0, 0, sent, err
 	}
@@ -217,7 +223,9 @@
 func (e *Elector) noteOwner(items []store.Item) {
 	name := ""
 	if len(items) > 0 {
-		name = e.decodeOwner(items[0]).Instance
+		record := e.decodeOwner(items[0])
+		name = record.Instance
+		e.turns.ownerSeen(items[0].Created, record.FailedLoads, e.Now())
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -251,15 +259,6 @@
 	return &notify.Reply{Taken: t != nil && t.loadAccepted(job)}, nil
 }
 
-// deferToLarger waits once per free key if a larger instance is up, and reports whether it has waited.
-func (e *Elector) deferToLarger(ctx context.Context) bool {
-	e.deferred = !e.deferred && e.largerPeerUp()
-	if e.deferred {
-		pause.For(ctx, deferDelay)
-	}
-	return e.deferred
-}
-
 func (e *Elector) largerPeerUp() bool { return e.Peers != nil && e.Peers.HasLargerPeer() }
 
 // shouldHandOver reports whether a term that began at startedAt should be handed over to a larger instance.
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -24,34 +24,40 @@
 	maxReadTimeout = 16 * time.Second
 )
 
-// readTimeout returns the timeout of a read of all jobs after a number of failed ones in a row. Each failure doubles it, as a read that
+// readTimeout returns the timeout of reads of all jobs after a number of failed ones in a row. Each failure doubles it, as a read that
 // takes longer than its timeout would never succeed.
 func readTimeout(failures int) time.Duration {
 	return min(2*storeTimeout<<min(failures, 8), maxReadTimeout)
 }
 
-// load reads the workers and all jobs with their records, and retries until it succeeds. It reports false if the term ended
-// first.
+// load reads the workers and all jobs with their records. It ends the term if this takes longer than one turn, as another instance
+// may be able to; it reports false if the term ended first.
 func (t *term) load(ctx context.Context) bool {
-	started := t.Now()
-	for failures := 0; ctx.Err() == nil; failures++ {
-		if err := t.tryLoad(ctx, readTimeout(failures)); err != nil {
-			t.Log.Emit(event.StoreLost, event.Fields{"call": "load", "error": err.Error()})
-			pause.For(ctx, t.jitter(storeRetryDelay/2))
-			continue
+	started, limit := t.Now(), readTimeout(t.failedLoads)
+	call, done := context.WithTimeout(ctx, limit)
+	defer done()
+	for {
+		err := t.tryLoad(call)
+		if err == nil {
+			break
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		t.Log.Emit(event.StoreLost, event.Fields{"call": "load", "error": err.Error()})
+		if !pause.For(call, t.jitter(storeRetryDelay/2)) {
+			t.end(&loadError{limit: limit, cause: err})
+			return false
 		}
-		t.state.Lock()
-		jobs := t.engine.Jobs()
-		t.state.Unlock()
-		t.Log.Emit(event.TermLoaded, event.Fields{"token": t.token, "jobs": jobs, "took": t.Now().Sub(started).String()})
-		return true
 	}
-	return false
+	t.state.Lock()
+	jobs := t.engine.Jobs()
+	t.state.Unlock()
+	t.Log.Emit(event.TermLoaded, event.Fields{"token": t.token, "jobs": jobs, "took": t.Now().Sub(started).String()})
+	return true
 }
 
-func (t *term) tryLoad(ctx context.Context, timeout time.Duration) error {
-	call, done := context.WithTimeout(ctx, timeout)
-	defer done()
+func (t *term) tryLoad(call context.Context) error {
 	if snapshot, _ := t.Policy.Current(); snapshot.Policy == nil {
 		if err := t.Policy.Refresh(call); err != nil {
 			return err
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -96,6 +96,8 @@
 	leftovers []string
 	// loadedRevision is the store revision as of which all jobs were last loaded, zero until they are.
 	loadedRevision int64
+	// failedLoads is the number of terms in a row before this one that ended before the jobs were loaded.
+	failedLoads int
 	// commitsInFlight counts the commits in progress; commitFailed is true if the last one that ended has failed.
 	commitsInFlight int
 	commitFailed    bool
@@ -134,7 +136,7 @@
 	engine := group.New(cfg)
 	engine.InheritLeases(group.InheritedLeases{Others: now.Add(cfg.InheritedLease)})
 	return &term{
-		Elector: e, lease: lease, token: token, startedAt: now, ownedAt: token, engine: engine, validUntil: sent.Add(leaseTTL - leaseMargin),
+		Elector: e, lease: lease, token: token, startedAt: now, ownedAt: token, engine: engine, failedLoads: e.turns.count(sent), validUntil: sent.Add(leaseTTL - leaseMargin),
 		sessions: make(map[string]*session), pendingStops: make(map[stopKey]bool), earlyCancels: make(map[string]bool),
 		revisions: make(map[string]int64), partKeys: make(map[string]map[string]bool), partLimits: make(map[string]int), pendingDecision: make(chan struct{}, 1),
 		withheld:   withheld{workers: make(map[string]bool), changed: make(chan struct{}, 1)},
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -99,6 +99,12 @@
 
 // electOn is the same for an instance that reaches the key-value store through kv.
 func (s *site) electOn(name string, kv store.Transactor, agents agent.Client, others term.Peers) (stop func()) {
+	s.t.Helper()
+	return s.run(s.elector(name, kv, agents, others))
+}
+
+// elector returns an instance that does not compete yet.
+func (s *site) elector(name string, kv store.Transactor, agents agent.Client, others term.Peers) *term.Elector {
 	s.t.Helper()
 	holder := policy.NewHolder(fixedPolicy{}, time.Now, func(policy.Snapshot) {})
 	assert.NilError(s.t, holder.Refresh(s.t.Context()))
@@ -109,6 +115,12 @@
 		Predecessors: &s.instances,
 	}
 	s.instances.add(e)
+	return e
+}
+
+// run lets the instance compete; the returned function stops it and waits.
+func (s *site) run(e *term.Elector) (stop func()) {
+	s.t.Helper()
 	ctx, cancel := context.WithCancel(s.t.Context())
 	done := make(chan struct{})
 	go e.Run(ctx, done)
