--- a/internal/place/group/fleet.go
+++ b/internal/place/group/fleet.go
@@ -78,7 +78,7 @@
 	f.Open++
 	f.Used, f.Free = f.Used.Add(w.Used), f.Free.Add(w.Capacity.Sub(w.Used))
 	f.Reserved, f.Backfill = f.Reserved.Add(w.reserved), f.Backfill.Add(w.backfillReserved)
-	f.Fits += g.taskNeed().Count(w.freeFor(g), g.maxPerWorker())
+	f.Fits += g.taskNeed().Count(w.freeFor(g, filter{}), g.maxPerWorker())
 }
 
 // exclusion returns why the worker, which is not usable, gets no new tasks.
