term: exits are left with other instances once each

It now sends those that an instance does not have yet; an instance that has restarted says so and gets all of them again.

--- a/internal/node/term/keeper.go
+++ b/internal/node/term/keeper.go
@@ -26,10 +26,18 @@
 func (e *Elector) Keep(_ context.Context, exits *grants.Exits) (*grants.Kept, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if exits.Token >= e.kept.Token {
+	switch {
+	case exits.Token < e.kept.Token:
+		return &grants.Kept{}, nil
+	case exits.First == 0:
 		e.kept = *exits
+		e.kept.Exits = slices.Clip(e.kept.Exits)
+	case exits.Token == e.kept.Token && exits.First == len(e.kept.Exits):
+		e.kept.Exits = append(e.kept.Exits, exits.Exits...)
+	case exits.Token > e.kept.Token:
+		return &grants.Kept{}, nil
 	}
-	return &grants.Kept{}, nil
+	return &grants.Kept{Count: len(e.kept.Exits)}, nil
 }
 
 // KeptExits returns the exits that an owner before the one that asks has left with this instance.
@@ -60,56 +68,80 @@
 	return addresses
 }
 
-// leaveExits leaves exits that can't be recorded with other instances, again whenever there are others, until the term ends.
+// outbox has the exits to be left with other instances since the owner last had everything on record.
+type outbox struct {
+	exits []group.WorkerExit
+	known map[group.WorkerExit]bool
+	size  int
+	// kept is the number of the exits that each keeper has, by address.
+	kept map[string]int
+}
+
+func newOutbox() *outbox {
+	return &outbox{known: make(map[group.WorkerExit]bool), kept: make(map[string]int)}
+}
+
+// add adds those of the exits that are new, as far as there is room.
+func (o *outbox) add(exits []group.WorkerExit) {
+	for _, x := range exits {
+		size := exitBytes + len(x.Exit.Checkpoint)
+		if o.known[x] || o.size+size > maxExitsBytes {
+			continue
+		}
+		o.exits, o.known[x], o.size = append(o.exits, x), true, o.size+size
+	}
+}
+
+// leaveExits leaves exits that can't be recorded with other instances until the term ends.
 func (t *term) leaveExits(ctx context.Context) {
-	var left []group.WorkerExit
+	box := newOutbox()
 	for pause.For(ctx, leaveInterval) {
 		now := t.Now()
 		t.state.Lock()
 		since := t.engine.UnrecordedSince()
-		t.state.Unlock()
-		if since.IsZero() || now.Sub(since) < leaveAfter {
-			continue
+		if !since.IsZero() && now.Sub(since) >= leaveAfter {
+			box.add(t.engine.UnrecordedExits())
 		}
-		t.state.Lock()
-		exits := limitExits(t.engine.UnrecordedExits())
 		t.state.Unlock()
-		if slices.Equal(exits, left) {
-			continue
-		}
-		if t.leave(ctx, &grants.Exits{Token: t.token, Exits: exits}) {
-			left = exits
+		switch {
+		case since.IsZero() && len(box.exits) > 0:
+			box = newOutbox()
+		case len(box.exits) > 0:
+			t.leave(ctx, box)
 		}
 	}
 }
 
-// leave leaves the exits with one instance of each data centre, and reports whether all have them.
-func (t *term) leave(ctx context.Context, exits *grants.Exits) bool {
-	addresses := t.keepers(1)
-	errs := make([]error, len(addresses))
+// leave leaves the exits with one instance of each data centre.
+func (t *term) leave(ctx context.Context, box *outbox) {
+	var mu sync.Mutex
+	sent, unreached := 0, 0
 	var calls conc.WaitGroup
-	for i, address := range addresses {
+	for _, address := range t.keepers(1) {
+		mu.Lock()
+		first := min(box.kept[address], len(box.exits))
+		mu.Unlock()
+		if first == len(box.exits) {
+			continue
+		}
+		sent++
 		calls.Go(func() {
 			call, done := context.WithTimeout(ctx, keeperTimeout)
 			defer done()
-			errs[i] = t.Predecessors.Keep(call, address, exits)
+			kept, err := t.Predecessors.Keep(call, address, &grants.Exits{Token: t.token, First: first, Exits: box.exits[first:]})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unreached++
+				return
+			}
+			box.kept[address] = kept.Count
 		})
 	}
 	calls.Wait()
-	unreached := countErrors(errs)
-	if len(addresses) > 0 {
-		t.Log.Emit(event.ExitsLeft, event.Fields{"token": t.token, "exits": len(exits.Exits), "keepers": len(addresses) - unreached, "unreached": unreached})
-	}
-	return unreached == 0
-}
-
-func countErrors(errs []error) (count int) {
-	for _, err := range errs {
-		if err != nil {
-			count++
-		}
+	if sent > 0 {
+		t.Log.Emit(event.ExitsLeft, event.Fields{"token": t.token, "exits": len(box.exits), "keepers": sent - unreached, "unreached": unreached})
 	}
-	return count
 }
 
 // collectExits applies the exits that earlier owners have left with other instances. The last owner left them with the first instance of
--- a/internal/node/term/predecessor.go
+++ b/internal/node/term/predecessor.go
@@ -29,7 +29,7 @@
 	Grants(ctx context.Context, instance string, request *grants.Request) (*grants.Reply, error)
 	// Keep leaves exits with the instance at the address, KeptExits asks it for those that earlier owners have left; ctx must have a
 	// deadline.
-	Keep(ctx context.Context, address string, exits *grants.Exits) error
+	Keep(ctx context.Context, address string, exits *grants.Exits) (*grants.Kept, error)
 	KeptExits(ctx context.Context, address string, request *grants.Request) (*grants.Exits, error)
 }
 
--- a/internal/node/term/predecessor_test.go
+++ b/internal/node/term/predecessor_test.go
@@ -31,15 +31,14 @@
 	return e.Grants(ctx, request)
 }
 
-func (d *directory) Keep(ctx context.Context, address string, exits *grants.Exits) error {
+func (d *directory) Keep(ctx context.Context, address string, exits *grants.Exits) (*grants.Kept, error) {
 	d.mu.Lock()
 	e := d.electors[address]
 	d.mu.Unlock()
 	if e == nil {
-		return &grants.UnknownInstanceError{Instance: address}
+		return nil, &grants.UnknownInstanceError{Instance: address}
 	}
-	_, err := e.Keep(ctx, exits)
-	return err
+	return e.Keep(ctx, exits)
 }
 
 func (d *directory) KeptExits(ctx context.Context, address string, request *grants.Request) (*grants.Exits, error) {
--- a/internal/peer/grants/protocol.go
+++ b/internal/peer/grants/protocol.go
@@ -29,17 +29,19 @@
 // Exits are exits that an owner has heard of and could not record for a while; Token is its fencing token.
 type Exits struct {
 	Token int64
+	// First is the index of the first of them among all that the owner leaves; with zero they replace those that were left before.
+	First int
 	Exits []group.WorkerExit
 }
 
-// Kept is the answer to Exits.
-type Kept struct{}
+// Kept is the answer to Exits; Count is the number of exits of that owner that the instance has.
+type Kept struct{ Count int }
 
 // Handler receives the questions of new owners, and what owners leave with other instances.
 type Handler interface {
 	// Grants ends a term that is older than the request and reports its leases.
 	Grants(ctx context.Context, request *Request) (*Reply, error)
-	// Keep keeps the exits in place of those that an owner with the same token, or a lower one, has left before.
+	// Keep keeps the exits unless there are some before them that it does not have, or some of a later owner.
 	Keep(ctx context.Context, exits *Exits) (*Kept, error)
 	// KeptExits returns the exits that an owner with a lower token than the request's has left.
 	KeptExits(ctx context.Context, request *Request) (*Exits, error)
@@ -96,9 +98,8 @@
 }
 
 // Keep leaves exits with the instance at the address; ctx must have a deadline.
-func (c *Client) Keep(ctx context.Context, address string, exits *Exits) error {
-	_, err := link.Invoke[Exits, Kept](ctx, c.Link, address, methodKeep, exits)
-	return err
+func (c *Client) Keep(ctx context.Context, address string, exits *Exits) (*Kept, error) {
+	return link.Invoke[Exits, Kept](ctx, c.Link, address, methodKeep, exits)
 }
 
 // KeptExits asks the instance at the address for the exits that earlier owners have left with it; ctx must have a deadline.
