term: an owner that may not start hands over to an instance that can read

Operators saw one term, with renewals that pass, and nothing started in the fleet: the owner's reads of the configuration or of the list of workers failed (rejected in part, or too slow), so their ages forbade every start. Only an owner that could not reach the workers resigned.

An owner that has been kept from starting by these ages alone for 1.5 s asks up to four other instances at a time, all in turn, to read both (package probe). It ends its term if one of them can, or after 6 s if none of those asked answers, and leaves the free key to others as after a load that failed. While the others can't read either, and where there is no other instance, it stays: a handover would help nobody, and the workers' leases would not be renewed meanwhile.

Before: TestOwnerThatMayNotStartHandsOverToAnInstanceThatCanRead, both cases, and TestOwnerThatMayNotStartResignsThoughNobodyAnswers: the job did not run. If the owner does not ask, TestOwnerKeepsItsTermWhileNoInstanceCanRead and TestOnlyInstanceKeepsItsTermThoughItCanNotRead fail; if it asks at once, TestOwnerKeepsItsTermThroughAShortFailureOfItsReads does.

--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -24,6 +24,7 @@
 	"github.com/lentildeck/lentildeck/internal/peer/grants"
 	"github.com/lentildeck/lentildeck/internal/peer/link"
 	"github.com/lentildeck/lentildeck/internal/peer/notify"
+	"github.com/lentildeck/lentildeck/internal/peer/probe"
 	"github.com/lentildeck/lentildeck/internal/peer/relay"
 	"github.com/lentildeck/lentildeck/internal/route/admit"
 	"github.com/lentildeck/lentildeck/internal/state/policy"
@@ -115,6 +116,7 @@
 	}
 	if options.PeerAddress != "" {
 		s.elector.Predecessors = &grants.Client{Link: client, AddressOf: s.peers.AddressOf}
+		s.elector.Readers = &probe.Client{Link: client, Addresses: s.peers.Addresses}
 		s.notifier = notify.New(s.elector, func() string { return s.peers.AddressOf(s.elector.KnownOwner()) }, client, log, s.Meter)
 		s.Jobs.OnAccepted = func(job string, spec []byte, revision int64) {
 			s.notifier.Notify(&notify.Job{ID: job, Spec: spec, Revision: revision})
@@ -196,7 +198,8 @@
 // servePeers serves instances that are cut off from the key-value store, and the requests of the owner.
 func (s *Server) servePeers(ctx context.Context) {
 	server, err := link.Serve(link.Service{Handler: s.Jobs, Methods: relay.Description{}}, link.Service{Handler: s.leaseProxy, Methods: extend.Description{}},
-		link.Service{Handler: s.elector, Methods: notify.Description{}}, link.Service{Handler: s.elector, Methods: grants.Description{}})
+		link.Service{Handler: s.elector, Methods: notify.Description{}}, link.Service{Handler: s.elector, Methods: grants.Description{}},
+		link.Service{Handler: s.elector, Methods: probe.Description{}})
 	if err == nil {
 		var listener net.Listener
 		if listener, err = net.Listen("tcp4", s.PeerAddress); err == nil {
--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -100,8 +100,10 @@
 	Proxies    Proxies
 	// Predecessors is nil where instances can't ask each other.
 	Predecessors Predecessors
-	Log          *event.Log
-	Meter        *meter.Metrics
+	// Readers is nil where instances can't ask each other; an owner that can't read then stays.
+	Readers Readers
+	Log     *event.Log
+	Meter   *meter.Metrics
 	// Now is the monotonic clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
@@ -160,11 +162,14 @@
 		e.Log.Emit(event.TermEnded, event.Fields{"token": token, "why": cause.Error()})
 		var cut *cutOffError
 		var larger largerPeerError
+		var stale *staleError
 		switch {
 		case errors.As(cause, &cut):
 			pause.For(ctx, cutOffCooldown)
 		case errors.As(cause, &larger):
 			e.handedOverAt, e.deferred = e.Now(), false
+		case errors.As(cause, &stale):
+			e.turns.yield(e.Now())
 		}
 	}
 }
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -167,6 +167,7 @@
 		t.components.Go("workers", func() { t.listWorkers(ctx) })
 		t.components.Go("watch", func() { t.watchJobs(ctx) })
 		t.components.Go("pending", func() { t.scanWaiting(ctx) })
+		t.components.Go("staleness", func() { t.watchStaleness(ctx) })
 		t.components.Go("leftovers", func() { t.deleteLeftovers(ctx) })
 		t.components.Go("substitutes", func() { t.runProxies(ctx) })
 		t.decisionLoop(ctx)
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -83,6 +83,17 @@
 	return addresses
 }
 
+// Addresses returns the addresses of all listed peers.
+func (p *Peers) Addresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	addresses := make([]string, len(p.others))
+	for i, o := range p.others {
+		addresses[i] = o.Address
+	}
+	return addresses
+}
+
 // AddressOf returns the address of the listed peer of that name, or an empty string.
 func (p *Peers) AddressOf(name string) string {
 	p.mu.Lock()
