--- /dev/null
+++ b/internal/soak/trail/doc.go
@@ -0,0 +1,2 @@
+// Package trail records what callers, workers and the store of a soak see.
+package trail
