--- /dev/null
+++ b/internal/soak/worker/doc.go
@@ -0,0 +1,2 @@
+// Package worker is a stand-in for the machines that run tasks.
+package worker
