--- /dev/null
+++ b/internal/soak/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller submits jobs as the platform's clients do.
+package caller
--- /dev/null
+++ b/internal/soak/fault/doc.go
@@ -0,0 +1,2 @@
+// Package fault describes the disruptions of a day.
+package fault
--- /dev/null
+++ b/internal/soak/proc/doc.go
@@ -0,0 +1,2 @@
+// Package proc runs the real instances as processes.
+package proc
