--- /dev/null
+++ b/internal/soak/drill/doc.go
@@ -0,0 +1,2 @@
+// Package drill plays one day of faults against real instances.
+package drill
