--- a/internal/soak/worker/run.go
+++ b/internal/soak/worker/run.go
@@ -116,7 +116,8 @@
 // end ends a run, unless it has ended or its life is over; the lock is held.
 func (w *Worker) end(r *run, now time.Time, how string) {
 	name := key(r.seen.Task.String(), r.seen.Number)
-	if !w.up || w.running[name] != r || w.place.Lies.RunOn && how == trail.Broken {
+	// A worker that is cut off does not hear that its gang is broken.
+	if !w.up || w.running[name] != r || w.registryCut && how == trail.Broken {
 		return
 	}
 	delete(w.running, name)
--- a/internal/soak/worker/worker.go
+++ b/internal/soak/worker/worker.go
@@ -33,7 +33,7 @@
 
 // Lies are planted faults of all workers, to try the checks.
 type Lies struct {
-	// RunOn ignores that leases lapse or gangs break, and takes longer, Inflate claims twice the capacity, Hasty lists an end as done when the task begins,
+	// RunOn ignores that leases lapse, and takes longer, Inflate claims twice the capacity, Hasty lists an end as done when the task begins,
 	// Disown lists a task as failed when it begins and lets it run.
 	RunOn, Inflate, Hasty, Disown bool
 }
