--- a/internal/soak/drill/day.go
+++ b/internal/soak/drill/day.go
@@ -35,6 +35,14 @@
 	return fmt.Sprintf("%d of %d instances are ready", e.Ready, e.Want)
 }
 
+// PanicError means that a stand-in panicked, so that the day proves nothing.
+type PanicError struct{ Count int }
+
+// Error has the number of panics.
+func (e *PanicError) Error() string {
+	return fmt.Sprintf("%d panics in the stand-ins; day.txt has them", e.Count)
+}
+
 // day is one day while it is played.
 type day struct {
 	*fleet
@@ -80,6 +88,9 @@
 		err = d.run(ctx, arrivals, entries)
 	}
 	ends := f.close()
+	if n := seen.Panics(); n > 0 {
+		err = errors.Join(err, &PanicError{Count: n})
+	}
 	if err == nil {
 		d.judge(ends)
 	}
--- a/internal/soak/drill/fleet.go
+++ b/internal/soak/drill/fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -128,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	b.server = &http.Server{Handler: b.port}
+	b.server = &http.Server{Handler: b.port, ErrorLog: log.New(f.trail, "", 0)}
 	go func() {
 		if err := b.server.Serve(b.storeLink.Listener(inner)); !errors.Is(err, http.ErrServerClosed) {
 			f.trail.Logf(time.Now(), "store of %s: %v", name, err)
--- a/internal/soak/trail/trail.go
+++ b/internal/soak/trail/trail.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -50,6 +51,7 @@
 	byWorker map[string][]*Run
 	unasked  []string
 	shown    []Shown
+	panics   int
 }
 
 // Shown is a state that a caller was shown.
@@ -89,6 +91,24 @@
 	fmt.Fprintf(t.out, "%9.3f %s %s\n", now.Sub(t.zero).Seconds(), now.UTC().Format("15:04:05.000"), fmt.Sprintf(format, args...))
 }
 
+// Write records what an HTTP server of a stand-in logs; a panic there means that the day proves nothing.
+func (t *Trail) Write(line []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if bytes.Contains(line, []byte("panic serving")) {
+		t.panics++
+	}
+	t.logf(time.Now(), "server: %s", line)
+	return len(line), nil
+}
+
+// Panics returns how often a stand-in panicked.
+func (t *Trail) Panics() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.panics
+}
+
 // AddJob records a job before its first attempt.
 func (t *Trail) AddJob(j *Job, now time.Time) {
 	t.mu.Lock()
--- a/internal/soak/worker/gang.go
+++ b/internal/soak/worker/gang.go
@@ -37,8 +37,11 @@
 	g.mu.Unlock()
 	r.gang = own
 	own.mu.Lock()
-	own.members[r] = w
-	over, complete := own.over, len(own.members) == own.size
+	over := own.over
+	if !over {
+		own.members[r] = w
+	}
+	complete := len(own.members) == own.size
 	own.mu.Unlock()
 	if over {
 		go w.finish(r, trail.Broken)
--- a/internal/soak/worker/worker.go
+++ b/internal/soak/worker/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -150,7 +151,7 @@
 			return err
 		}
 		w.ports[i] = inner.Addr().(*net.TCPAddr).Port
-		server := &http.Server{Handler: &life{worker: w, stop: w.stop}}
+		server := &http.Server{Handler: &life{worker: w, stop: w.stop}, ErrorLog: log.New(w.place.Trail, "", 0)}
 		w.servers = append(w.servers, server)
 		w.parts.Add(1)
 		go func() {
