soak: jobs stand when owners are replaced after workers crashed, with real processes

Workers crash for good, then one owner after the other is killed until 10 s after the traffic: each new owner counts the longest possible lease of its predecessors from its own start, so the lost runs keep their room, their gangs and their steps.

--- a/internal/soak/drill/day_test.go
+++ b/internal/soak/drill/day_test.go
@@ -19,11 +19,13 @@
 	return binary
 }
 
-// A short day of faults against real processes; cmd/lentilsoak plays longer ones.
-func TestSoak(t *testing.T) {
+// soak plays a day on the small site and checks that it breaks no rule; cmd/lentilsoak plays longer ones.
+func soak(t *testing.T, day string, seed uint64) {
+	t.Helper()
+	t.Parallel()
 	small, err := site.Find("small")
 	assert.NilError(t, err)
-	plan := drill.Plan{Site: small, Seed: 48, Day: "away", Binary: build(t), Folder: t.TempDir()}
+	plan := drill.Plan{Site: small, Seed: seed, Day: day, Binary: build(t), Folder: t.TempDir()}
 	result, err := drill.Play(t.Context(), plan)
 	assert.NilError(t, err)
 	t.Log(result)
@@ -33,6 +35,11 @@
 	assert.Equal(t, result.Accepted > 0 && result.Completed > 0, true, "%s", report.String())
 }
 
+func TestStoreAwayAtTheEnd(t *testing.T) { soak(t, "away", 48) }
+
+// Guards against jobs that stand because each new owner waits anew for the leases of workers that have crashed (issue 48, LOST).
+func TestOwnersReplacedAfterWorkersCrashed(t *testing.T) { soak(t, "series", 6) }
+
 func TestPlantsNameDaysAndRules(t *testing.T) {
 	for _, name := range drill.Plants() {
 		rule, day, err := drill.Rule(name)
--- a/internal/soak/fault/day.go
+++ b/internal/soak/fault/day.go
@@ -13,7 +13,7 @@
 
 var days = map[string]Day{
 	"calm": func(*rand.Rand, time.Duration, int) []Entry { return nil },
-	"cut":  cut,
+	"cut":  cut, "series": series,
 	"away": away, "lost": lost, "owners": owners, "mixed": mixed, "roll": roll, "power": power,
 }
 
@@ -93,6 +93,15 @@
 	return entries
 }
 
+// series crashes workers for good and kills one owner after the other until seconds after the end of the traffic.
+func series(random *rand.Rand, traffic time.Duration, _ int) []Entry {
+	entries := []Entry{{part(traffic, 0.6), WorkersCrashed{Share: 0.15}}}
+	for at := part(traffic, 0.65); at < traffic+10*time.Second; at += between(random, 1800*time.Millisecond, 2500*time.Millisecond) {
+		entries = append(entries, Entry{at, OwnerKilled{time.Second}})
+	}
+	return entries
+}
+
 // roll stops and starts the instances in turn while the configuration changes.
 func roll(random *rand.Rand, traffic time.Duration, _ int) []Entry {
 	return []Entry{
