--- a/internal/soak/drill/act.go
+++ b/internal/soak/drill/act.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/soak/fault"
-	"github.com/lentildeck/lentildeck/internal/soak/link"
-	"github.com/lentildeck/lentildeck/internal/soak/store"
 	"github.com/lentildeck/lentildeck/internal/soak/worker"
 )
 
@@ -187,165 +184,6 @@
 	return pick(a.rand, a.workers, share)
 }
 
-func (a *actor) doStore(ctx context.Context, f fault.Fault) {
-	switch x := f.(type) {
-	case fault.StoreAway:
-		t := store.Trouble{Refuse: http.StatusServiceUnavailable}
-		if x.Silent {
-			t = store.Trouble{Silent: true}
-		}
-		if x.Share >= 1 {
-			a.setDown(1, x.Pauses)
-			defer a.setDown(-1, x.Pauses)
-		}
-		a.trouble(ctx, a.some(x.Share), t, x.For)
-	case fault.StoreSlow:
-		a.trouble(ctx, a.some(1), store.Trouble{Slow: x.By}, x.For)
-	case fault.StoreLost:
-		a.trouble(ctx, a.some(1), store.Trouble{Lost: x.Share}, x.For)
-	case fault.HistoryDropped:
-		a.store.Compact()
-	}
-}
-
-// setDown counts the faults that keep the store away from workers.
-func (a *actor) setDown(change int, pauses bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.away += change
-	a.store.SetDown(a.away > 0, pauses)
-	if a.away == 0 {
-		a.storeBack = time.Now()
-	}
-}
-
-// trouble treats the calls of some instances badly for a time.
-func (a *actor) trouble(ctx context.Context, boxes []*box, t store.Trouble, d time.Duration) {
-	a.mu.Lock()
-	a.next++
-	id := a.next
-	a.mu.Unlock()
-	for _, b := range boxes {
-		b.add(id, t)
-	}
-	wait(ctx, d)
-	for _, b := range boxes {
-		b.remove(id)
-	}
-}
-
-// expire removes the entries of silent workers until the context ends.
-func (a *actor) expire(ctx context.Context) {
-	for wait(ctx, 200*time.Millisecond) {
-		a.mu.Lock()
-		away, back := a.away > 0, a.storeBack
-		a.mu.Unlock()
-		if now := time.Now(); !away && now.Sub(back) > grace {
-			a.store.ExpireEntries(now, now.Add(-3*a.plan.Site.Heartbeat))
-		}
-	}
-}
-
-func (a *actor) doWorkers(ctx context.Context, f fault.Fault) {
-	switch x := f.(type) {
-	case fault.WorkersCrashed:
-		workers := a.someWorkers(x.Share)
-		each(workers, func(w *worker.Worker) { w.Crash(time.Now(), "it crashes") })
-		if x.Pause > 0 {
-			wait(ctx, x.Pause)
-			each(workers, func(w *worker.Worker) { a.must(w.Start(time.Now(), x.SameID)) })
-		}
-	case fault.WorkersDrained:
-		workers := a.someWorkers(x.Share)
-		each(workers, func(w *worker.Worker) { w.Drain(time.Now(), x.Notice) })
-		wait(ctx, x.Notice)
-		each(workers, func(w *worker.Worker) {
-			w.Leave(time.Now())
-			a.must(w.Start(time.Now(), false))
-		})
-	case fault.WorkersCut:
-		workers := a.someWorkers(x.Share)
-		each(workers, func(w *worker.Worker) { cut(w, 1) })
-		wait(ctx, x.For)
-		each(workers, func(w *worker.Worker) { cut(w, -1) })
-	case fault.WorkersMoody:
-		workers := a.someWorkers(x.Share)
-		each(workers, func(w *worker.Worker) {
-			w.Set(worker.Mood{Fails: x.Fails, Late: x.Late, Unhealthy: x.Unhealthy, Slow: x.Slow})
-		})
-		wait(ctx, x.For)
-		each(workers, func(w *worker.Worker) { w.Set(worker.Mood{}) })
-	}
-}
-
-func cut(w *worker.Worker, change int) {
-	w.CutRegistry(change > 0)
-	for _, l := range w.Links() {
-		cutLink(l, change, false)
-	}
-}
-
-func cutLink(l *link.Link, change int, inOnly bool) {
-	l.Change(func(s *link.State) {
-		s.CutIn += change
-		if !inOnly {
-			s.CutOut += change
-		}
-	})
-}
-
-// cutCentre cuts the instances and workers of a data centre off from the others, and from the store.
-func (a *actor) cutCentre(ctx context.Context, x fault.CentreCut) {
-	apply := func(change int) {
-		for dc, workers := range a.byDC {
-			for _, w := range workers {
-				if dc == x.Centre {
-					w.CutRegistry(change > 0)
-				}
-				for from, l := range w.Links() {
-					if from != dc && (from == x.Centre || dc == x.Centre) {
-						cutLink(l, change, x.OneWay)
-					}
-				}
-			}
-		}
-		for _, b := range a.boxes {
-			for from, l := range b.peerLinks {
-				if from != b.dc && (from == x.Centre || b.dc == x.Centre) {
-					cutLink(l, change, x.OneWay)
-				}
-			}
-			if b.dc == x.Centre {
-				cutLink(b.storeLink, change, x.OneWay)
-			}
-		}
-	}
-	apply(1)
-	wait(ctx, x.For)
-	apply(-1)
-}
-
-// reset resets or silences open connections to the store, between instances and to workers.
-func (a *actor) reset(x fault.ChannelsReset) {
-	var links []*link.Link
-	for _, b := range a.boxes {
-		links = append(append(links, b.storeLink), b.peerLinks...)
-	}
-	for _, w := range a.workers {
-		links = append(links, w.Links()...)
-	}
-	a.mu.Lock()
-	links = pick(a.rand, links, x.Share)
-	a.mu.Unlock()
-	for _, l := range links {
-		if x.Silent {
-			l.Silence()
-		} else {
-			l.Reset()
-		}
-	}
-}
-
 // settle starts all instances that are down.
 func (a *actor) settle() {
 	for _, b := range a.boxes {
