--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -154,7 +155,7 @@
 		t := newTerm(e, lease, token, sent)
 		e.mu.Lock()
 		t.predecessor, e.lastOwner = e.lastOwner, e.Instance
-		t.sighting, _ = e.sightingBefore(t.startedAt.Add(t.shortInheritedLease() - t.inheritedLease))
+		t.sightings = slices.Clone(e.sightings)
 		e.current = t
 		e.mu.Unlock()
 		cause := t.run(ctx)
--- a/internal/node/term/sighting.go
+++ b/internal/node/term/sighting.go
@@ -29,9 +29,19 @@
 	}
 }
 
+// firstSighting returns the time of the first sighting of the revision or a later one.
+func (t *term) firstSighting(revision int64) (at time.Time, seen bool) {
+	for _, s := range t.sightings {
+		if s.revision >= revision {
+			return s.at, true
+		}
+	}
+	return at, false
+}
+
 // sightingBefore returns the last sighting that is not after the time, or else the first one.
-func (e *Elector) sightingBefore(at time.Time) (last sighting, ok bool) {
-	for i, s := range e.sightings {
+func (t *term) sightingBefore(at time.Time) (last sighting, ok bool) {
+	for i, s := range t.sightings {
 		if i == 0 || !s.at.After(at) {
 			last, ok = s, true
 		}
@@ -45,22 +55,23 @@
 	return extendPastLapse + worstCaseLease(t.leaseDuration())
 }
 
-// inheritBound shortens the time for which all workers may hold leases of earlier owners, if the sighting and the history of the owner's
+// inheritBound shortens the time for which all workers may hold leases of earlier owners, if a sighting and the history of the owner's
 // key show that only owners with longestLease could grant any for long enough.
 func (t *term) inheritBound(ctx context.Context) {
-	if !t.sighting.limits || t.shortInheritedLease() >= t.inheritedLease {
+	seen, ok := t.sightingBefore(t.startedAt.Add(t.shortInheritedLease() - t.inheritedLease))
+	if !ok || !seen.limits || t.shortInheritedLease() >= t.inheritedLease {
 		return
 	}
-	err := t.checkWithheld(ctx, t.sighting.revision)
+	err := t.checkWithheld(ctx, seen.revision)
 	for mayRetry(err) && pause.For(ctx, t.jitter(storeRetryDelay)) {
-		err = t.checkWithheld(ctx, t.sighting.revision)
+		err = t.checkWithheld(ctx, seen.revision)
 	}
 	if err != nil {
 		t.Log.Emit(event.LeasesInherited, event.Fields{"token": t.token, "from": "history", "error": err.Error()})
 		return
 	}
 	until := t.startedAt.Add(t.shortInheritedLease())
-	if earlier := t.sighting.at.Add(t.inheritedLease); earlier.After(until) {
+	if earlier := seen.at.Add(t.inheritedLease); earlier.After(until) {
 		until = earlier
 	}
 	t.state.Lock()
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -77,9 +77,9 @@
 	startedAt time.Time
 	// predecessor is the last owner before this term as far as known, or empty.
 	predecessor string
-	// inheritedLease is the longest time for which leases of any earlier owner may last, sighting the state of the owner's key before.
+	// inheritedLease is the longest time for which leases of any earlier owner may last, sightings what this instance has seen before.
 	inheritedLease time.Duration
-	sighting       sighting
+	sightings      []sighting
 
 	state        sync.Mutex
 	engine       *group.Engine
--- a/internal/node/term/withheld.go
+++ b/internal/node/term/withheld.go
@@ -58,11 +58,14 @@
 	}
 }
 
-// inheritRecord applies the times of the stored record if all owners since it was written have withheld leases as it demands.
+// inheritRecord applies the times of the stored record, as of when this instance first saw its revision or a later one, if all owners since it was written have withheld leases as it demands.
 func (t *term) inheritRecord(ctx context.Context) {
 	t.state.Lock()
-	record, revision, readAt := t.withheld.record, t.withheld.revision, t.withheld.writtenAt
+	record, revision, writtenBy := t.withheld.record, t.withheld.revision, t.withheld.writtenAt
 	t.state.Unlock()
+	if at, seen := t.firstSighting(revision); seen {
+		writtenBy = at
+	}
 	if len(record.Remaining) == 0 {
 		return
 	}
@@ -76,7 +79,7 @@
 	}
 	known := group.InheritedLeases{ByWorker: make(map[string]time.Time)}
 	for id, remaining := range record.Remaining {
-		known.ByWorker[id] = readAt.Add(onThisClock(remaining))
+		known.ByWorker[id] = writtenBy.Add(onThisClock(remaining))
 	}
 	t.state.Lock()
 	t.engine.InheritLeases(known)
--- a/internal/node/term/withheld_test.go
+++ b/internal/node/term/withheld_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,6 +67,32 @@
 	})
 }
 
+// The same if it takes long until the next owner is there: it has seen the record's revision while it waited.
+func TestTimeWithoutAnOwnerCountsForTheRecordOfALostWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLongLeaseSite(t)
+		s.loseWorker()
+		time.Sleep(3 * time.Second)
+		item, err := s.store.Item(t.Context(), work.OwnerKey)
+		assert.NilError(t, err)
+		s.instances.remove("a")
+		var away atomic.Bool
+		away.Store(true)
+		s.store.SetOutcomes(func(string) fake.CallOutcome {
+			if away.Load() {
+				return fake.Down
+			}
+			return fake.Delivered
+		})
+		s.stops[0]()
+		s.store.ExpireLease(item.Lease)
+		time.Sleep(4 * time.Second)
+		away.Store(false)
+		waited := s.startsAgainAfter()
+		assert.Assert(t, waited < 1500*time.Millisecond, "%s", waited)
+	})
+}
+
 // Guards against two runs of a task: an owner of an earlier release may have granted leases that the record withholds.
 func TestRecordOfLeasesIsNotTrustedAfterAnOwnerOfAnEarlierRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
