--- a/internal/node/term/withheld.go
+++ b/internal/node/term/withheld.go
@@ -240,8 +240,12 @@
 		t.Log.Emit(event.RecordBad, event.Fields{"key": item.Key, "error": err.Error()})
 		return false
 	}
+	if record.Token != t.token {
+		t.end(&fencedError{by: "by the record of leases"})
+		return false
+	}
 	t.leasesWritten(*record, item.Revision)
-	return record.Token == t.token && record.Write == writes
+	return record.Write == writes
 }
 
 // leasesWritten records that the record is stored, so that all writes before the revision can no longer take effect; it wakes the
