--- a/internal/node/term/predecessor.go
+++ b/internal/node/term/predecessor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/peer/grants"
 	"github.com/lentildeck/lentildeck/internal/place/group"
 	"github.com/lentildeck/lentildeck/internal/state/work"
@@ -14,6 +15,8 @@
 const (
 	// predecessorTimeout limits the question to one earlier owner.
 	predecessorTimeout = 500 * time.Millisecond
+	// predecessorAttempts is how often it is asked, as an answer may be lost.
+	predecessorAttempts = 3
 	// maxPredecessors limits how many earlier owners are asked in turn; the last one before this term counts.
 	maxPredecessors = 4
 	// historyWait is the wait of a watch that has something to return at once.
@@ -90,27 +93,61 @@
 	return past.reply(e.Now()), nil
 }
 
-// inheritLeases asks the last owner before this term which leases it has granted, and applies its reply.
+// inheritLeases asks the last owner before this term which leases it has granted, and applies its reply. If there is none at once, it
+// also collects the exits that earlier owners have left with other instances.
 func (t *term) inheritLeases(ctx context.Context) {
-	instance := t.predecessor
-	for asked := 0; asked < maxPredecessors && instance != ""; asked++ {
-		reply, err := t.askPredecessor(ctx, instance)
-		if err != nil {
-			t.Log.Emit(event.LeasesInherited, event.Fields{"token": t.token, "from": instance, "error": err.Error()})
+	for attempt := range predecessorAttempts {
+		if t.inheritFromLast(ctx) {
+			return
+		}
+		if attempt == 0 {
 			t.collectExits(ctx)
+		}
+		if !pause.For(ctx, t.jitter(storeRetryDelay)) {
 			return
 		}
-		now := t.Now()
-		later, err := t.ownersSince(ctx, reply.Revision)
+	}
+}
+
+// inheritFromLast asks earlier owners until one is the last before this term, and reports whether it has replied.
+func (t *term) inheritFromLast(ctx context.Context) bool {
+	instance := t.predecessor
+	for asked := 0; asked < maxPredecessors && instance != ""; asked++ {
+		last, later, err := t.inheritFrom(ctx, instance)
 		if err != nil {
 			t.Log.Emit(event.LeasesInherited, event.Fields{"token": t.token, "from": instance, "error": err.Error()})
-			return
 		}
-		if len(later) == 0 {
-			t.applyGrants(instance, reply, now)
-			return
+		if last || err != nil {
+			return last
 		}
-		instance = later[len(later)-1].Instance
+		instance = later
+	}
+	return false
+}
+
+// inheritFrom applies the reply of one earlier owner. If it was not the last one, it returns the name of the last one.
+func (t *term) inheritFrom(ctx context.Context, instance string) (last bool, later string, err error) {
+	reply, err := t.askPredecessor(ctx, instance)
+	if err != nil {
+		return false, "", err
+	}
+	now := t.Now()
+	t.state.Lock()
+	t.hearExits(reply.Exits, now)
+	t.state.Unlock()
+	t.notify()
+	owners, err := t.ownersSince(ctx, reply.Revision)
+	for mayRetry(err) && pause.For(ctx, t.jitter(storeRetryDelay)) {
+		owners, err = t.ownersSince(ctx, reply.Revision)
+	}
+	switch {
+	case err != nil:
+		return false, "", err
+	case len(owners) > 0:
+		return false, owners[len(owners)-1].Instance, nil
+	default:
+		t.applyGrants(instance, reply, now)
+		return true, "", nil
 	}
 }
 
@@ -180,7 +217,6 @@
 	}
 	t.state.Lock()
 	t.engine.InheritLeases(known)
-	t.hearExits(reply.Exits, now)
 	t.state.Unlock()
 	t.notify()
 	t.Log.Emit(event.LeasesInherited, event.Fields{
