--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -26,7 +26,7 @@
 	DataCentre string
 	Balancer   *Balancer
 	Trail      *trail.Trail
-	Lies       Lies
+	Planted    Planted
 
 	client  *http.Client
 	mu      sync.Mutex
@@ -110,7 +110,7 @@
 
 // Submit hands a job in, and tries again after a rejection or without an answer.
 func (c *Caller) Submit(ctx context.Context, j *trail.Job) bool {
-	data, err := json.Marshal(body(j, c.Lies))
+	data, err := json.Marshal(body(j, c.Planted))
 	if err != nil {
 		return false
 	}
--- a/internal/soak/caller/mix.go
+++ b/internal/soak/caller/mix.go
@@ -72,16 +72,16 @@
 	return j
 }
 
-// Lies are planted faults of the callers, to try the checks.
-type Lies struct {
+// Planted are planted faults of the callers, to try the checks.
+type Planted struct {
 	// Unordered leaves out which steps come first, Altered sends another payload.
 	Unordered, Altered bool
 }
 
 // body returns the job as it is submitted.
-func body(j *trail.Job, lies Lies) map[string]any {
+func body(j *trail.Job, planted Planted) map[string]any {
 	payload := j.Payload
-	if lies.Altered {
+	if planted.Altered {
 		payload += "!"
 	}
 	steps := []map[string]any{}
@@ -89,7 +89,7 @@
 		step := map[string]any{
 			"count": len(s.Work), "cpu": s.MilliCores, "memMb": s.MemMB, "gpu": s.Accelerators, "estimateMs": s.Estimate.Milliseconds(),
 		}
-		if len(s.After) > 0 && !lies.Unordered {
+		if len(s.After) > 0 && !planted.Unordered {
 			step["after"] = s.After
 		}
 		if s.Gang {
--- a/internal/soak/drill/day.go
+++ b/internal/soak/drill/day.go
@@ -46,10 +46,10 @@
 // day is one day while it is played.
 type day struct {
 	*fleet
-	act     *actor
+	faults  *injector
 	callers []*caller.Caller
 	plant   plant
-	stand   *judge.Stand
+	stand   *judge.Watch
 	result  *Result
 }
 
@@ -82,8 +82,8 @@
 	if f == nil {
 		return nil, err
 	}
-	d := &day{fleet: f, plant: plants[plan.Plant], stand: judge.NewStand(), result: &Result{Jobs: len(arrivals)}}
-	d.act = &actor{fleet: f, rand: rand.New(rand.NewPCG(plan.Seed, 2)), version: 1}
+	d := &day{fleet: f, plant: plants[plan.Plant], stand: judge.NewWatch(), result: &Result{Jobs: len(arrivals)}}
+	d.faults = &injector{fleet: f, rand: rand.New(rand.NewPCG(plan.Seed, 2)), version: 1}
 	if err == nil {
 		err = d.run(ctx, arrivals, entries)
 	}
@@ -110,15 +110,15 @@
 	defer parts.Wait()
 	defer cancel()
 	var targets []caller.Target
-	for _, b := range d.boxes {
-		targets = append(targets, caller.Target{Name: b.Name, DataCentre: b.DataCentre, Front: b.Front, Readiness: b.Readiness})
+	for _, n := range d.nodes {
+		targets = append(targets, caller.Target{Name: n.Name, DataCentre: n.DataCentre, Front: n.Front, Readiness: n.Readiness})
 	}
 	balancer := caller.NewBalancer(targets, rand.New(rand.NewPCG(d.plan.Seed, 3)))
 	background(balancer.Run)
-	background(d.act.expire)
+	background(d.faults.expire)
 	for n := range d.plan.Site.Callers {
 		c := caller.New(d.plan.Site.DataCentres[n%len(d.plan.Site.DataCentres)], balancer, d.trail)
-		c.Lies = d.plant.callers
+		c.Planted = d.plant.callers
 		defer c.Close()
 		d.callers = append(d.callers, c)
 	}
@@ -129,7 +129,7 @@
 	end := start.Add(d.plan.Site.Traffic)
 	d.result.TrafficEnd = end
 	d.trail.Logf(start, "traffic begins")
-	background(d.feel)
+	background(d.measureStalls)
 	background(d.watch)
 	var traffic sync.WaitGroup
 	for n, arrival := range arrivals {
@@ -141,16 +141,16 @@
 	}
 	defer traffic.Wait()
 	defer cancel()
-	background(func(ctx context.Context) { d.harm(ctx, start, arrivals) })
+	background(func(ctx context.Context) { d.applyPlant(ctx, start, arrivals) })
 	played := make(chan struct{})
 	go func() {
 		defer close(played)
-		d.act.play(ctx, start, entries)
+		d.faults.play(ctx, start, entries)
 	}()
 	wait(ctx, time.Until(end))
 	d.trail.Logf(time.Now(), "traffic ends")
 	<-played
-	d.act.settle()
+	d.faults.startAll()
 	if !wait(ctx, time.Until(end.Add(d.plan.Site.Finish))) {
 		return ctx.Err()
 	}
@@ -160,9 +160,9 @@
 
 func (d *day) awaitReady(ctx context.Context, b *caller.Balancer) error {
 	begin := time.Now()
-	for b.Ready() < len(d.boxes) || d.owner() == nil {
+	for b.Ready() < len(d.nodes) || d.owner() == nil {
 		if time.Since(begin) > readyWithin || ctx.Err() != nil {
-			return &NotReadyError{Ready: b.Ready(), Want: len(d.boxes)}
+			return &NotReadyError{Ready: b.Ready(), Want: len(d.nodes)}
 		}
 		wait(ctx, 50*time.Millisecond)
 	}
@@ -183,8 +183,8 @@
 	c.Follow(ctx, a.Job, askEvery)
 }
 
-// feel measures how late this process is scheduled, as the instances are on the same machine.
-func (d *day) feel(ctx context.Context) {
+// measureStalls measures how late this process is scheduled, as the instances are on the same machine.
+func (d *day) measureStalls(ctx context.Context) {
 	const every, worth = 20 * time.Millisecond, 150 * time.Millisecond
 	for last := time.Now(); wait(ctx, every); last = time.Now() {
 		late := time.Since(last) - every
@@ -230,12 +230,12 @@
 	return ctx.Err()
 }
 
-// harm carries out what a plant does to the stand-ins during the day.
-func (d *day) harm(ctx context.Context, start time.Time, arrivals []caller.Arrival) {
+// applyPlant carries out what a plant does to the stand-ins during the day.
+func (d *day) applyPlant(ctx context.Context, start time.Time, arrivals []caller.Arrival) {
 	switch {
 	case d.plant.stall:
 		if wait(ctx, time.Until(start.Add(d.plan.Site.Traffic-2*time.Second))) {
-			each(d.workers, func(w *worker.Worker) { w.Set(worker.Mood{Unhealthy: 1}) })
+			each(d.workers, func(w *worker.Worker) { w.Set(worker.Behavior{Unhealthy: 1}) })
 		}
 	case d.plant.forget, d.plant.ghost:
 		if !wait(ctx, time.Until(start.Add(d.plan.Site.Traffic/2))) {
@@ -262,7 +262,7 @@
 	d.stand.Close()
 	r := d.result
 	d.trail.Look(func(v trail.View) {
-		r.Findings = append(r.Findings, judge.Judge(v, d.plan.Site, d.act.calm)...)
+		r.Findings = append(r.Findings, judge.Judge(v, d.plan.Site, d.faults.calm)...)
 		for _, j := range v.Jobs {
 			if !j.Accepted.IsZero() {
 				r.Accepted++
--- a/internal/soak/drill/fleet.go
+++ b/internal/soak/drill/fleet.go
@@ -35,8 +35,8 @@
 	grace            = 2 * time.Second
 )
 
-// box is an instance with its ways to the store and from its peers.
-type box struct {
+// node is an instance with its ways to the store and from its peers.
+type node struct {
 	*proc.Instance
 	dc        int
 	port      *store.Port
@@ -54,7 +54,7 @@
 	plan    Plan
 	trail   *trail.Trail
 	store   *store.Store
-	boxes   []*box
+	nodes   []*node
 	workers []*worker.Worker
 	byDC    [][]*worker.Worker
 }
@@ -74,7 +74,7 @@
 	if err := f.store.Put(time.Now(), "op/config", s.Config(1)); err != nil {
 		return nil, err
 	}
-	place := &worker.Place{Site: s, Trail: seen, Registry: f.store, Gangs: worker.NewGangs(), Lies: plants[plan.Plant].workers}
+	place := &worker.Place{Site: s, Trail: seen, Registry: f.store, Gangs: worker.NewGangs(), Planted: plants[plan.Plant].workers}
 	for dc, name := range s.DataCentres {
 		for n := range s.Workers {
 			ip := fmt.Sprintf("127.%d.%d.%d", workerNet+dc, n/200, 1+n%200)
@@ -85,7 +85,7 @@
 			}
 		}
 	}
-	return f, f.addBoxes(random)
+	return f, f.addNodes(random)
 }
 
 // views returns a value with the addresses of instances as those of each data centre see them.
@@ -100,7 +100,7 @@
 	return views
 }
 
-func (f *fleet) addBoxes(random *rand.Rand) error {
+func (f *fleet) addNodes(random *rand.Rand) error {
 	s := f.plan.Site
 	counts := make([]int, len(s.DataCentres))
 	for _, m := range s.Machines {
@@ -110,7 +110,7 @@
 		}
 		for range m.Count {
 			counts[dc]++
-			if err := f.addBox(m, dc, counts[dc], random); err != nil {
+			if err := f.addNode(m, dc, counts[dc], random); err != nil {
 				return err
 			}
 		}
@@ -118,40 +118,40 @@
 	return nil
 }
 
-func (f *fleet) addBox(m site.Machines, dc, n int, random *rand.Rand) error {
+func (f *fleet) addNode(m site.Machines, dc, number int, random *rand.Rand) error {
 	s := f.plan.Site
-	ip := fmt.Sprintf("%s%d.%d", own, dc+1, n)
+	ip := fmt.Sprintf("%s%d.%d", own, dc+1, number)
 	base := freePorts(ip, len(s.DataCentres), random)
-	b := &box{dc: dc, troubles: make(map[int]store.Trouble), storeLink: link.New(link.State{Delay: storeDelayLine, BytesPerS: m.Mbps * 125000})}
-	name := fmt.Sprintf("edge-%s-%d", m.DataCentre, n)
-	b.port = f.store.Port(name, dc, random.Uint64())
-	inner, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", instanceNet, 100+dc, n))
+	n := &node{dc: dc, troubles: make(map[int]store.Trouble), storeLink: link.New(link.State{Delay: storeDelayLine, BytesPerS: m.Mbps * 125000})}
+	name := fmt.Sprintf("edge-%s-%d", m.DataCentre, number)
+	n.port = f.store.Port(name, dc, random.Uint64())
+	inner, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", instanceNet, 100+dc, number))
 	if err != nil {
 		return err
 	}
-	b.server = &http.Server{Handler: b.port, ErrorLog: log.New(f.trail, "", 0)}
+	n.server = &http.Server{Handler: n.port, ErrorLog: log.New(f.trail, "", 0)}
 	go func() {
-		if err := b.server.Serve(b.storeLink.Listener(inner)); !errors.Is(err, http.ErrServerClosed) {
+		if err := n.server.Serve(n.storeLink.Listener(inner)); !errors.Is(err, http.ErrServerClosed) {
 			f.trail.Logf(time.Now(), "store of %s: %v", name, err)
 		}
 	}()
-	b.Instance, err = proc.New(s, site.Instance{
+	n.Instance, err = proc.New(s, site.Instance{
 		Name: name, DataCentre: m.DataCentre, IP: ip, Front: address(ip, base), Readiness: address(ip, base+1), FirstPort: base + 2,
 		LastPort: base + 3, StoreAddress: inner.Addr().String(), Machines: m, Bootstrap: true,
 	}, f.plan.Binary, f.plan.Folder, f.trail)
 	if err != nil {
 		return err
 	}
-	f.boxes = append(f.boxes, b)
+	f.nodes = append(f.nodes, n)
 	for from := range s.DataCentres {
 		l := link.New(link.State{})
 		forward, err := l.Forward(address(seenAt(ip, from), base+3), address(ip, base+3))
 		if err != nil {
 			return err
 		}
-		b.peerLinks, b.forwards = append(b.peerLinks, l), append(b.forwards, forward)
+		n.peerLinks, n.forwards = append(n.peerLinks, l), append(n.forwards, forward)
 	}
-	return b.Start(time.Now())
+	return n.Start(time.Now())
 }
 
 func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
@@ -185,11 +185,11 @@
 const ownerKey = "owner"
 
 // owner returns the instance that decides, or nil.
-func (f *fleet) owner() *box {
+func (f *fleet) owner() *node {
 	value := f.store.Value(ownerKey)
-	for _, b := range f.boxes {
-		if bytes.Contains(value, []byte(`"`+b.Name+`"`)) {
-			return b
+	for _, n := range f.nodes {
+		if bytes.Contains(value, []byte(`"`+n.Name+`"`)) {
+			return n
 		}
 	}
 	return nil
@@ -204,19 +204,19 @@
 	return rooms
 }
 
-// add puts a trouble on the box's way to the store, and remove takes it away.
-func (b *box) add(id int, t store.Trouble) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.troubles[id] = t
-	b.port.Set(sum(b.troubles))
+// add puts a trouble on the node's way to the store, and remove takes it away.
+func (n *node) add(id int, t store.Trouble) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.troubles[id] = t
+	n.port.Set(sum(n.troubles))
 }
 
-func (b *box) remove(id int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.troubles, id)
-	b.port.Set(sum(b.troubles))
+func (n *node) remove(id int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.troubles, id)
+	n.port.Set(sum(n.troubles))
 }
 
 func sum(troubles map[int]store.Trouble) store.Trouble {
@@ -233,21 +233,21 @@
 // close ends all processes and servers, and returns an error for each process that had ended by itself.
 func (f *fleet) close() []error {
 	var errs []error
-	for _, b := range f.boxes {
-		if b.Instance == nil {
+	for _, n := range f.nodes {
+		if n.Instance == nil {
 			continue
 		}
-		if err := b.Close(time.Now()); err != nil {
+		if err := n.Close(time.Now()); err != nil {
 			errs = append(errs, err)
 		}
 	}
-	for _, b := range f.boxes {
-		for _, forward := range b.forwards {
+	for _, n := range f.nodes {
+		for _, forward := range n.forwards {
 			if err := forward.Close(); err != nil {
 				errs = append(errs, err)
 			}
 		}
-		if err := b.server.Close(); err != nil {
+		if err := n.server.Close(); err != nil {
 			errs = append(errs, err)
 		}
 	}
--- a/internal/soak/drill/act_network.go
+++ b/internal/soak/drill/inject_network.go
@@ -25,9 +25,9 @@
 }
 
 // cutCentre cuts the instances and workers of a data centre off from the others, and from the store.
-func (a *actor) cutCentre(ctx context.Context, x fault.CentreCut) {
+func (inj *injector) cutCentre(ctx context.Context, x fault.CentreCut) {
 	apply := func(change int) {
-		for dc, workers := range a.byDC {
+		for dc, workers := range inj.byDC {
 			for _, w := range workers {
 				if dc == x.Centre {
 					w.CutRegistry(change > 0)
@@ -39,14 +39,14 @@
 				}
 			}
 		}
-		for _, b := range a.boxes {
-			for from, l := range b.peerLinks {
-				if from != b.dc && (from == x.Centre || b.dc == x.Centre) {
+		for _, n := range inj.nodes {
+			for from, l := range n.peerLinks {
+				if from != n.dc && (from == x.Centre || n.dc == x.Centre) {
 					cutLink(l, change, x.OneWay)
 				}
 			}
-			if b.dc == x.Centre {
-				cutLink(b.storeLink, change, x.OneWay)
+			if n.dc == x.Centre {
+				cutLink(n.storeLink, change, x.OneWay)
 			}
 		}
 	}
@@ -56,17 +56,17 @@
 }
 
 // reset resets or silences open connections to the store, between instances and to workers.
-func (a *actor) reset(x fault.ChannelsReset) {
+func (inj *injector) reset(x fault.ChannelsReset) {
 	var links []*link.Link
-	for _, b := range a.boxes {
-		links = append(append(links, b.storeLink), b.peerLinks...)
+	for _, n := range inj.nodes {
+		links = append(append(links, n.storeLink), n.peerLinks...)
 	}
-	for _, w := range a.workers {
+	for _, w := range inj.workers {
 		links = append(links, w.Links()...)
 	}
-	a.mu.Lock()
-	links = pick(a.rand, links, x.Share)
-	a.mu.Unlock()
+	inj.mu.Lock()
+	links = pick(inj.rand, links, x.Share)
+	inj.mu.Unlock()
 	for _, l := range links {
 		if x.Silent {
 			l.Silence()
--- a/internal/soak/drill/plan.go
+++ b/internal/soak/drill/plan.go
@@ -47,8 +47,8 @@
 // plant is a planted fault and the rule by which it has to be found.
 type plant struct {
 	rule    string
-	workers worker.Lies
-	callers caller.Lies
+	workers worker.Planted
+	callers caller.Planted
 	// stall makes all workers refuse orders from the end of the traffic, forget lets the store lose accepted jobs, ghost adds jobs
 	// to it that nobody submitted.
 	stall, forget, ghost bool
@@ -57,12 +57,12 @@
 }
 
 var plants = map[string]plant{
-	"runOn":     {rule: "TWICE", workers: worker.Lies{RunOn: true}, day: "cut"},
-	"inflate":   {rule: "LIMIT", workers: worker.Lies{Inflate: true}, day: "calm"},
-	"hasty":     {rule: "MIXED", workers: worker.Lies{Hasty: true}, day: "calm"},
-	"disown":    {rule: "TWICE", workers: worker.Lies{Disown: true}, day: "calm"},
-	"unordered": {rule: "ORDER", callers: caller.Lies{Unordered: true}, day: "calm"},
-	"altered":   {rule: "UNASKED", callers: caller.Lies{Altered: true}, day: "calm"},
+	"runOn":     {rule: "TWICE", workers: worker.Planted{RunOn: true}, day: "cut"},
+	"inflate":   {rule: "LIMIT", workers: worker.Planted{Inflate: true}, day: "calm"},
+	"hasty":     {rule: "MIXED", workers: worker.Planted{Hasty: true}, day: "calm"},
+	"disown":    {rule: "TWICE", workers: worker.Planted{Disown: true}, day: "calm"},
+	"unordered": {rule: "ORDER", callers: caller.Planted{Unordered: true}, day: "calm"},
+	"altered":   {rule: "UNASKED", callers: caller.Planted{Altered: true}, day: "calm"},
 	"stall":     {rule: "LOST", stall: true, day: "calm"},
 	"forget":    {rule: "LOST", forget: true, day: "calm"},
 	"ghost":     {rule: "UNASKED", ghost: true, day: "calm"},
--- a/internal/soak/fault/day.go
+++ b/internal/soak/fault/day.go
@@ -161,7 +161,7 @@
 	case 15:
 		return WorkersCut{share, long}
 	case 16:
-		return WorkersMoody{Share: share, Fails: coin, Late: 0.1, For: long}
+		return WorkersFaulty{Share: share, Fails: coin, Late: 0.1, For: long}
 	case 17:
 		return CentreCut{random.IntN(centres), coin, long}
 	case 18:
--- a/internal/soak/fault/fault.go
+++ b/internal/soak/fault/fault.go
@@ -69,8 +69,8 @@
 	For   time.Duration
 }
 
-// WorkersMoody makes a share of the workers fail tasks, refuse calls, answer slowly or carry out orders late.
-type WorkersMoody struct {
+// WorkersFaulty makes a share of the workers fail tasks, refuse calls, answer slowly or carry out orders late.
+type WorkersFaulty struct {
 	Share, Unhealthy, Late float64
 	Fails                  bool
 	Slow, For              time.Duration
@@ -114,7 +114,7 @@
 func (WorkersCrashed) fault()  {}
 func (WorkersDrained) fault()  {}
 func (WorkersCut) fault()      {}
-func (WorkersMoody) fault()    {}
+func (WorkersFaulty) fault()   {}
 func (CentreCut) fault()       {}
 func (ChannelsReset) fault()   {}
 func (Configured) fault()      {}
--- a/internal/soak/judge/judge_test.go
+++ b/internal/soak/judge/judge_test.go
@@ -97,7 +97,7 @@
 
 // look samples a job from 0 to 10 s on one worker with the given free accelerators of 8.
 func look(j *trail.Job, free int, runs ...*trail.Run) []judge.Finding {
-	stand := judge.NewStand()
+	stand := judge.NewWatch()
 	room := worker.Room{Worker: "w", Up: true, MilliCores: 8000, MemMB: 800, Accelerators: free, TotalAccelerators: 8, TotalMillis: 8000}
 	for s := 0.0; s < 10; s += 0.1 {
 		stand.Look(at(s), viewOf(j, runs...), []worker.Room{room})
--- a/internal/soak/judge/stand.go
+++ b/internal/soak/judge/watch.go
@@ -20,26 +20,24 @@
 	Runs int
 }
 
-// Stand watches for jobs that could run and have nothing running.
-type Stand struct {
+// Watch looks for jobs that could run and have nothing running.
+type Watch struct {
 	open map[string]*Span
 	// Spans are those that lasted as long as the rule allows, and are over.
 	Spans []Span
-	last  time.Time
 }
 
-// NewStand returns a watch that has seen nothing.
-func NewStand() *Stand { return &Stand{open: make(map[string]*Span)} }
+// NewWatch returns a watch that has seen nothing.
+func NewWatch() *Watch { return &Watch{open: make(map[string]*Span)} }
 
 // Look takes one sample.
-func (s *Stand) Look(now time.Time, v trail.View, rooms []worker.Room) {
+func (w *Watch) Look(now time.Time, v trail.View, rooms []worker.Room) {
 	inUse := inUse(rooms)
-	s.last = now
 	standing := make(map[string]*Span)
 	if inUse < 0.5 {
 		for _, j := range v.Jobs {
 			if task, runs, ok := couldRun(v, j, rooms, now); ok {
-				span := s.open[j.ID]
+				span := w.open[j.ID]
 				if span == nil {
 					span = &Span{Job: j.ID, From: now}
 				}
@@ -48,33 +46,33 @@
 			}
 		}
 	}
-	for id, span := range s.open {
+	for id, span := range w.open {
 		if standing[id] == nil {
-			s.close(span)
+			w.close(span)
 		}
 	}
-	s.open = standing
+	w.open = standing
 }
 
-func (s *Stand) close(span *Span) {
+func (w *Watch) close(span *Span) {
 	if span.To.Sub(span.From) >= standLimit {
-		s.Spans = append(s.Spans, *span)
+		w.Spans = append(w.Spans, *span)
 	}
 }
 
 // Close ends the watch.
-func (s *Stand) Close() {
-	for _, span := range s.open {
-		s.close(span)
+func (w *Watch) Close() {
+	for _, span := range w.open {
+		w.close(span)
 	}
-	s.open = nil
-	sort.Slice(s.Spans, func(i, j int) bool { return s.Spans[i].From.Before(s.Spans[j].From) })
+	w.open = nil
+	sort.Slice(w.Spans, func(i, j int) bool { return w.Spans[i].From.Before(w.Spans[j].From) })
 }
 
 // Findings returns the spans that break the rule: those that last too long after the time from which all must be at work.
-func (s *Stand) Findings(from time.Time) []Finding {
+func (w *Watch) Findings(from time.Time) []Finding {
 	var list []Finding
-	for _, span := range s.Spans {
+	for _, span := range w.Spans {
 		begin := span.From
 		if begin.Before(from) {
 			begin = from
--- a/internal/soak/worker/run.go
+++ b/internal/soak/worker/run.go
@@ -50,7 +50,7 @@
 	w.running[key(b.Task, b.Run)] = r
 	r.seen.Excess = w.excess()
 	w.place.Trail.Began(r.seen)
-	w.lie(r)
+	w.addPlantedExit(r)
 	delay := time.Duration(0)
 	if r.base > 0 {
 		delay = w.place.Site.Restore
@@ -68,10 +68,10 @@
 // outcome returns how a run will end, and when, if nothing else ends it first.
 func (w *Worker) outcome(r *run) (string, time.Duration) {
 	remaining := max(r.work-r.base, time.Millisecond)
-	if w.mood.Fails || failsBy(r.seen.Task, r.seen.Number, r.step.FailShare) {
+	if w.behavior.Fails || failsBy(r.seen.Task, r.seen.Number, r.step.FailShare) {
 		return trail.Failed, min(remaining, 300*time.Millisecond)
 	}
-	if w.place.Lies.RunOn {
+	if w.place.Planted.RunOn {
 		remaining *= 2
 	}
 	return trail.Done, remaining
@@ -164,13 +164,13 @@
 	return time.Duration(ms) * time.Millisecond, ok && err == nil
 }
 
-// lie lists a false end of a run that begins, if that is planted; the lock is held.
-func (w *Worker) lie(r *run) {
+// addPlantedExit lists a false end of a run that begins, if that is planted; the lock is held.
+func (w *Worker) addPlantedExit(r *run) {
 	how := trail.Done
 	switch {
-	case w.place.Lies.Disown:
+	case w.place.Planted.Disown:
 		how = trail.Failed
-	case !w.place.Lies.Hasty:
+	case !w.place.Planted.Hasty:
 		return
 	}
 	w.lastExit++
--- a/internal/soak/worker/serve.go
+++ b/internal/soak/worker/serve.go
@@ -48,11 +48,11 @@
 		return
 	}
 	w.mu.Lock()
-	mood, unhealthy, late, delay := w.mood, w.rand.Float64() < w.mood.Unhealthy, w.rand.Float64() < w.mood.Late, time.Duration(500+w.rand.IntN(4000))
+	behavior, unhealthy, late, delay := w.behavior, w.rand.Float64() < w.behavior.Unhealthy, w.rand.Float64() < w.behavior.Late, time.Duration(500+w.rand.IntN(4000))
 	id := w.id
 	w.mu.Unlock()
-	if mood.Slow > 0 {
-		time.Sleep(mood.Slow)
+	if behavior.Slow > 0 {
+		time.Sleep(behavior.Slow)
 	}
 	if r.Header.Get("Expected-Instance") != id {
 		out.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/soak/worker/worker.go
+++ b/internal/soak/worker/worker.go
@@ -29,18 +29,18 @@
 	Trail    *trail.Trail
 	Registry Registry
 	Gangs    *Gangs
-	Lies     Lies
+	Planted  Planted
 }
 
-// Lies are planted faults of all workers, to try the checks.
-type Lies struct {
+// Planted are planted faults of all workers, to try the checks.
+type Planted struct {
 	// RunOn ignores that leases lapse, and takes longer, Inflate claims twice the capacity, Hasty lists an end as done when the task begins,
 	// Disown lists a task as failed when it begins and lets it run.
 	RunOn, Inflate, Hasty, Disown bool
 }
 
-// Mood is how a worker treats its orders.
-type Mood struct {
+// Behavior is how a worker treats its orders.
+type Behavior struct {
 	// Unhealthy is the share of calls that it answers with 503.
 	Unhealthy float64
 	// Fails makes it fail all tasks that it starts.
@@ -65,7 +65,7 @@
 	up           bool
 	draining     bool
 	leavesAt     time.Time
-	mood         Mood
+	behavior     Behavior
 	born         time.Time
 	clockStart   int64
 	clockRate    float64
@@ -218,10 +218,10 @@
 }
 
 // Set changes how the worker treats its orders.
-func (w *Worker) Set(mood Mood) {
+func (w *Worker) Set(behavior Behavior) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.mood = mood
+	w.behavior = behavior
 }
 
 // CutRegistry decides whether the worker reaches the store.
@@ -255,7 +255,7 @@
 	if !now.Before(w.beatDue) {
 		w.register(now)
 	}
-	if w.lapseSeen || now.Before(w.lease) || w.place.Lies.RunOn {
+	if w.lapseSeen || now.Before(w.lease) || w.place.Planted.RunOn {
 		return
 	}
 	w.lapseSeen = true
@@ -269,7 +269,7 @@
 func (w *Worker) register(now time.Time) {
 	w.sequence++
 	claim := 1
-	if w.place.Lies.Inflate {
+	if w.place.Planted.Inflate {
 		claim = 2
 	}
 	entry := map[string]any{
