--- a/internal/node/term/withheld.go
+++ b/internal/node/term/withheld.go
@@ -182,14 +182,15 @@
 	}
 }
 
-// recordDue reports whether the stored record lists other workers, or leaves them much more time. The caller holds t.state.
+// recordDue reports whether the stored record lists other workers, or leaves them much more time, or less than they have by now. The
+// caller holds t.state.
 func (t *term) recordDue(remaining map[string]time.Duration) bool {
 	stored := t.withheld.record.Remaining
 	if len(remaining) != len(t.withheld.workers) || len(remaining) != len(stored) {
 		return true
 	}
 	for id, left := range remaining {
-		if before, listed := stored[id]; !listed || before-left >= withholdStep || before > 0 && left == 0 {
+		if before, listed := stored[id]; !listed || (before-left).Abs() >= withholdStep || before > 0 && left == 0 {
 			return true
 		}
 	}
