--- a/internal/node/term/renewal_test.go
+++ b/internal/node/term/renewal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,18 +16,31 @@
 // each renewal in turn, a negative one for an answer that is lost.
 type lossyStore struct {
 	store.Transactor
-	answers  func(call int) time.Duration
+	answers func(call int) time.Duration
+
+	mu       sync.Mutex
 	calls    int
 	lapsesAt time.Time
 }
 
+// extend extends the lease and returns the delay of the answer, or false if the lease has lapsed.
+func (s *lossyStore) extend(now time.Time) (delay time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.After(s.lapsesAt) {
+		return 0, false
+	}
+	s.lapsesAt = now.Add(leaseTTL)
+	delay = s.answers(s.calls)
+	s.calls++
+	return delay, true
+}
+
 func (s *lossyStore) Renew(ctx context.Context, lease int64) error {
-	if time.Now().After(s.lapsesAt) {
+	delay, ok := s.extend(time.Now())
+	if !ok {
 		return &store.LapsedError{Lease: lease}
 	}
-	s.lapsesAt = time.Now().Add(leaseTTL)
-	delay := s.answers(s.calls)
-	s.calls++
 	if delay < 0 {
 		delay = time.Hour
 	}
