--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -32,6 +32,8 @@
 	leaseMargin = 200 * time.Millisecond
 	// storeTimeout limits one call to the store; it is 250 times the usual response time.
 	storeTimeout = time.Second
+	// acquireTimeout limits the creation of the owner's key, so that time is left to read it if there is no answer.
+	acquireTimeout = leaseTTL / 3
 	// watchWait is how long one watch waits for the owner's key to change.
 	watchWait = time.Second
 	// watchesPerRead is how many watches in a row may return no change before the key is read again: a watch can miss one.
@@ -212,21 +214,38 @@
 	if lease, err = e.Store.Grant(call, leaseTTL); err != nil {
 		return 0, 0, sent, err
 	}
-	token, err = e.Store.Commit(call, store.Transaction{
-		Expected: []store.Expectation{{Key: work.OwnerKey}},
-		Writes:   []store.Write{{Key: work.OwnerKey, Data: data, Lease: lease}},
-	})
+	token, err = e.createKey(call, lease, data)
 	var refused *store.RefusedError
 	switch {
 	case errors.As(err, &refused):
 		return 0, 0, sent, nil
 	case err != nil:
-		// The key may have been created under this lease; it lapses with the lease and blocks no instance for longer.
+		// The key may be created under this lease; it lapses with the lease and blocks no instance for longer.
 		return 0, 0, sent, err
 	}
 	return lease, token, sent, nil
 }
 
+// createKey creates the owner's key under the lease, and returns its revision. The answer may be lost: the key then shows whether it was
+// created.
+func (e *Elector) createKey(ctx context.Context, lease int64, data []byte) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, acquireTimeout)
+	token, err := e.Store.Commit(call, store.Transaction{
+		Expected: []store.Expectation{{Key: work.OwnerKey}},
+		Writes:   []store.Write{{Key: work.OwnerKey, Data: data, Lease: lease}},
+	})
+	cancel()
+	var lost *store.LostError
+	if !errors.As(err, &lost) {
+		return token, err
+	}
+	item, readErr := e.Store.Item(ctx, work.OwnerKey)
+	if readErr != nil || item.Revision == 0 || item.Lease != lease {
+		return 0, errors.Join(err, readErr)
+	}
+	return item.Revision, nil
+}
+
 // noteOwner stores the name of the owner, or an empty one if there is no key.
 func (e *Elector) noteOwner(items []store.Item) {
 	name := ""
