--- a/internal/node/term/keeper.go
+++ b/internal/node/term/keeper.go
@@ -43,6 +43,7 @@
 // KeptExits returns the exits that an owner before the one that asks has left with this instance.
 func (e *Elector) KeptExits(_ context.Context, request *grants.Request) (*grants.Exits, error) {
 	kept := e.keptBefore(request.Token)
+	kept.Sightings = e.reportSightings(e.Now())
 	return &kept, nil
 }
 
@@ -144,12 +145,13 @@
 	}
 }
 
-// collectExits applies the exits that earlier owners have left with other instances. The last owner left them with the first instance of
+// collectExits applies the exits that earlier owners have left with other instances, and what these have seen of the owner's key. The last owner left them with the first instance of
 // each data centre but itself, so that may be the second one here.
 func (t *term) collectExits(ctx context.Context) {
 	request := &grants.Request{Token: t.token}
 	var mu sync.Mutex
 	exits, unreached := slices.Clone(t.keptBefore(t.token).Exits), 0
+	var sightings []sighting
 	var calls conc.WaitGroup
 	for _, address := range t.keepers(2) {
 		calls.Go(func() {
@@ -163,11 +165,13 @@
 				return
 			}
 			exits = append(exits, kept.Exits...)
+			sightings = append(sightings, decodeSightings(kept.Sightings, t.Now())...)
 		})
 	}
 	calls.Wait()
 	t.state.Lock()
 	t.hearExits(exits, t.Now())
+	t.addSightings(sightings)
 	t.state.Unlock()
 	t.notify()
 	t.Log.Emit(event.ExitsCollected, event.Fields{"token": t.token, "exits": len(exits), "unreached": unreached})
--- a/internal/node/term/predecessor.go
+++ b/internal/node/term/predecessor.go
@@ -102,6 +102,8 @@
 		}
 		if attempt == 0 {
 			t.collectExits(ctx)
+			t.inheritBound(ctx)
+			t.inheritRecord(ctx)
 		}
 		if !pause.For(ctx, t.jitter(storeRetryDelay)) {
 			return
--- a/internal/node/term/sighting.go
+++ b/internal/node/term/sighting.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
+	"github.com/lentildeck/lentildeck/internal/peer/grants"
 	"github.com/lentildeck/lentildeck/internal/place/group"
 	"github.com/lentildeck/lentildeck/internal/state/store"
 )
@@ -23,14 +25,43 @@
 
 // sighted records that the owner's key was unchanged up to the revision.
 func (e *Elector) sighted(revision int64, limits bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.sightings = append(e.sightings, sighting{revision: revision, at: e.Now(), limits: limits})
 	if len(e.sightings) > maxSightings {
 		e.sightings = e.sightings[1:]
 	}
 }
 
+// reportSightings returns the sightings for another instance.
+func (e *Elector) reportSightings(now time.Time) (reports []grants.Sighting) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.sightings {
+		reports = append(reports, grants.Sighting{Revision: s.revision, Ago: now.Sub(s.at), Limits: s.limits})
+	}
+	return reports
+}
+
+// decodeSightings returns the sightings of another instance, as reported at now, none earlier than it was.
+func decodeSightings(reports []grants.Sighting, now time.Time) (sightings []sighting) {
+	for _, r := range reports {
+		ago := time.Duration(float64(r.Ago) / clockDriftFactor)
+		sightings = append(sightings, sighting{revision: r.Revision, at: now.Add(-ago), limits: r.Limits})
+	}
+	return sightings
+}
+
+// addSightings adds sightings of other instances. The caller holds t.state.
+func (t *term) addSightings(sightings []sighting) {
+	t.sightings = append(t.sightings, sightings...)
+	slices.SortStableFunc(t.sightings, func(a, b sighting) int { return a.at.Compare(b.at) })
+}
+
 // firstSighting returns the time of the first sighting of the revision or a later one.
 func (t *term) firstSighting(revision int64) (at time.Time, seen bool) {
+	t.state.Lock()
+	defer t.state.Unlock()
 	for _, s := range t.sightings {
 		if s.revision >= revision {
 			return s.at, true
@@ -41,6 +72,8 @@
 
 // sightingBefore returns the last sighting that is not after the time, or else the first one.
 func (t *term) sightingBefore(at time.Time) (last sighting, ok bool) {
+	t.state.Lock()
+	defer t.state.Unlock()
 	for i, s := range t.sightings {
 		if i == 0 || !s.at.After(at) {
 			last, ok = s, true
--- a/internal/node/term/sighting_test.go
+++ b/internal/node/term/sighting_test.go
@@ -1,10 +1,13 @@
 package term_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/proof/fake"
+	"github.com/lentildeck/lentildeck/internal/state/store"
 	"github.com/lentildeck/lentildeck/internal/state/work"
 	"gotest.tools/v3/assert"
 )
@@ -66,3 +69,33 @@
 		assert.Assert(t, waited > 11*time.Second, "%s", waited)
 	})
 }
+
+// Guards against the longest wait with an owner that has restarted: it has seen nothing before, but other instances have (issue 48, LOST).
+func TestOwnerThatHasRestartedAsksWhatOthersHaveSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &succession{site: newSite(t)}
+		s.maxLease = 10 * time.Second
+		s.workers = &crashingAgents{Agents: s.agents}
+		stop := s.electWith("a", s.workers, nil)
+		s.eventually("a is the owner", func() bool { return s.owner() != "" })
+		// The candidate can't become the owner, as its writes fail.
+		s.electOn("b", &readOnlyStore{Transactor: s.store}, s.workers, nil)
+		s.loseWorker()
+		s.instances.remove("a")
+		stop()
+		s.electWith("a", s.workers, neighbours{"b"})
+		waited := s.startsAgainAfter()
+		assert.Assert(t, waited > 8*time.Second && waited < 9*time.Second, "%s", waited)
+	})
+}
+
+// readOnlyStore refuses all writes.
+type readOnlyStore struct{ *fake.Transactor }
+
+func (r *readOnlyStore) Commit(context.Context, store.Transaction) (int64, error) {
+	return 0, &store.UnavailableError{Cause: "status 503"}
+}
+
+func (r *readOnlyStore) Grant(context.Context, time.Duration) (int64, error) {
+	return 0, &store.UnavailableError{Cause: "status 503"}
+}
--- a/internal/node/term/unrecorded_exit_test.go
+++ b/internal/node/term/unrecorded_exit_test.go
@@ -75,7 +75,7 @@
 			s := newSuccession(t)
 			s.stops = append(s.stops, s.electWith("a", s.workers, first))
 			s.eventually("a is the owner", func() bool { return s.owner() != "" })
-			s.instances.add(&term.Elector{Instance: "c"})
+			s.instances.add(&term.Elector{Instance: "c", Now: time.Now})
 			s.electWith("b", s.workers, neighbours{"a", "c"})
 			recovered := s.endWithoutRecord()
 			time.Sleep(time.Second)
--- a/internal/node/term/withheld.go
+++ b/internal/node/term/withheld.go
@@ -16,6 +16,8 @@
 const (
 	// withholdAfter is how long a worker does not answer before it is listed in the record of leases.
 	withholdAfter = 1500 * time.Millisecond
+	// withholdAfterFailure is the same if a poll has failed since the last answer.
+	withholdAfterFailure = 400 * time.Millisecond
 	// withholdInterval is the time between checks whether the record of leases is up to date.
 	withholdInterval = 233 * time.Millisecond
 	// withholdStep is how much less time a stored record must leave to a lease than it does to be written again.
@@ -32,11 +34,14 @@
 // taken effect: a write without an answer may have been executed, or may still be.
 type withheld struct {
 	revision int64
-	// record is the last record that is known to be stored, writtenAt a time before which it was.
-	record    work.LeaseRecord
-	writtenAt time.Time
-	writes    int
-	workers   map[string]bool
+	// record is the last record that is known to be stored.
+	record  work.LeaseRecord
+	writes  int
+	workers map[string]bool
+	// inherited is the record that was stored when the jobs were loaded, with its revision and when it was read.
+	inherited         work.LeaseRecord
+	inheritedRevision int64
+	readAt            time.Time
 	// changed asks for a check at once.
 	changed chan struct{}
 }
@@ -52,7 +57,8 @@
 		t.Log.Emit(event.RecordBad, event.Fields{"key": item.Key, "error": err.Error()})
 		return
 	}
-	t.withheld.record, t.withheld.writtenAt = *record, now
+	t.withheld.record = *record
+	t.withheld.inherited, t.withheld.inheritedRevision, t.withheld.readAt = *record, item.Revision, now
 	for id := range record.Remaining {
 		t.withheld.workers[id] = true
 	}
@@ -61,7 +67,7 @@
 // inheritRecord applies the times of the stored record, as of when this instance first saw its revision or a later one, if all owners since it was written have withheld leases as it demands.
 func (t *term) inheritRecord(ctx context.Context) {
 	t.state.Lock()
-	record, revision, writtenBy := t.withheld.record, t.withheld.revision, t.withheld.writtenAt
+	record, revision, writtenBy := t.withheld.inherited, t.withheld.inheritedRevision, t.withheld.readAt
 	t.state.Unlock()
 	if at, seen := t.firstSighting(revision); seen {
 		writtenBy = at
@@ -174,14 +180,14 @@
 func (t *term) mayWithhold(w *group.Worker, now time.Time) bool {
 	s := t.sessions[w.ID]
 	switch {
-	case s != nil && s.answeredWithin(withholdAfter, now):
+	case s != nil && !s.missesPolls() && s.answeredWithin(withholdAfter, now):
 		return false
 	case t.withheld.workers[w.ID]:
 		return true
 	case s == nil:
 		return w.Busy()
 	default:
-		return w.Busy() && (s.neverAnswered() || now.Sub(s.lastSeen()) >= withholdAfter)
+		return w.Busy() && (s.neverAnswered() || s.missesPolls() && now.Sub(s.lastSeen()) >= withholdAfterFailure || now.Sub(s.lastSeen()) >= withholdAfter)
 	}
 }
 
@@ -270,6 +276,13 @@
 	}
 }
 
+// missesPolls reports whether a poll has failed since the worker's last answer.
+func (s *session) missesPolls() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.missedPolls > 0
+}
+
 // neverAnswered reports whether the worker has left polls unanswered, and answered none.
 func (s *session) neverAnswered() bool {
 	s.mu.Lock()
@@ -282,7 +295,7 @@
 	t := s.term
 	now := t.Now()
 	t.state.Lock()
-	waits := !t.closed && t.withheld.workers[s.id] && s.answeredWithin(withholdAfter, now)
+	waits := !t.closed && t.withheld.workers[s.id] && !s.missesPolls() && s.answeredWithin(withholdAfter, now)
 	t.state.Unlock()
 	if !waits {
 		return
--- a/internal/node/term/withheld_test.go
+++ b/internal/node/term/withheld_test.go
@@ -38,6 +38,18 @@
 	})
 }
 
+// The same if the first owner is killed a second after the worker crashed.
+func TestOwnerRecordsAWorkerSoonAfterItCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuccession(t, "owner-0")
+		s.loseWorker()
+		time.Sleep(time.Second)
+		s.killOwner()
+		waited := s.startsAgainAfter()
+		assert.Assert(t, waited < 6*time.Second, "%s", waited)
+	})
+}
+
 // The same with owners that don't live long enough to notice that the worker is silent: they pass on what they have read.
 func TestOwnersOfShortTermsKeepTheRecordOfALostWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/peer/grants/protocol.go
+++ b/internal/peer/grants/protocol.go
@@ -32,6 +32,16 @@
 	// First is the index of the first of them among all that the owner leaves; with zero they replace those that were left before.
 	First int
 	Exits []group.WorkerExit
+	// Sightings are those of the instance that returns the exits, the oldest first.
+	Sightings []Sighting
+}
+
+// Sighting is a state of the owner's key: at least Ago before the reply the store had the revision, and there was no owner, or one that
+// limits its leases if Limits is true.
+type Sighting struct {
+	Revision int64
+	Ago      time.Duration
+	Limits   bool
 }
 
 // Kept is the answer to Exits; Count is the number of exits of that owner that the instance has.
@@ -43,7 +53,7 @@
 	Grants(ctx context.Context, request *Request) (*Reply, error)
 	// Keep keeps the exits unless there are some before them that it does not have, or some of a later owner.
 	Keep(ctx context.Context, exits *Exits) (*Kept, error)
-	// KeptExits returns the exits that an owner with a lower token than the request's has left.
+	// KeptExits returns the exits that an owner with a lower token than the request's has left, and the instance's sightings.
 	KeptExits(ctx context.Context, request *Request) (*Exits, error)
 }
 
