--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -162,34 +162,34 @@
 	t.engine.Cancel(job, now)
 }
 
-// watchJobs loads new jobs and cancels from a watch on the store until the term ends.
-func (t *term) watchJobs(ctx context.Context) {
-	var after int64
-	var listedAt time.Time
+// relistJobs lists all jobs again and again until the term ends.
+func (t *term) relistJobs(ctx context.Context) {
 	failures := 0
-	for ctx.Err() == nil {
-		now := t.Now()
-		if now.Sub(listedAt) >= relistInterval {
-			upTo, err := t.relist(ctx, readTimeout(failures))
-			if err != nil {
-				failures++
-				pause.For(ctx, t.jitter(storeRetryDelay/2))
-				continue
-			}
-			listedAt, after, failures = now, upTo, 0
+	for wait := time.Duration(0); pause.For(ctx, wait); {
+		wait = relistInterval
+		if _, err := t.relist(ctx, readTimeout(failures)); err != nil {
+			failures++
+			wait = t.jitter(storeRetryDelay / 2)
+			continue
 		}
-		// The watch ends when the next list is due. Its wait is in whole milliseconds, rounded up, so that no short one follows.
-		wait := (listedAt.Add(relistInterval).Sub(now) + time.Millisecond - 1).Truncate(time.Millisecond)
-		call, done := context.WithTimeout(ctx, wait+storeTimeout)
-		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, wait)
+		failures = 0
+	}
+}
+
+// watchJobs loads new jobs and cancels from a watch on the store until the term ends; it goes on while lists fail.
+func (t *term) watchJobs(ctx context.Context) {
+	after := t.listedRevision()
+	for ctx.Err() == nil {
+		call, done := context.WithTimeout(ctx, relistInterval+storeTimeout)
+		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, relistInterval)
 		done()
 		var historyGone *store.HistoryError
 		switch {
 		case errors.As(err, &historyGone):
-			listedAt = time.Time{}
+			pause.For(ctx, scanInterval)
+			after = max(after, t.listedRevision())
 			continue
 		case err != nil:
-			listedAt = time.Time{}
 			pause.For(ctx, t.jitter(storeRetryDelay/2))
 			continue
 		}
@@ -209,6 +209,13 @@
 	}
 }
 
+// listedRevision returns the store revision as of which all jobs were last loaded.
+func (t *term) listedRevision() int64 {
+	t.state.Lock()
+	defer t.state.Unlock()
+	return t.loadedRevision
+}
+
 // scanWaiting reads the keys of jobs that have not begun, until the term ends, to find new jobs that the watch has missed.
 func (t *term) scanWaiting(ctx context.Context) {
 	for pause.For(ctx, scanInterval) {
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -175,6 +175,7 @@
 		})
 		t.components.Go("exits", func() { t.leaveExits(ctx) })
 		t.components.Go("workers", func() { t.listWorkers(ctx) })
+		t.components.Go("list", func() { t.relistJobs(ctx) })
 		t.components.Go("watch", func() { t.watchJobs(ctx) })
 		t.components.Go("pending", func() { t.scanWaiting(ctx) })
 		t.components.Go("staleness", func() { t.watchStaleness(ctx) })
