--- a/internal/node/term/withheld_test.go
+++ b/internal/node/term/withheld_test.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// count returns how many leases were granted.
+func (g *grantChecker) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.granted
+}
+
 func (g *grantChecker) Start(ctx context.Context, to agent.Target, start agent.Start) error {
 	g.grants(to.Worker)
 	return g.crashingAgents.Start(ctx, to, start)
@@ -160,9 +167,9 @@
 			s.workers.crash(s.agents.WorkerOf(task))
 			time.Sleep(1500*time.Millisecond + time.Duration(round)*50*time.Millisecond)
 			s.workers.crash("")
-			granted := checker.granted
+			granted := checker.count()
 			time.Sleep(6 * time.Second)
-			assert.Assert(t, checker.granted > granted, "no leases are granted any more")
+			assert.Assert(t, checker.count() > granted, "no leases are granted any more")
 		}
 		checker.mu.Lock()
 		defer checker.mu.Unlock()
