--- a/internal/place/group/filter.go
+++ b/internal/place/group/filter.go
@@ -18,8 +18,8 @@
 	// sameRack is true if the group must stay within one rack, as some rack could hold it if it were empty. For a while this
 	// includes workers that are only temporarily unavailable, as right after a change of owner.
 	sameRack bool
-	// overdue is true if the group has waited for too long: it may also use the room of backfill reservations, workers that are avoided
-	// and, unless it is suspected of a crash itself, those with a run on probation.
+	// overdue is true if the group has waited for too long: it may also use the room of backfill reservations and workers that are
+	// avoided.
 	overdue bool
 	// retryFailed is true if the group may use workers on which it failed, as it found no room elsewhere.
 	retryFailed bool
--- a/internal/place/group/find.go
+++ b/internal/place/group/find.go
@@ -58,7 +58,7 @@
 func (list *slotList) addFreeSlots(e *Engine, g *Group, f filter, workers []*Worker) {
 	for _, w := range workers {
 		e.examined++
-		if !w.openFor(g, f) || !f.quickRacksToo && e.excludesRack(g, w.rack) || !f.allows(g, w) {
+		if !w.openFor(f) || !f.quickRacksToo && e.excludesRack(g, w.rack) || !f.allows(g, w) {
 			continue
 		}
 		sl := w.slotFor(g, f)
@@ -70,9 +70,9 @@
 	}
 }
 
-// openFor reports whether tasks of the group may be placed on the worker in the current decision.
-func (w *Worker) openFor(g *Group, f filter) bool {
-	return w.open || f.overdue && w.spare && !(g.suspected() && w.onProbation())
+// openFor reports whether tasks with the filter may be placed on the worker in the current decision.
+func (w *Worker) openFor(f filter) bool {
+	return w.open || f.overdue && w.spare
 }
 
 // listSlots lists the workers on which a task of the group may start, including full ones; the result is valid until the
--- a/internal/place/group/rack.go
+++ b/internal/place/group/rack.go
@@ -53,7 +53,7 @@
 	used := 0
 	for _, w := range e.sortedWorkers {
 		w.open, w.freeIndex = e.usable(w, now), nil
-		w.spare = !w.open && e.answers(w, now)
+		w.spare = !w.open && !w.onProbation() && e.answers(w, now)
 		if w.open {
 			e.freeIndex.add(w)
 			e.usableAccelerators += w.Capacity.Accelerators
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -99,7 +99,7 @@
 	freeIndexLevel    int
 	freeIndexPosition int
 	// open is true if new tasks may be placed here in the current decision, spare if only those of overdue groups may, as the worker is
-	// avoided or a run is on probation here.
+	// avoided.
 	open  bool
 	spare bool
 	// searchSlot is one plus the worker's index among the slots of the current preemption plan; zero if it is not among them.
