--- a/internal/node/term/sighting.go
+++ b/internal/node/term/sighting.go
@@ -15,8 +15,8 @@
 // maxSightings is the number of sightings that are kept: somewhat more than the store's history reaches back, at one for each watch.
 const maxSightings = 24
 
-// sighting is a state of the owner's key that an instance without ownership has read: at or before the time at, the store had the
-// revision, and there was no owner, or one that limits is true for: it grants no leases longer than longestLease.
+// sighting is a state of the owner's key that a candidate has read: at the time at or before, the store had the revision; limits is true
+// if there was no owner, or one that grants no leases longer than longestLease.
 type sighting struct {
 	revision int64
 	at       time.Time
--- a/internal/node/term/withheld.go
+++ b/internal/node/term/withheld.go
@@ -20,7 +20,7 @@
 	withholdAfterFailure = 400 * time.Millisecond
 	// withholdInterval is the time between checks whether the record of leases is up to date.
 	withholdInterval = 233 * time.Millisecond
-	// withholdStep is how much less time a stored record must leave to a lease than it does to be written again.
+	// withholdStep is by how much a time of the stored record must differ from the present one for it to be written again.
 	withholdStep = 200 * time.Millisecond
 	// withholdTimeout limits one write of the record; then it is read back.
 	withholdTimeout = 300 * time.Millisecond
@@ -64,7 +64,8 @@
 	}
 }
 
-// inheritRecord applies the times of the stored record, as of when this instance first saw its revision or a later one, if all owners since it was written have withheld leases as it demands.
+// inheritRecord applies the times of the stored record, as of when this instance first saw its revision or a later one, if all owners
+// since it was written have withheld leases as it demands.
 func (t *term) inheritRecord(ctx context.Context) {
 	t.state.Lock()
 	record, revision, writtenBy := t.withheld.inherited, t.withheld.inheritedRevision, t.withheld.readAt
@@ -191,8 +192,7 @@
 	}
 }
 
-// recordDue reports whether the stored record lists other workers, or leaves them much more time, or less than they have by now. The
-// caller holds t.state.
+// recordDue reports whether the stored record lists other workers, or other times for them. The caller holds t.state.
 func (t *term) recordDue(remaining map[string]time.Duration) bool {
 	stored := t.withheld.record.Remaining
 	if len(remaining) != len(t.withheld.workers) || len(remaining) != len(stored) {
