--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -144,7 +144,7 @@
 		Elector: e, lease: lease, token: token, startedAt: now, inheritedLease: cfg.InheritedLease, ownedAt: token, engine: engine, failedLoads: e.turns.count(sent), validUntil: sent.Add(leaseTTL - leaseMargin),
 		sessions: make(map[string]*session), pendingStops: make(map[stopKey]bool), earlyCancels: make(map[string]bool),
 		revisions: make(map[string]int64), partKeys: make(map[string]map[string]bool), partLimits: make(map[string]int), pendingDecision: make(chan struct{}, 1),
-		withheld:   withheld{workers: make(map[string]bool), changed: make(chan struct{}, 1)},
+		withheld:   withheld{workers: make(map[string]bool), forgottenAt: make(map[string]time.Time), changed: make(chan struct{}, 1)},
 		components: abort.Group{Log: e.Log},
 	}
 }
--- a/internal/node/term/withheld.go
+++ b/internal/node/term/withheld.go
@@ -24,6 +24,8 @@
 	withholdStep = 200 * time.Millisecond
 	// withholdTimeout limits one write of the record; then it is read back.
 	withholdTimeout = 300 * time.Millisecond
+	// forgottenRetention is how long the record lists a worker that has left and has nothing alive any more.
+	forgottenRetention = 30 * time.Second
 	// maxLeaseRecordBytes limits the size of the record, which the slowest instances must read in each term.
 	maxLeaseRecordBytes = 32 << 10
 )
@@ -38,6 +40,8 @@
 	record  work.LeaseRecord
 	writes  int
 	workers map[string]bool
+	// forgottenAt is when the engine was first seen to have forgotten a listed worker.
+	forgottenAt map[string]time.Time
 	// inherited is the record that was stored when the jobs were loaded, with its revision and when it was read.
 	inherited         work.LeaseRecord
 	inheritedRevision int64
@@ -173,9 +177,29 @@
 			record.Remaining[w.ID] = max(w.HeldUntil().Sub(now), 0)
 		}
 	}
+	for id, left := range t.withheld.record.Remaining {
+		if t.keepsForgotten(id, now) && record.Fits(id, limit) {
+			record.Remaining[id] = left
+		}
+	}
 	return record.Remaining
 }
 
+// keepsForgotten reports whether the record still lists a worker that the engine has forgotten: the ends of its tasks may not be on
+// record. The caller holds t.state.
+func (t *term) keepsForgotten(worker string, now time.Time) bool {
+	if t.engine.Worker(worker) != nil {
+		delete(t.withheld.forgottenAt, worker)
+		return false
+	}
+	at, forgotten := t.withheld.forgottenAt[worker]
+	if !forgotten {
+		at = now
+		t.withheld.forgottenAt[worker] = at
+	}
+	return now.Sub(at) < forgottenRetention
+}
+
 // mayWithhold reports whether the worker does not answer, and may have tasks or is listed already. One that has never answered in this
 // term has no lease of it. The caller holds t.state.
 func (t *term) mayWithhold(w *group.Worker, now time.Time) bool {
--- a/internal/node/term/withheld_test.go
+++ b/internal/node/term/withheld_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/edge/agent"
+	"github.com/lentildeck/lentildeck/internal/place/group"
 	"github.com/lentildeck/lentildeck/internal/proof/fake"
 	"github.com/lentildeck/lentildeck/internal/state/store"
 	"github.com/lentildeck/lentildeck/internal/state/work"
@@ -105,6 +107,43 @@
 	})
 }
 
+// shrinkingWorkers lists the workers without the one that is gone.
+type shrinkingWorkers struct {
+	fixedWorkers
+	agents *crashingAgents
+}
+
+// Workers lists the workers.
+func (w shrinkingWorkers) Workers(ctx context.Context) ([]group.WorkerInfo, error) {
+	list, err := w.fixedWorkers.Workers(ctx)
+	w.agents.mu.Lock()
+	defer w.agents.mu.Unlock()
+	return slices.DeleteFunc(list, func(info group.WorkerInfo) bool { return info.ID == w.agents.gone }), err
+}
+
+// Guards against a job that stands for one more lease: an owner has counted the lost worker's tasks as ended and has forgotten the worker,
+// and is killed before it has recorded that.
+func TestWorkerThatAnOwnerHasForgottenStaysOnRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuccession(t)
+		elect := func(name string) (stop func()) {
+			e := s.elector(name, s.store, s.workers, nil)
+			e.Lister = shrinkingWorkers{fixedWorkers{"w1", "w2"}, s.workers}
+			return s.run(e)
+		}
+		stop := elect("a")
+		s.loseWorker()
+		failing := s.failRecords()
+		time.Sleep(9 * time.Second)
+		s.instances.remove("a")
+		stop()
+		failing.Store(false)
+		elect("b")
+		waited := s.startsAgainAfter()
+		assert.Assert(t, waited < 2*time.Second, "%s", waited)
+	})
+}
+
 // Guards against two runs of a task: an owner of an earlier release may have granted leases that the record withholds.
 func TestRecordOfLeasesIsNotTrustedAfterAnOwnerOfAnEarlierRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
