term, group: one retry for reads of the owners' history, and other pieces that were written twice

Found by reading the whole change again; behaviour stays. The loop that reads the history of the owner's key again after a failure stood in three places and is in ownersSince now. Whether a worker is silent, and until when it is held, is asked of the worker. A result of relist that nobody used is gone, and two comments fit their lines.

--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -302,8 +302,8 @@
 
 // awaitRelease returns once the owner's key has changed or may have, and after watchesPerRead watches in any case.
 //
-// The owner limits leases, or not, as its record in the key says. Each watch starts from the revision of the read or of the watch before: the key's own revision is soon older than the
-// history that the store keeps.
+// The owner limits leases, or not, as its record in the key says. Each watch starts from the revision of the read or of the watch before:
+// the key's own revision is soon older than the history that the store keeps.
 func (e *Elector) awaitRelease(ctx context.Context, after int64, limits bool) error {
 	for range watchesPerRead {
 		call, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
--- a/internal/node/term/keeper.go
+++ b/internal/node/term/keeper.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// collectExits applies the exits that earlier owners have left with other instances, and what these have seen of the owner's key. The last owner left them with the first instance of
-// each data centre but itself, so that may be the second one here.
+// collectExits applies the exits that earlier owners have left with other instances, and what these have seen of the owner's key. The
+// last owner left them with the first instance of each data centre but itself, so that may be the second one here.
 func (t *term) collectExits(ctx context.Context) {
 	request := &grants.Request{Token: t.token}
 	var mu sync.Mutex
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -167,7 +167,7 @@
 	failures := 0
 	for wait := time.Duration(0); pause.For(ctx, wait); {
 		wait = relistInterval
-		if _, err := t.relist(ctx, readTimeout(failures)); err != nil {
+		if err := t.relist(ctx, readTimeout(failures)); err != nil {
 			failures++
 			wait = t.jitter(storeRetryDelay / 2)
 			continue
@@ -264,19 +264,19 @@
 	return jobs
 }
 
-func (t *term) relist(ctx context.Context, timeout time.Duration) (int64, error) {
+func (t *term) relist(ctx context.Context, timeout time.Duration) error {
 	call, done := context.WithTimeout(ctx, timeout)
 	defer done()
 	items, asOf, err := t.Store.Range(call, work.SpecPrefix)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	t.state.Lock()
 	t.loadJobs(items, nil)
 	t.loadedRevision = asOf
 	t.state.Unlock()
 	t.notify()
-	return asOf, nil
+	return nil
 }
 
 // listWorkers reads the list of workers until the term ends and opens a session with each new one.
--- a/internal/node/term/predecessor.go
+++ b/internal/node/term/predecessor.go
@@ -139,9 +139,6 @@
 	t.state.Unlock()
 	t.notify()
 	owners, err := t.ownersSince(ctx, reply.Revision)
-	for mayRetry(err) && pause.For(ctx, t.jitter(storeRetryDelay)) {
-		owners, err = t.ownersSince(ctx, reply.Revision)
-	}
 	switch {
 	case err != nil:
 		return false, "", err
@@ -180,8 +177,16 @@
 // Error names the instance.
 func (e *noTermError) Error() string { return "instance " + e.instance + " remembers no term" }
 
-// ownersSince returns the owners from after the revision until before this term.
+// ownersSince returns the owners from after the revision until before this term. It reads again after failures that may pass.
 func (t *term) ownersSince(ctx context.Context, revision int64) ([]ownerRecord, error) {
+	owners, err := t.readOwners(ctx, revision)
+	for mayRetry(err) && pause.For(ctx, t.jitter(storeRetryDelay)) {
+		owners, err = t.readOwners(ctx, revision)
+	}
+	return owners, err
+}
+
+func (t *term) readOwners(ctx context.Context, revision int64) ([]ownerRecord, error) {
 	var owners []ownerRecord
 	for revision < t.token {
 		call, done := context.WithTimeout(ctx, storeTimeout)
--- a/internal/node/term/sighting.go
+++ b/internal/node/term/sighting.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
-	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/peer/grants"
 	"github.com/lentildeck/lentildeck/internal/place/group"
 	"github.com/lentildeck/lentildeck/internal/state/store"
@@ -95,11 +94,7 @@
 	if !ok || !seen.limits || t.shortInheritedLease() >= t.inheritedLease {
 		return
 	}
-	err := t.checkWithheld(ctx, seen.revision)
-	for mayRetry(err) && pause.For(ctx, t.jitter(storeRetryDelay)) {
-		err = t.checkWithheld(ctx, seen.revision)
-	}
-	if err != nil {
+	if err := t.checkWithheld(ctx, seen.revision); err != nil {
 		t.Log.Emit(event.LeasesInherited, event.Fields{"token": t.token, "from": "history", "error": err.Error()})
 		return
 	}
--- a/internal/node/term/withheld.go
+++ b/internal/node/term/withheld.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/kern/event"
@@ -80,11 +79,7 @@
 	if len(record.Remaining) == 0 {
 		return
 	}
-	err := t.checkWithheld(ctx, revision)
-	for mayRetry(err) && pause.For(ctx, t.jitter(storeRetryDelay)) {
-		err = t.checkWithheld(ctx, revision)
-	}
-	if err != nil {
+	if err := t.checkWithheld(ctx, revision); err != nil {
 		t.Log.Emit(event.LeasesInherited, event.Fields{"token": t.token, "from": "record", "error": err.Error()})
 		return
 	}
@@ -290,7 +285,7 @@
 	before := t.withheld.workers
 	t.withheld.revision, t.withheld.record, t.withheld.workers = revision, record, make(map[string]bool)
 	t.ownedAt = max(t.ownedAt, revision)
-	for id := range maps.Keys(record.Remaining) {
+	for id := range record.Remaining {
 		t.withheld.workers[id] = true
 	}
 	for id := range before {
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -28,7 +28,7 @@
 func (e *Engine) checkMembers(now time.Time) {
 	for _, w := range e.sortedWorkers {
 		leaseExpired := w.leaseExpired(now)
-		silent := now.Sub(w.LastSeen) > silentAfter
+		silent := w.silent(now)
 		if leaseExpired && now.Sub(w.LastSeen) > e.cfg.SeenWithin {
 			// The runs in the worker's last listing are dead, as their leases have expired.
 			clear(w.orphans)
--- a/internal/place/group/lease.go
+++ b/internal/place/group/lease.go
@@ -58,8 +58,7 @@
 
 // leaseExpired reports whether everything on the worker has certainly been killed.
 func (w *Worker) leaseExpired(now time.Time) bool {
-	until, _ := w.heldUntil()
-	return now.After(until)
+	return now.After(w.HeldUntil())
 }
 
 // InheritedLeases are the times by which the leases that earlier owners have granted have certainly expired.
--- a/internal/place/group/usage.go
+++ b/internal/place/group/usage.go
@@ -77,7 +77,7 @@
 
 // silent reports whether a worker of the run has not answered for a while.
 func (r *Run) silent(now time.Time) bool {
-	return slices.ContainsFunc(r.Members, func(m *Member) bool { return now.Sub(m.Worker.LastSeen) > silentAfter })
+	return slices.ContainsFunc(r.Members, func(m *Member) bool { return m.Worker.silent(now) })
 }
 
 // fragmented reports whether the group, if it is a gang that finds no room, is blocked by fragmentation rather than lack of capacity.
