Review: case 6, two runs of one task after a store outage and the loss of a zone

Cause: exits that the last owner had left with others are applied to runs that the new owner has meanwhile started again under the same number.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Case 6: a job that lasts is given up after its runner has crashed four times. Exit 1: broken, 0: held, 2: could not run.
+# Case 6: two runs of one task, after a zone has lost power while the store was down. Exit 1: broken, 0: held, 2: could not run.
 cd "$(dirname "$0")" || exit 2
 export TARGET="$(cd ../.. && pwd)/target"
 [ -x "$TARGET/lentildeckd" ] && [ -x "$TARGET/review/standin2" ] || { echo "build first: the deploy file, then review/build-2.sh"; exit 2; }
-exec "$TARGET/review/standin2" crashes "$PWD"
+exec "$TARGET/review/standin2" twice "$PWD"
--- a/review/standin-2/deploy.go
+++ b/review/standin-2/deploy.go
@@ -45,8 +45,8 @@
 }
 
 type daemon struct {
-	name, settings, front string
-	cmd                   *exec.Cmd
+	name, settings, front, zone string
+	cmd                         *exec.Cmd
 }
 
 const host, prefix, key = "jobs.example", "/q/", "key-1"
@@ -187,8 +187,8 @@
 	for i := range n {
 		name := fmt.Sprintf("edge-%d", i+1)
 		ports := freePair()
-		dm := &daemon{name: name, settings: filepath.Join(d.dir, name+".toml"), front: fmt.Sprintf("127.0.0.1:%d", freePort())}
-		text := fmt.Sprintf(settingsText, name, fmt.Sprintf("z%d", 1+i%2), ports, ports+1, dm.front, fmt.Sprintf("127.0.0.1:%d", freePort()), d.storeAt)
+		dm := &daemon{name: name, settings: filepath.Join(d.dir, name+".toml"), front: fmt.Sprintf("127.0.0.1:%d", freePort()), zone: fmt.Sprintf("z%d", 1+i%2)}
+		text := fmt.Sprintf(settingsText, name, dm.zone, ports, ports+1, dm.front, fmt.Sprintf("127.0.0.1:%d", freePort()), d.storeAt)
 		if err := os.WriteFile(dm.settings, []byte(text), 0o644); err != nil {
 			panic(err)
 		}
@@ -253,6 +253,9 @@
 	if cmd != nil {
 		_ = cmd.Process.Signal(syscall.SIGKILL)
 		d.note("killed %s", name)
+		d.mu.Lock()
+		d.events = append(d.events, event{At: time.Now().UnixMilli(), What: "killed", Runner: name})
+		d.mu.Unlock()
 	}
 }
 
@@ -348,6 +351,14 @@
 	os.Exit(2)
 }
 
+// setStore makes the store answer 503 to everything, or ends that; leases pause meanwhile.
+func (d *deployment) setStore(down bool) {
+	d.store.setDown(down)
+	d.note("store down: %t", down)
+}
+
+func containsText(data []byte, text string) bool { return bytes.Contains(data, []byte(text)) }
+
 // verdict ends the test.
 func (d *deployment) verdict(broken bool, what string) {
 	d.note("%s", what)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -11,7 +11,7 @@
 		runRunner(os.Args[2:])
 		return
 	}
-	cases := map[string]func(folder string, trouble bool){"crashes": caseCrashes, "pauses": casePauses}
+	cases := map[string]func(folder string, trouble bool){"crashes": caseCrashes, "pauses": casePauses, "twice": caseTwice}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER")
 		os.Exit(2)
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -28,6 +28,8 @@
 	// FailFrom and FailTo bound when a task fails by its own fault, in milliseconds after its start; zero for never.
 	FailFrom int `json:"failFrom"`
 	FailTo   int `json:"failTo"`
+	// FailRun restricts failures to runs up to that number; zero for all.
+	FailRun int `json:"failRun"`
 	// FailBelow restricts failures to tasks with a lower index; zero for all.
 	FailBelow int `json:"failBelow"`
 }
@@ -212,7 +214,7 @@
 		r.running[key] = t
 		index, _ := strconv.Atoi(key.task[strings.LastIndexByte(key.task, '.')+1:])
 		after, how := time.Duration(t.spec.Ms)*time.Millisecond, "done"
-		if t.spec.FailTo > 0 && (t.spec.FailBelow == 0 || index < t.spec.FailBelow) {
+		if t.spec.FailTo > 0 && (t.spec.FailRun == 0 || key.run <= t.spec.FailRun) && (t.spec.FailBelow == 0 || index < t.spec.FailBelow) {
 			after, how = time.Duration(t.spec.FailFrom+r.random.Intn(t.spec.FailTo-t.spec.FailFrom+1))*time.Millisecond, "failed"
 		}
 		if after > 0 {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -42,8 +42,9 @@
 	// kept is the revision after which history is complete.
 	kept    int64
 	changed chan struct{}
-	// down makes the store answer 503 to every call; lapse lets leases run out meanwhile.
-	down bool
+	// down makes the store answer 503 to every call since downAt; leases pause meanwhile.
+	down   bool
+	downAt time.Time
 	// onCall, if set, may replace the handling of a call of a daemon; it reports whether it did.
 	onCall func(w http.ResponseWriter, r *http.Request, body []byte) bool
 }
@@ -62,7 +63,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, l := range s.leases {
-		if now.After(l.ends) {
+		if !s.down && now.After(l.ends) {
 			s.endLease(id)
 		}
 	}
@@ -74,6 +75,21 @@
 	s.history = s.history[cut:]
 }
 
+// setDown begins or ends an outage.
+func (s *kvStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if down && !s.down {
+		s.downAt = time.Now()
+	}
+	if !down && s.down {
+		for _, l := range s.leases {
+			l.ends = l.ends.Add(time.Since(s.downAt))
+		}
+	}
+	s.down = down
+}
+
 func (s *kvStore) endLease(id int64) {
 	delete(s.leases, id)
 	var keys []string
@@ -257,6 +273,11 @@
 	timeout := time.After(wait)
 	for {
 		s.mu.Lock()
+		if s.down {
+			s.mu.Unlock()
+			reply(w, 503, map[string]any{})
+			return
+		}
 		if after < s.kept {
 			s.mu.Unlock()
 			reply(w, 410, map[string]any{})
