--- a/review/standin-2/deploy.go
+++ b/review/standin-2/deploy.go
@@ -283,14 +283,14 @@
 	client := http.Client{Timeout: 3 * time.Second}
 	resp, err := client.Do(req)
 	if err != nil {
-		d.note("client %s %s at %s: %v", method, path, dm.name, err)
+		d.note("client %s %s at %s: %s -> %v", method, path, dm.name, data, err)
 		return 0, nil
 	}
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(resp.Body)
 	var out map[string]any
 	_ = json.Unmarshal(text, &out)
-	d.note("client %s %s at %s: %d %s", method, path, dm.name, resp.StatusCode, strings.TrimSpace(string(text)))
+	d.note("client %s %s at %s: %s -> %d %s", method, path, dm.name, data, resp.StatusCode, strings.TrimSpace(string(text)))
 	return resp.StatusCode, out
 }
 
