--- a/review/standin-2/deploy.go
+++ b/review/standin-2/deploy.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -92,6 +93,12 @@
 	}
 	d.storeAt = l.Addr().String()
 	go d.store.serve(l)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		d.giveUp("interrupted")
+	}()
 	return d
 }
 
