--- a/internal/node/term/decision_log.go
+++ b/internal/node/term/decision_log.go
@@ -44,6 +44,9 @@
 	if d.Kind == group.WorkerRestarted {
 		fields["born"], fields["previous"] = d.Incarnation, d.Previous
 	}
+	if d.Kind == group.ExitHeard {
+		fields["born"] = d.Incarnation
+	}
 	if d.Kind == group.RunPlaced {
 		fields["tier"], fields["lateness"] = d.Tier, d.Lateness
 	}
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -46,6 +46,8 @@
 	WorkerReplaced
 	// ExitsPending means that a worker has more exits than it lists at a time, so tasks that it does not list may have ended.
 	ExitsPending
+	// ExitHeard means that an exit was applied that a worker has listed to an earlier owner.
+	ExitHeard
 )
 
 //go:generate go run github.com/dmarkham/enumer@v1.5.11 -type=Cause -transform=title-lower
@@ -108,7 +110,8 @@
 	Speed   float64
 	// Remaining is the time until a held task counts as dead.
 	Remaining time.Duration
-	// Incarnation and Previous are the incarnations of a restarted worker after and before the restart.
+	// Incarnation and Previous are the incarnations of a restarted worker after and before the restart; of a worker of which an exit
+	// was heard, Incarnation is the present one.
 	Incarnation int64
 	Previous    int64
 	// Crashes is how many workers have crashed under the task, Suspected how many of these crashes it may have caused.
--- a/internal/place/group/decisionkind_enumer.go
+++ b/internal/place/group/decisionkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestartedworkerCrashedrunHeldworkerReplacedexitsPending"
+const _DecisionKindName = "runPlacedrunStoppedrunBrokenrunDonejobOverjobWaitsworkerAvoidedworkerLapsedworkerRestartedworkerCrashedrunHeldworkerReplacedexitsPendingexitHeard"
 
-var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90, 103, 110, 124, 136}
+var _DecisionKindIndex = [...]uint8{0, 9, 19, 28, 35, 42, 50, 63, 75, 90, 103, 110, 124, 136, 145}
 
-const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestartedworkercrashedrunheldworkerreplacedexitspending"
+const _DecisionKindLowerName = "runplacedrunstoppedrunbrokenrundonejoboverjobwaitsworkeravoidedworkerlapsedworkerrestartedworkercrashedrunheldworkerreplacedexitspendingexitheard"
 
 func (i DecisionKind) String() string {
 	if i < 0 || i >= DecisionKind(len(_DecisionKindIndex)-1) {
@@ -37,9 +37,10 @@
 	_ = x[RunHeld-(10)]
 	_ = x[WorkerReplaced-(11)]
 	_ = x[ExitsPending-(12)]
+	_ = x[ExitHeard-(13)]
 }
 
-var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted, WorkerCrashed, RunHeld, WorkerReplaced, ExitsPending}
+var _DecisionKindValues = []DecisionKind{RunPlaced, RunStopped, RunBroken, RunDone, JobOver, JobWaits, WorkerAvoided, WorkerLapsed, WorkerRestarted, WorkerCrashed, RunHeld, WorkerReplaced, ExitsPending, ExitHeard}
 
 var _DecisionKindNameToValueMap = map[string]DecisionKind{
 	_DecisionKindName[0:9]:          RunPlaced,
@@ -68,6 +69,8 @@
 	_DecisionKindLowerName[110:124]: WorkerReplaced,
 	_DecisionKindName[124:136]:      ExitsPending,
 	_DecisionKindLowerName[124:136]: ExitsPending,
+	_DecisionKindName[136:145]:      ExitHeard,
+	_DecisionKindLowerName[136:145]: ExitHeard,
 }
 
 var _DecisionKindNames = []string{
@@ -84,6 +87,7 @@
 	_DecisionKindName[103:110],
 	_DecisionKindName[110:124],
 	_DecisionKindName[124:136],
+	_DecisionKindName[136:145],
 }
 
 // DecisionKindString retrieves an enum value from the enum constants string name.
--- a/internal/place/group/heard.go
+++ b/internal/place/group/heard.go
@@ -61,6 +61,7 @@
 func (e *Engine) ApplyHeardExits(exits []WorkerExit, now time.Time) {
 	for _, x := range exits {
 		if w := e.workers[x.Worker]; w != nil && x.Exit.Status.IsAExitStatus() {
+			e.reportHeard(w, x.Exit)
 			if j := e.applyExit(w, x.Exit, now); j != nil {
 				e.noteExit(x.Worker, x.Exit, j, now)
 			}
@@ -68,6 +69,17 @@
 	}
 }
 
+// reportHeard logs an exit that an earlier owner has heard of, and the state of the run that it is about.
+func (e *Engine) reportHeard(w *Worker, entry ExitEntry) {
+	state := "not known"
+	if m := w.members[runKey{entry.Task, entry.Run}]; m != nil {
+		state = m.State.String()
+	}
+	e.emit(Decision{
+		Kind: ExitHeard, Worker: w.ID, Task: entry.Task, Run: entry.Run, Incarnation: w.Incarnation, Text: entry.Status.String() + ", the run was " + state,
+	})
+}
+
 // unrecordedJob returns the job that the exit has changed when it was heard before, nil if that is on record.
 func (e *Engine) unrecordedJob(entry ExitEntry) *Job {
 	for _, h := range e.heardExits {
