--- a/internal/node/term/decision_log.go
+++ b/internal/node/term/decision_log.go
@@ -41,12 +41,9 @@
 	if d.Kind == group.WorkerCrashed {
 		fields["crashes"], fields["suspected"] = d.Crashes, d.Suspected
 	}
-	if d.Kind == group.WorkerRestarted {
+	if d.Kind == group.WorkerRestarted || d.Kind == group.ExitHeard {
 		fields["born"], fields["previous"] = d.Incarnation, d.Previous
 	}
-	if d.Kind == group.ExitHeard {
-		fields["born"] = d.Incarnation
-	}
 	if d.Kind == group.RunPlaced {
 		fields["tier"], fields["lateness"] = d.Tier, d.Lateness
 	}
--- a/internal/node/term/predecessor_test.go
+++ b/internal/node/term/predecessor_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/edge/agent"
+	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/node/term"
 	"github.com/lentildeck/lentildeck/internal/peer/grants"
 	"github.com/lentildeck/lentildeck/internal/proof/fake"
@@ -19,6 +20,23 @@
 type directory struct {
 	mu       sync.Mutex
 	electors map[string]*term.Elector
+	// delay is how long an instance takes to answer a new owner.
+	delay time.Duration
+}
+
+// answerAfter sets the delay.
+func (d *directory) answerAfter(delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.delay = delay
+}
+
+// wait waits for the delay or until ctx ends.
+func (d *directory) wait(ctx context.Context) {
+	d.mu.Lock()
+	delay := d.delay
+	d.mu.Unlock()
+	pause.For(ctx, delay)
 }
 
 func (d *directory) Grants(ctx context.Context, instance string, request *grants.Request) (*grants.Reply, error) {
@@ -28,6 +46,9 @@
 	if e == nil {
 		return nil, &grants.UnknownInstanceError{Instance: instance}
 	}
+	if d.wait(ctx); ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	return e.Grants(ctx, request)
 }
 
@@ -48,6 +69,9 @@
 	if e == nil {
 		return nil, &grants.UnknownInstanceError{Instance: address}
 	}
+	if d.wait(ctx); ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	return e.KeptExits(ctx, request)
 }
 
--- a/internal/node/term/term_test.go
+++ b/internal/node/term/term_test.go
@@ -46,6 +46,20 @@
 	return list, nil
 }
 
+// agentWorkers lists the workers with their present incarnations.
+type agentWorkers struct {
+	fixedWorkers
+	agents *fake.Agents
+}
+
+func (w agentWorkers) Workers(ctx context.Context) ([]group.WorkerInfo, error) {
+	list, err := w.fixedWorkers.Workers(ctx)
+	for i := range list {
+		list[i].Incarnation = w.agents.Incarnation(list[i].ID)
+	}
+	return list, err
+}
+
 type site struct {
 	t      *testing.T
 	store  *fake.Transactor
@@ -111,7 +125,7 @@
 	holder := policy.NewHolder(fixedPolicy{}, time.Now, func(policy.Snapshot) {})
 	assert.NilError(s.t, holder.Refresh(s.t.Context()))
 	e := &term.Elector{
-		Instance: name, Store: kv, Agent: agents, Lister: fixedWorkers{"w1", "w2"}, Policy: holder,
+		Instance: name, Store: kv, Agent: agents, Lister: agentWorkers{fixedWorkers{"w1", "w2"}, s.agents}, Policy: holder,
 		Limits: term.Limits{MaxLease: s.maxLease, StopTimeout: time.Second, PolicyAge: time.Minute, ListAge: time.Minute, Retention: time.Minute, RemoteFactor: 3, MaxValueBytes: s.valueBytes, MaxEntries: s.entries},
 		Peers:  others, Log: s.log, Meter: meter.New(s.t.Name() + name), Now: time.Now, WallNow: time.Now,
 		Predecessors: &s.instances,
--- a/internal/node/term/unrecorded_exit_test.go
+++ b/internal/node/term/unrecorded_exit_test.go
@@ -16,8 +16,11 @@
 	"gotest.tools/v3/assert"
 )
 
-// endWithoutRecord ends the task while the store accepts no records; the returned function lets it accept them again.
-func (s *succession) endWithoutRecord() (recover func()) {
+// endWithoutRecord ends the task as done while the store accepts no records; the returned function lets it accept them again.
+func (s *succession) endWithoutRecord() (recover func()) { return s.exitWithoutRecord(group.Done) }
+
+// exitWithoutRecord is the same for any status.
+func (s *succession) exitWithoutRecord(status group.ExitStatus) (recover func()) {
 	var failing atomic.Bool
 	s.store.SetOutcomes(func(operation string) fake.CallOutcome {
 		if operation == "commit" && failing.Load() {
@@ -29,7 +32,7 @@
 	s.eventually("the task runs", s.running)
 	time.Sleep(time.Second)
 	failing.Store(true)
-	assert.Assert(s.t, s.agents.ExitTask(task, group.Done))
+	assert.Assert(s.t, s.agents.ExitTask(task, status))
 	time.Sleep(time.Second)
 	return func() { failing.Store(false) }
 }
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -110,8 +110,8 @@
 	Speed   float64
 	// Remaining is the time until a held task counts as dead.
 	Remaining time.Duration
-	// Incarnation and Previous are the incarnations of a restarted worker after and before the restart; of a worker of which an exit
-	// was heard, Incarnation is the present one.
+	// Incarnation and Previous are the incarnations of a restarted worker after and before the restart. If an exit was heard, they are the
+	// worker's present one and the one that listed the exit.
 	Incarnation int64
 	Previous    int64
 	// Crashes is how many workers have crashed under the task, Suspected how many of these crashes it may have caused.
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -405,16 +405,19 @@
 	run := &Run{Group: g, Number: rec.Run, PlannedAt: now, aliveMembers: len(workers), checkpoint: rec.Checkpoint}
 	g.Run = run
 	g.occ.withoutRun[g.Step]--
-	rec.Workers = make([]string, len(workers))
+	rec.Workers, rec.Incarnations = make([]string, len(workers)), make([]int64, len(workers))
 	for i, w := range workers {
-		rec.Workers[i] = w.ID
-		m := &Member{Run: run, Worker: w, State: Planned, task: g.taskName(i), progressedAt: now}
+		rec.Workers[i], rec.Incarnations[i] = w.ID, w.Incarnation
+		m := &Member{Run: run, Worker: w, State: Planned, task: g.taskName(i), target: w.Incarnation, progressedAt: now}
 		run.Members = append(run.Members, m)
 		w.attach(m)
 	}
 	if g.suspected() {
 		run.beginProbation()
 	}
+	if !slices.ContainsFunc(rec.Incarnations, func(incarnation int64) bool { return incarnation != 0 }) {
+		rec.Incarnations = nil
+	}
 	g.Job.urgent = true
 	e.markGroupChanged(g)
 	g.Job.Waiting, g.Job.standing = "", false
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -63,9 +63,9 @@
 		}
 		w.LastExit = entry.Number
 		delete(w.orphans, runKey{entry.Task, entry.Run})
-		j := e.applyExit(w, entry, now)
+		j := e.applyExit(w, w.Incarnation, entry, now)
 		if j != nil {
-			e.noteExit(w.ID, entry, j, now)
+			e.noteExit(WorkerExit{Worker: w.ID, Incarnation: w.Incarnation, Exit: entry}, j, now)
 		} else {
 			j = e.unrecordedJob(entry)
 		}
@@ -94,10 +94,11 @@
 	w.moreExits = moreExits
 }
 
-// applyExit applies an exit, and returns the job whose record it may have changed, or nil if there is none.
-func (e *Engine) applyExit(w *Worker, entry ExitEntry, now time.Time) *Job {
+// applyExit applies an exit that the incarnation of the worker has listed, and returns the job whose record it may have changed, or nil
+// if there is none. That a task is done holds whatever runs now; any other exit says nothing of a run in another incarnation.
+func (e *Engine) applyExit(w *Worker, incarnation int64, entry ExitEntry, now time.Time) *Job {
 	m := w.members[runKey{entry.Task, entry.Run}]
-	if m == nil {
+	if m == nil || !m.isOf(incarnation) {
 		if entry.Status == Done {
 			return e.applyLateSuccess(w, entry, now)
 		}
@@ -117,6 +118,7 @@
 			continue
 		}
 		m.incarnation, m.restarted = w.Incarnation, false
+		e.setTarget(m, w.Incarnation)
 		if m.State == Inherited {
 			// The worker refuses orders of earlier owners from now on.
 			m.settledAt = now.Add(e.cfg.StopTimeout)
@@ -197,6 +199,8 @@
 	case !m.Run.wanted():
 		e.endMember(m, Void, "", now)
 	case m.Run.unseenWorker():
+	case m.outlived():
+		e.endOutlived(m, now)
 	case !e.mayStartOn(m.Worker, now) || m.Worker.overcommitted():
 		e.endMember(m, Void, "", now)
 	case !m.Run.Group.occ.dependenciesDone(m.Run.Group.Step):
@@ -223,6 +227,7 @@
 // orderStart emits the start order of one member.
 func (e *Engine) orderStart(m *Member, now time.Time) {
 	m.State, m.orderedAt, m.progressedAt = Ordered, now, now
+	e.setTarget(m, m.Worker.Incarnation)
 	e.emit(StartOrder{Member: m, Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number,
 		Payload: m.Run.Group.Job.Spec.Payload, Checkpoint: m.Run.checkpoint})
 }
@@ -426,7 +431,7 @@
 	if !g.record().Done {
 		g.occ.withoutRun[g.Step]++
 	}
-	g.record().Workers, g.record().StartedFrom = nil, ""
+	g.record().Workers, g.record().Incarnations, g.record().StartedFrom = nil, nil, ""
 	g.readyAt = now
 }
 
--- a/internal/place/group/heard.go
+++ b/internal/place/group/heard.go
@@ -5,10 +5,12 @@
 	"time"
 )
 
-// WorkerExit is an exit and the worker that listed it.
+// WorkerExit is an exit and the worker that listed it. Incarnation is that of the worker at that time; zero if the worker reports none,
+// or if the exit was heard by a release that does not pass it on.
 type WorkerExit struct {
-	Worker string
-	Exit   ExitEntry
+	Worker      string
+	Incarnation int64
+	Exit        ExitEntry
 }
 
 // heardExit is an exit that was applied and whose record may not be durable yet.
@@ -22,12 +24,12 @@
 const minHeardExits = 256
 
 // noteExit remembers an exit that has changed the job.
-func (e *Engine) noteExit(worker string, entry ExitEntry, j *Job, now time.Time) {
+func (e *Engine) noteExit(x WorkerExit, j *Job, now time.Time) {
 	if len(e.heardExits) >= max(minHeardExits, 2*e.heardExitsKept) {
 		e.dropDurableExits()
 	}
 	e.heardExits = append(e.heardExits, heardExit{
-		WorkerExit: WorkerExit{Worker: worker, Exit: entry}, at: now, pendingExit: pendingExit{exitNumber: entry.Number, job: j, requiredChanges: j.changes},
+		WorkerExit: x, at: now, pendingExit: pendingExit{exitNumber: x.Exit.Number, job: j, requiredChanges: j.changes},
 	})
 }
 
@@ -61,22 +63,26 @@
 func (e *Engine) ApplyHeardExits(exits []WorkerExit, now time.Time) {
 	for _, x := range exits {
 		if w := e.workers[x.Worker]; w != nil && x.Exit.Status.IsAExitStatus() {
-			e.reportHeard(w, x.Exit)
-			if j := e.applyExit(w, x.Exit, now); j != nil {
-				e.noteExit(x.Worker, x.Exit, j, now)
+			e.reportHeard(w, x)
+			if j := e.applyExit(w, x.Incarnation, x.Exit, now); j != nil {
+				e.noteExit(x, j, now)
 			}
 		}
 	}
 }
 
 // reportHeard logs an exit that an earlier owner has heard of, and the state of the run that it is about.
-func (e *Engine) reportHeard(w *Worker, entry ExitEntry) {
+func (e *Engine) reportHeard(w *Worker, x WorkerExit) {
 	state := "not known"
-	if m := w.members[runKey{entry.Task, entry.Run}]; m != nil {
+	if m := w.members[runKey{x.Exit.Task, x.Exit.Run}]; m != nil {
 		state = m.State.String()
+		if !m.isOf(x.Incarnation) {
+			state += " in another incarnation"
+		}
 	}
 	e.emit(Decision{
-		Kind: ExitHeard, Worker: w.ID, Task: entry.Task, Run: entry.Run, Incarnation: w.Incarnation, Text: entry.Status.String() + ", the run was " + state,
+		Kind: ExitHeard, Worker: w.ID, Task: x.Exit.Task, Run: x.Exit.Run, Incarnation: w.Incarnation, Previous: x.Incarnation,
+		Text: x.Exit.Status.String() + ", the run was " + state,
 	})
 }
 
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -215,6 +215,8 @@
 	// Percent is the progress last reported.
 	Percent int
 	task    string
+	// target is the incarnation of the worker to which the start is sent, or which has listed the member since; zero if it is unknown.
+	target int64
 	// incarnation is that of the worker whose listing showed the member; zero until one has.
 	incarnation int64
 	// restarted is true if the worker has restarted since it confirmed the start, and its present incarnation has not listed
@@ -327,7 +329,7 @@
 			g.occ.withoutRun[g.Step]--
 		}
 		if len(rec.Workers) != g.Count {
-			rec.Workers = nil
+			rec.Workers, rec.Incarnations = nil, nil
 			continue
 		}
 		run := &Run{Group: g, Number: rec.Run, PlannedAt: now, aliveMembers: g.Count, checkpoint: rec.StartedFrom}
@@ -339,7 +341,7 @@
 				w.Listed = false
 				e.addWorker(w)
 			}
-			m := &Member{Run: run, Worker: w, State: Inherited, task: g.taskName(i), progressedAt: now}
+			m := &Member{Run: run, Worker: w, State: Inherited, task: g.taskName(i), target: rec.IncarnationOf(i), progressedAt: now}
 			run.Members = append(run.Members, m)
 			w.attach(m)
 		}
--- a/internal/place/group/restart.go
+++ b/internal/place/group/restart.go
@@ -26,7 +26,11 @@
 // its own listing decides about the members that were acknowledged, and a stop about those without a response.
 func (e *Engine) memberRestarted(m *Member, listed bool, crash crashEvidence, now time.Time) {
 	switch {
-	case m.State == Planned || m.State == Inherited || m.State == Ended:
+	case m.State == Inherited:
+		// The new incarnation has not listed what it runs.
+		m.missing = false
+		return
+	case m.State == Planned || m.State == Ended:
 		return
 	case listed:
 	case m.State == Ordered && !m.startSent:
--- a/internal/proof/fake/agents.go
+++ b/internal/proof/fake/agents.go
@@ -15,7 +15,9 @@
 type Agents struct {
 	mu      sync.Mutex
 	workers map[string]*agentState
-	changed chan struct{}
+	// incarnations numbers the present incarnation of each worker that has restarted; the others are in their first one.
+	incarnations map[string]int64
+	changed      chan struct{}
 
 	// OnStart is called before a start takes effect; if it returns an error, the start has no effect and the caller gets
 	// an agent.LostError.
@@ -50,13 +52,31 @@
 
 // NewAgents returns idle workers with the given IDs.
 func NewAgents(ids ...string) *Agents {
-	a := &Agents{workers: make(map[string]*agentState), changed: make(chan struct{}), Starts: make(map[string]int)}
+	a := &Agents{workers: make(map[string]*agentState), incarnations: make(map[string]int64), changed: make(chan struct{}), Starts: make(map[string]int)}
 	for _, id := range ids {
 		a.workers[id] = newAgentState()
 	}
 	return a
 }
 
+// Restart ends all that runs on the worker, which comes back under its ID and knows nothing of before.
+func (a *Agents) Restart(worker string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.workers[worker] = newAgentState()
+	a.incarnations[worker] = a.incarnation(worker) + 1
+}
+
+// incarnation returns the number of the worker's present incarnation. The caller holds a.mu.
+func (a *Agents) incarnation(worker string) int64 { return max(a.incarnations[worker], 1) }
+
+// Incarnation returns the number of the worker's present incarnation, 1 for one that has not restarted.
+func (a *Agents) Incarnation(worker string) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.incarnation(worker)
+}
+
 var errDown = errors.New("down")
 
 // workerFor returns the target worker. It fails if the worker is down or has seen a newer token.
@@ -193,7 +213,7 @@
 			return agent.PollResponse{}, err
 		}
 		w.forget(poll.Acknowledged)
-		answer := agent.PollResponse{Clock: time.Second, Listing: w.listing(1)}
+		answer := agent.PollResponse{Clock: time.Second, Listing: w.listing(a.incarnation(to.Worker))}
 		changed := a.changed
 		a.mu.Unlock()
 		if len(answer.Exits) > 0 {
--- a/internal/state/work/part.go
+++ b/internal/state/work/part.go
@@ -116,6 +116,7 @@
 	groupBytes   = 96
 	crashesBytes = 48
 	textBytes    = 9
+	numberBytes  = 9
 )
 
 // countWithin returns how many of the groups, at least one, certainly fit into a part of limit bytes.
@@ -131,7 +132,7 @@
 
 // maxBytes returns an upper bound of the encoded size.
 func (g *GroupRecord) maxBytes() int {
-	size := groupBytes + len(g.Checkpoint) + len(g.StartedFrom) + len(g.Crashes)*crashesBytes
+	size := groupBytes + len(g.Checkpoint) + len(g.StartedFrom) + len(g.Crashes)*crashesBytes + len(g.Incarnations)*numberBytes
 	for _, names := range [][]string{g.FailedOn, g.Workers} {
 		for _, name := range names {
 			size += textBytes + len(name)
@@ -152,7 +153,7 @@
 // checkpoints.
 func MaxPartBytes(tasks int, checkpoints bool) int {
 	const worker = textBytes + MaxWorkerIDBytes
-	size := partBytes + groupBytes + MaxFailedOn*worker + tasks*(worker+crashesBytes)
+	size := partBytes + groupBytes + MaxFailedOn*worker + tasks*(worker+numberBytes+crashesBytes)
 	if checkpoints {
 		size += 2 * MaxCheckpointBytes
 	}
--- a/internal/state/work/part_test.go
+++ b/internal/state/work/part_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -24,6 +25,7 @@
 	}
 	for task := range tasks {
 		g.Workers = append(g.Workers, id)
+		g.Incarnations = append(g.Incarnations, math.MaxInt64)
 		g.Crashes = append(g.Crashes, work.TaskCrashes{Task: task, Count: 1 << 31, Suspected: 1 << 31, Run: 1 << 31})
 	}
 	return g
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -40,6 +40,9 @@
 	StartedFrom string `json:"from,omitempty" cbor:"7,keyasint,omitempty"`
 	// Workers holds the worker of each member while the run may be alive there; otherwise it is empty.
 	Workers []string `json:"on,omitempty" cbor:"8,keyasint,omitempty"`
+	// Incarnations holds, for each of Workers, the incarnation to which the start is sent; it is empty in records of releases that don't
+	// know it, and zero if a worker reports none.
+	Incarnations []int64 `json:"born,omitempty" cbor:"11,keyasint,omitempty"`
 	// MayCrash is true if a task of the group may have crashed a worker, and no run has lasted long enough since.
 	MayCrash bool `json:"mayCrash,omitempty" cbor:"9,keyasint,omitempty"`
 	// Crashes has an entry for each task of the group under which a worker has crashed.
@@ -59,6 +62,24 @@
 	g.FailedOn = list[max(len(list)-MaxFailedOn, 0):]
 }
 
+// IncarnationOf returns the incarnation to which the start of the task with that index is sent, zero if it is unknown.
+func (g *GroupRecord) IncarnationOf(task int) int64 {
+	if len(g.Incarnations) != len(g.Workers) {
+		return 0
+	}
+	return g.Incarnations[task]
+}
+
+// SetIncarnation sets the result of IncarnationOf. Copies of the record that were made before don't change.
+func (g *GroupRecord) SetIncarnation(task int, incarnation int64) {
+	list := make([]int64, len(g.Workers))
+	if len(g.Incarnations) == len(list) {
+		copy(list, g.Incarnations)
+	}
+	list[task] = incarnation
+	g.Incarnations = list
+}
+
 // TaskCrashes counts the workers that have crashed under one task.
 type TaskCrashes struct {
 	// Task is the task's index in its group.
--- a/internal/state/work/record_test.go
+++ b/internal/state/work/record_test.go
@@ -22,3 +22,23 @@
 	assert.Equal(t, group.FailedOn[0], fmt.Sprint("w-", work.MaxFailedOn))
 	assert.DeepEqual(t, earlier.FailedOn, []string{"w-0"})
 }
+
+// Guards against changes of a copy that is being written.
+func TestIncarnationsOfACopyDoNotChange(t *testing.T) {
+	group := work.GroupRecord{Workers: []string{"w-0", "w-1"}, Incarnations: []int64{7, 8}}
+	earlier := group
+	group.SetIncarnation(1, 9)
+	assert.DeepEqual(t, group.Incarnations, []int64{7, 9})
+	assert.DeepEqual(t, earlier.Incarnations, []int64{7, 8})
+}
+
+// Guards against a record of an earlier release that is not read, or read as if it named an incarnation.
+func TestRecordWithoutIncarnationsIsRead(t *testing.T) {
+	record, err := work.DecodeRecord([]byte(`{"phase":"running","change":3,"sets":[{"run":2,"on":["w-0","w-1"]}]}`))
+	assert.NilError(t, err)
+	group := record.Groups[0]
+	assert.Equal(t, group.IncarnationOf(1), int64(0))
+	group.SetIncarnation(1, 9)
+	assert.Equal(t, group.IncarnationOf(0), int64(0))
+	assert.Equal(t, group.IncarnationOf(1), int64(9))
+}
