--- a/internal/node/term/predecessor.go
+++ b/internal/node/term/predecessor.go
@@ -93,24 +93,36 @@
 	return past.reply(e.Now()), nil
 }
 
-// inheritLeases asks the last owner before this term which leases it has granted, and applies its reply. If there is none at once, it
-// also collects the exits that earlier owners have left with other instances.
-func (t *term) inheritLeases(ctx context.Context) {
+// inheritLeases asks the last owner before this term which leases it has granted, and applies its reply. It closes asked once the owner
+// has replied or the first attempt has failed.
+func (t *term) inheritLeases(ctx context.Context, asked chan<- struct{}) {
 	for attempt := range predecessorAttempts {
-		if t.inheritFromLast(ctx) {
-			return
-		}
+		last := t.inheritFromLast(ctx)
 		if attempt == 0 {
-			t.collectExits(ctx)
-			t.inheritBound(ctx)
-			t.inheritRecord(ctx)
+			close(asked)
 		}
-		if !pause.For(ctx, t.jitter(storeRetryDelay)) {
+		if last || !pause.For(ctx, t.jitter(storeRetryDelay)) {
 			return
 		}
 	}
 }
 
+// collectReports collects what earlier owners have left with other instances. Once asked is closed too, all reports of earlier owners
+// are complete; the workers are known by now, so the instances that keep exits are too.
+func (t *term) collectReports(ctx context.Context, asked <-chan struct{}) {
+	t.collectExits(ctx)
+	select {
+	case <-ctx.Done():
+		return
+	case <-asked:
+	}
+	t.state.Lock()
+	t.engine.ReportsComplete()
+	t.state.Unlock()
+	t.notify()
+	t.inheritBound(ctx)
+}
+
 // inheritFromLast asks earlier owners until one is the last before this term, and reports whether it has replied.
 func (t *term) inheritFromLast(ctx context.Context) bool {
 	instance := t.predecessor
--- a/internal/node/term/restarted_run_test.go
+++ b/internal/node/term/restarted_run_test.go
@@ -56,3 +56,24 @@
 		assert.Equal(t, s.record().Phase, work.Completed)
 	})
 }
+
+// Guards against work that is done again, and failures that are not counted: the next owner gives up the run of a worker that has
+// restarted before it has heard what the owners before it know of the run.
+func TestRunIsGivenUpOnceTheReportsOfEarlierOwnersAreIn(t *testing.T) {
+	for name, ownerIsLost := range map[string]bool{"left with another instance": true, "reported by the last owner": false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSuccession(t)
+			s.restartWithOwner(group.Done, ownerIsLost, 200*time.Millisecond)
+			time.Sleep(5 * time.Second)
+			assert.Check(t, s.agents.Started(task) == 1, name)
+			assert.Check(t, s.record().Phase == work.Completed, name)
+		})
+		synctest.Test(t, func(t *testing.T) {
+			s := newSuccession(t)
+			s.restartWithOwner(group.Failed, ownerIsLost, 200*time.Millisecond)
+			time.Sleep(5 * time.Second)
+			assert.Check(t, s.record().Groups[0].Failures == 1, name)
+			assert.Check(t, s.running(), name)
+		})
+	}
+}
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -162,13 +162,14 @@
 	ctx, t.cancel = context.WithCancel(ctx)
 	defer t.cancel()
 	t.Log.Emit(event.TermBegan, event.Fields{"token": t.token, "lease": t.lease})
+	t.engine.AwaitReports()
 	t.components.Go("renewal", func() { t.renewLease(ctx) })
 	t.components.Go("standing", func() { t.watchStanding(ctx) })
-	t.components.Go("predecessor", func() {
-		t.inheritBound(ctx)
-		t.inheritLeases(ctx)
-	})
+	asked := make(chan struct{})
+	t.components.Go("predecessor", func() { t.inheritLeases(ctx, asked) })
+	t.components.Go("history", func() { t.inheritBound(ctx) })
 	if t.load(ctx) {
+		t.components.Go("reports", func() { t.collectReports(ctx, asked) })
 		t.components.Go("leases", func() {
 			t.inheritRecord(ctx)
 			t.withholdLeases(ctx)
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -40,7 +40,7 @@
 		for _, m := range w.sortedMembers() {
 			switch {
 			case m.State == Planned || m.State == Ended:
-			case leaseExpired && m.mayRun():
+			case leaseExpired && m.mayRun() && e.mayGiveUp(m):
 				e.emit(Decision{Kind: WorkerLapsed, Worker: w.ID, Job: m.Run.Group.Job.ID(), Task: m.task, Run: m.Run.Number})
 				// A worker that is cut off may run on, so this is no certain crash.
 				e.recordCrash(m, crashEvidence{suspect: crash[m].suspect}, now)
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -94,6 +94,8 @@
 	evacuated   map[string]bool
 	// inherited is what is known of the leases of earlier owners, beside Config.InheritedLease.
 	inherited InheritedLeases
+	// awaitsReports is true while exits that earlier owners have heard may still be reported.
+	awaitsReports bool
 	// heardExits are the exits whose records may not be durable, heardExitsKept is their number when durable ones were last dropped.
 	heardExits     []heardExit
 	heardExitsKept int
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -200,7 +200,11 @@
 		e.endMember(m, Void, "", now)
 	case m.Run.unseenWorker():
 	case m.outlived():
-		e.endOutlived(m, now)
+		if e.mayGiveUp(m) {
+			e.endOutlived(m, now)
+		}
+	case m.target == 0 && m.Worker.Incarnation != 0 && !e.mayGiveUp(m):
+		// The run may be one of an earlier incarnation.
 	case !e.mayStartOn(m.Worker, now) || m.Worker.overcommitted():
 		e.endMember(m, Void, "", now)
 	case !m.Run.Group.occ.dependenciesDone(m.Run.Group.Step):
--- a/internal/place/group/heard.go
+++ b/internal/place/group/heard.go
@@ -59,6 +59,16 @@
 	return time.Time{}
 }
 
+// AwaitReports keeps the runs of earlier owners, of which an exit may be reported, from being given up until ReportsComplete is called.
+// Their workers' listings still count: what the incarnation shows to which a start was sent, no report contradicts.
+func (e *Engine) AwaitReports() { e.awaitsReports = true }
+
+// ReportsComplete records that all exits that earlier owners have heard are applied, as far as they can be learned.
+func (e *Engine) ReportsComplete() { e.awaitsReports = false }
+
+// mayGiveUp reports whether the member may be ended without its worker's word.
+func (e *Engine) mayGiveUp(m *Member) bool { return m.State != Inherited || !e.awaitsReports }
+
 // ApplyHeardExits applies exits that workers have listed to an earlier owner.
 func (e *Engine) ApplyHeardExits(exits []WorkerExit, now time.Time) {
 	for _, x := range exits {
--- a/internal/place/group/incarnation_test.go
+++ b/internal/place/group/incarnation_test.go
@@ -116,3 +116,59 @@
 	c.advanceTime(time.Second)
 	assert.DeepEqual(t, c.runsOf("job-a.0.0.0"), []int{1})
 }
+
+// Guards against a run that is given up although a report of an earlier owner is to come that tells how it ended.
+func TestInheritedRunIsNotGivenUpBeforeReportsAreComplete(t *testing.T) {
+	for name, lose := range map[string]func(c *cluster){
+		"restarted": func(c *cluster) {
+			c.restart("w0-0", 2)
+			c.engine.SetWorkers(c.infos, c.now)
+		},
+		"lapsed": func(c *cluster) {
+			c.silent["w0-0"] = true
+			c.advanceTime(20 * time.Second)
+		},
+		"replaced": func(c *cluster) {
+			c.silent["w0-0"] = true
+			c.now = c.now.Add(time.Second)
+			c.engine.WorkerReplaced("w0-0", c.now, c.now)
+		},
+	} {
+		c := newCluster(t, 1, 2)
+		c.engine.AwaitReports()
+		job := c.inheritRun(1)
+		lose(c)
+		c.pollAll()
+		c.step()
+		assert.Equal(t, len(c.runsOf("job-a.0.0.0")), 0, name)
+		c.hear(group.Done)
+		c.engine.ReportsComplete()
+		c.step()
+		assert.Equal(t, job.Record.Phase, work.Completed, name)
+		assert.Equal(t, job.Record.Groups[0].Run, 1, name)
+	}
+}
+
+// Guards against tasks that wait without need: what a worker shows of the incarnation to which the start was sent needs no report.
+func TestRecordedRunIsStartedBeforeReportsAreComplete(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.engine.AwaitReports()
+	c.inheritRun(1)
+	c.pollAll()
+	c.step()
+	assert.DeepEqual(t, c.runsOf("job-a.0.0.0"), []int{1})
+}
+
+// Guards against a run that is never given up, as no report tells of it.
+func TestInheritedRunIsGivenUpOnceReportsAreComplete(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.engine.AwaitReports()
+	c.inheritRun(1)
+	c.restart("w0-0", 2)
+	c.engine.SetWorkers(c.infos, c.now)
+	c.pollAll()
+	c.step()
+	c.engine.ReportsComplete()
+	c.step()
+	assert.DeepEqual(t, c.runsOf("job-a.0.0.0"), []int{2})
+}
--- a/internal/place/group/restart.go
+++ b/internal/place/group/restart.go
@@ -67,7 +67,7 @@
 	clear(w.orphans)
 	crash := w.crashEvidence()
 	for _, m := range w.sortedMembers() {
-		if m.State != Planned && m.mayRun() && m.orderedAt.Before(sentAt) {
+		if m.State != Planned && m.mayRun() && m.orderedAt.Before(sentAt) && e.mayGiveUp(m) {
 			evidence := crash[m]
 			evidence.suspect = evidence.suspect || m.State == Inherited && !w.Draining
 			e.recordCrash(m, evidence, now)
