--- a/internal/place/group/incarnation_test.go
+++ b/internal/place/group/incarnation_test.go
@@ -1,6 +1,7 @@
 package group_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -172,3 +173,21 @@
 	c.step()
 	assert.DeepEqual(t, c.runsOf("job-a.0.0.0"), []int{2})
 }
+
+// Guards against a start under a number that the record gives to an earlier incarnation: the worker restarts while the record of the run
+// is being written.
+func TestPlannedRunIsNotStartedInTheNextIncarnation(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	job := c.submit("job-a", planQueue, "beta", gang(1, 8))
+	c.engine.Decide(true, c.now)
+	updates := c.engine.Updates(math.MaxInt, c.now)
+	worker := job.Record.Groups[0].Workers[0]
+	c.restart(worker, 2)
+	c.engine.SetWorkers(c.infos, c.now)
+	for _, u := range updates {
+		c.engine.Committed(u, c.now)
+	}
+	c.pollAll()
+	c.step()
+	assert.DeepEqual(t, c.runsOf("job-a.0.0.0"), []int{2})
+}
--- a/internal/place/group/restart.go
+++ b/internal/place/group/restart.go
@@ -30,7 +30,11 @@
 		// The new incarnation has not listed what it runs.
 		m.missing = false
 		return
-	case m.State == Planned || m.State == Ended:
+	case m.State == Planned:
+		// The record that is being written names the earlier incarnation.
+		e.stopRun(m.Run, WorkerChanged, "its worker has restarted since the run was planned", now)
+		return
+	case m.State == Ended:
 		return
 	case listed:
 	case m.State == Ordered && !m.startSent:
