--- a/internal/soak/fault/day.go
+++ b/internal/soak/fault/day.go
@@ -14,7 +14,7 @@
 var days = map[string]Day{
 	"calm": func(*rand.Rand, time.Duration, int) []Entry { return nil },
 	"cut":  cut, "series": series,
-	"away": away, "lost": lost, "owners": owners, "mixed": mixed, "roll": roll, "power": power,
+	"away": away, "lost": lost, "owners": owners, "mixed": mixed, "roll": roll, "power": power, "returns": returns,
 }
 
 // Names returns the names of all days in order.
@@ -102,6 +102,23 @@
 	return entries
 }
 
+// returns takes the store away again and again; workers restart under their IDs before it is back, and the owner is lost.
+func returns(random *rand.Rand, traffic time.Duration, _ int) []Entry {
+	var entries []Entry
+	for at := part(traffic, 0.2); at < traffic; at += between(random, 6*time.Second, 9*time.Second) {
+		back := at + between(random, 2*time.Second, 4500*time.Millisecond)
+		var lost Fault = OwnerKilled{between(random, 500*time.Millisecond, 3*time.Second)}
+		if random.IntN(2) == 0 {
+			lost = OwnerFrozen{between(random, 2*time.Second, 4*time.Second)}
+		}
+		entries = append(entries,
+			Entry{at, StoreAway{Share: 1, Silent: random.IntN(2) == 0, For: back - at, Pauses: true}},
+			Entry{back - between(random, 500*time.Millisecond, 1500*time.Millisecond), WorkersCrashed{Share: 0.3 + 0.4*random.Float64(), Pause: between(random, 200*time.Millisecond, time.Second), SameID: true}},
+			Entry{back - between(random, 0, 1200*time.Millisecond), lost})
+	}
+	return entries
+}
+
 // roll stops and starts the instances in turn while the configuration changes.
 func roll(random *rand.Rand, traffic time.Duration, _ int) []Entry {
 	return []Entry{
