--- a/internal/soak/fault/day.go
+++ b/internal/soak/fault/day.go
@@ -111,7 +111,10 @@
 		if random.IntN(2) == 0 {
 			lost = OwnerFrozen{between(random, 2*time.Second, 4*time.Second)}
 		}
+		// Runs that began before the outage fail during it.
+		failing := WorkersFaulty{Share: 0.5, Fails: true, For: 3 * time.Second}
 		entries = append(entries,
+			Entry{max(at-failing.For, 0), failing},
 			Entry{at, StoreAway{Share: 1, Silent: random.IntN(2) == 0, For: back - at, Pauses: true}},
 			Entry{back - between(random, 500*time.Millisecond, 1500*time.Millisecond), WorkersCrashed{Share: 0.3 + 0.4*random.Float64(), Pause: between(random, 200*time.Millisecond, time.Second), SameID: true}},
 			Entry{back - between(random, 0, 1200*time.Millisecond), lost})
--- a/internal/soak/worker/run.go
+++ b/internal/soak/worker/run.go
@@ -69,7 +69,7 @@
 func (w *Worker) outcome(r *run) (string, time.Duration) {
 	remaining := max(r.work-r.base, time.Millisecond)
 	if w.behavior.Fails || failsBy(r.seen.Task, r.seen.Number, r.step.FailShare) {
-		return trail.Failed, min(remaining, 300*time.Millisecond)
+		return trail.Failed, time.Duration(draw(r.seen.Task, r.seen.Number, "time") * float64(remaining))
 	}
 	if w.place.Planted.RunOn {
 		remaining *= 2
@@ -77,11 +77,16 @@
 	return trail.Done, remaining
 }
 
-// failsBy draws from the task and the run, so that a day plays alike wherever a task runs.
+// failsBy reports whether the run fails by itself.
 func failsBy(task trail.TaskID, number int, share float64) bool {
+	return draw(task, number, "") < share
+}
+
+// draw returns a number from 0 to 1 that depends on the task and the run alone, so that a day plays alike wherever a task runs.
+func draw(task trail.TaskID, number int, what string) float64 {
 	sum := fnv.New32a()
-	fmt.Fprintf(sum, "%s/%d", task, number)
-	return float64(sum.Sum32()%100000)/100000 < share
+	fmt.Fprintf(sum, "%s/%d%s", task, number, what)
+	return float64(sum.Sum32()%100000) / 100000
 }
 
 // excess reports whether more runs than there is room for.
