--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -164,10 +164,15 @@
 
 // relistJobs lists all jobs again and again until the term ends.
 func (t *term) relistJobs(ctx context.Context) {
+	reads := event.ListReads(t.Log, "jobs")
 	failures := 0
 	for wait := time.Duration(0); pause.For(ctx, wait); {
 		wait = relistInterval
-		if err := t.relist(ctx, readTimeout(failures)); err != nil {
+		err := t.relist(ctx, readTimeout(failures))
+		if ctx.Err() == nil {
+			reads.Report(err)
+		}
+		if err != nil {
 			failures++
 			wait = t.jitter(storeRetryDelay / 2)
 			continue
@@ -178,11 +183,15 @@
 
 // watchJobs loads new jobs and cancels from a watch on the store until the term ends; it goes on while lists fail.
 func (t *term) watchJobs(ctx context.Context) {
+	reads := event.ListReads(t.Log, "changes of jobs")
 	after := t.listedRevision()
 	for ctx.Err() == nil {
 		call, done := context.WithTimeout(ctx, relistInterval+storeTimeout)
 		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, relistInterval)
 		done()
+		if ctx.Err() == nil {
+			reads.Report(err)
+		}
 		var historyGone *store.HistoryError
 		switch {
 		case errors.As(err, &historyGone):
