--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -61,6 +61,8 @@
 	// PolicyAge and ListAge are the maximum ages of the configuration and of the list of workers for tasks to be started.
 	PolicyAge time.Duration
 	ListAge   time.Duration
+	// CancelAge is how long the owner may not know of cancels before it resigns if another instance can read; zero if it need not.
+	CancelAge time.Duration
 	// Retention is how long the records of ended jobs are kept.
 	Retention time.Duration
 	// RemoteFactor is the ratio of a task's duration away from its data to that next to it.
--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -18,6 +18,8 @@
 	maxJobAge = time.Minute
 	// relistInterval limits how long a cancel can go unnoticed if the watch misses it.
 	relistInterval = 2 * time.Second
+	// jobsWatchWait is how long a watch of jobs and cancels waits for a change.
+	jobsWatchWait = time.Second
 	// scanInterval limits how long a new job can go unnoticed if the watch misses it; the keys read are few and empty.
 	scanInterval = 250 * time.Millisecond
 	// maxReadTimeout limits a read of all jobs: the slowest link of an instance, 10 Mbit/s, takes as long for 20 MB.
@@ -72,6 +74,7 @@
 	if err != nil {
 		return err
 	}
+	specsRequested := t.Now()
 	specs, asOf, err := t.Store.Range(call, work.SpecPrefix)
 	if err != nil {
 		return err
@@ -93,6 +96,7 @@
 	t.loadJobs(specs, known)
 	t.leftovers = leftoverKeys(records, specs)
 	t.loadedRevision = asOf
+	t.cancels.listed(asOf, specsRequested)
 	t.applyHeardExits(t.Now())
 	return nil
 }
@@ -166,18 +170,40 @@
 func (t *term) relistJobs(ctx context.Context) {
 	reads := event.ListReads(t.Log, "jobs")
 	failures := 0
-	for wait := time.Duration(0); pause.For(ctx, wait); {
+	for wait := time.Duration(0); t.awaitRelist(ctx, wait); {
 		wait = relistInterval
-		err := t.relist(ctx, readTimeout(failures))
+		began, limit := t.Now(), readTimeout(failures)
+		err := t.relist(ctx, limit)
 		if ctx.Err() == nil {
 			reads.Report(err)
 		}
-		if err != nil {
-			failures++
-			wait = t.jitter(storeRetryDelay / 2)
+		switch {
+		case err == nil:
+			failures = 0
 			continue
+		case t.Now().Sub(began) >= limit:
+			// A failure that comes sooner says nothing of the time that a read takes.
+			failures++
 		}
-		failures = 0
+		wait = t.jitter(storeRetryDelay / 2)
+	}
+}
+
+// awaitRelist waits until a list of all jobs is due, and reports false if ctx has ended.
+func (t *term) awaitRelist(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+	case <-t.relistDue:
+	case <-time.After(wait):
+	}
+	return ctx.Err() == nil
+}
+
+// requestRelist asks for a list of all jobs at once.
+func (t *term) requestRelist() {
+	select {
+	case t.relistDue <- struct{}{}:
+	default:
 	}
 }
 
@@ -186,8 +212,9 @@
 	reads := event.ListReads(t.Log, "changes of jobs")
 	after := t.listedRevision()
 	for ctx.Err() == nil {
-		call, done := context.WithTimeout(ctx, relistInterval+storeTimeout)
-		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, relistInterval)
+		sent := t.Now()
+		call, done := context.WithTimeout(ctx, jobsWatchWait+storeTimeout)
+		changes, upTo, err := t.Store.Changes(call, work.SpecPrefix, after, jobsWatchWait)
 		done()
 		if ctx.Err() == nil {
 			reads.Report(err)
@@ -195,8 +222,9 @@
 		var historyGone *store.HistoryError
 		switch {
 		case errors.As(err, &historyGone):
+			t.requestRelist()
 			pause.For(ctx, scanInterval)
-			after = max(after, t.listedRevision())
+			after = t.resumeWatch(after)
 			continue
 		case err != nil:
 			pause.For(ctx, t.jitter(storeRetryDelay/2))
@@ -209,15 +237,28 @@
 				items = append(items, change.Item)
 			}
 		}
+		t.state.Lock()
+		t.loadJobs(items, nil)
+		t.cancels.watched(len(changes), sent, jobsWatchWait, t.Now())
+		t.state.Unlock()
 		if len(items) > 0 {
-			t.state.Lock()
-			t.loadJobs(items, nil)
-			t.state.Unlock()
 			t.notify()
 		}
 	}
 }
 
+// resumeWatch returns the revision from which a watch goes on whose history is gone: the latest one that was read. A list that is
+// requested later shows what the watch misses.
+func (t *term) resumeWatch(after int64) int64 {
+	t.state.Lock()
+	defer t.state.Unlock()
+	latest := max(after, t.loadedRevision, t.scannedRevision)
+	if latest > t.loadedRevision {
+		t.cancels.resumed(latest)
+	}
+	return latest
+}
+
 // listedRevision returns the store revision as of which all jobs were last loaded.
 func (t *term) listedRevision() int64 {
 	t.state.Lock()
@@ -238,10 +279,13 @@
 
 // readWaiting loads the jobs with a pending key that are not loaded yet; one that can't be read hides no other.
 func (t *term) readWaiting(ctx context.Context) error {
-	waiting, _, err := t.Store.Range(ctx, work.WaitPrefix)
+	waiting, asOf, err := t.Store.Range(ctx, work.WaitPrefix)
 	if err != nil {
 		return err
 	}
+	t.state.Lock()
+	t.scannedRevision = asOf
+	t.state.Unlock()
 	var failed error
 	for _, job := range t.notLoaded(waiting) {
 		item, err := t.Store.Item(ctx, work.SpecKey(job))
@@ -276,6 +320,7 @@
 func (t *term) relist(ctx context.Context, timeout time.Duration) error {
 	call, done := context.WithTimeout(ctx, timeout)
 	defer done()
+	sent := t.Now()
 	items, asOf, err := t.Store.Range(call, work.SpecPrefix)
 	if err != nil {
 		return err
@@ -283,6 +328,7 @@
 	t.state.Lock()
 	t.loadJobs(items, nil)
 	t.loadedRevision = asOf
+	t.cancels.listed(asOf, sent)
 	t.state.Unlock()
 	t.notify()
 	return nil
--- a/internal/node/term/stale.go
+++ b/internal/node/term/stale.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// staleAfter is how long nothing may start, as the configuration or the list of workers is too old, before the owner asks other
+	// staleAfter is how long nothing may start, as the configuration or the list of workers is too old, or cancels are unknown, before the owner asks other
 	// instances whether they can read them.
 	staleAfter = 1500 * time.Millisecond
 	// staleAlone is after how long the owner resigns if none of the other instances answers.
@@ -27,12 +27,13 @@
 	Ask(ctx context.Context, request *probe.Request) probe.Result
 }
 
-// staleError means that nothing could start, as this owner could not read the configuration or the list of workers.
-type staleError struct{ policyAge, listAge time.Duration }
+// staleError means that nothing could start, as this owner could not read the configuration or the list of workers, or that it could
+// not learn of cancels.
+type staleError struct{ policyAge, listAge, cancelAge time.Duration }
 
-// Error names the ages of both.
+// Error names the ages.
 func (e *staleError) Error() string {
-	return fmt.Sprintf("nothing may start: the configuration was confirmed %s ago, the list of workers %s ago", e.policyAge, e.listAge)
+	return fmt.Sprintf("out of date: the configuration was confirmed %s ago, the list of workers %s ago, cancels are known as of %s ago", e.policyAge, e.listAge, e.cancelAge)
 }
 
 // Probe reads the configuration and the list of workers for an owner that can't.
@@ -86,13 +87,14 @@
 	return result.Able > 0 || result.Asked > 0 && result.Answered == 0 && stale >= staleAlone
 }
 
-// staleness returns a staleError if only the ages of configuration or list of workers forbid starts, else nil.
+// staleness returns a staleError if only the ages of configuration or list of workers forbid starts, or cancels are unknown for too
+// long, else nil.
 func (t *term) staleness(now time.Time) error {
 	_, confirmedAt := t.Policy.Current()
 	t.state.Lock()
 	defer t.state.Unlock()
-	if !t.leaseValid(now) || t.mayStart(now) {
+	if !t.leaseValid(now) || t.mayStart(now) && !t.cancelsUnknown(now) {
 		return nil
 	}
-	return &staleError{policyAge: now.Sub(confirmedAt), listAge: now.Sub(t.listedAt)}
+	return &staleError{policyAge: now.Sub(confirmedAt), listAge: now.Sub(t.listedAt), cancelAge: now.Sub(t.cancels.knownAt)}
 }
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -99,6 +99,9 @@
 	leftovers []string
 	// loadedRevision is the store revision as of which all jobs were last loaded, zero until they are.
 	loadedRevision int64
+	// scannedRevision is the store revision as of which the pending keys were last read.
+	scannedRevision int64
+	cancels         cancelProof
 	// failedLoads is the number of terms in a row before this one that ended before the jobs were loaded.
 	failedLoads int
 	// commitsInFlight counts the commits in progress; commitFailed is true if the last one that ended has failed.
@@ -119,8 +122,10 @@
 	renewalsInFlight int
 
 	pendingDecision chan struct{}
-	cancel          context.CancelFunc
-	components      abort.Group
+	// relistDue asks for a list of all jobs at once.
+	relistDue  chan struct{}
+	cancel     context.CancelFunc
+	components abort.Group
 }
 
 type stopKey struct {
@@ -143,7 +148,7 @@
 	return &term{
 		Elector: e, lease: lease, token: token, startedAt: now, inheritedLease: cfg.InheritedLease, ownedAt: token, engine: engine, failedLoads: e.turns.count(sent), validUntil: sent.Add(leaseTTL - leaseMargin),
 		sessions: make(map[string]*session), pendingStops: make(map[stopKey]bool), earlyCancels: make(map[string]bool),
-		revisions: make(map[string]int64), partKeys: make(map[string]map[string]bool), partLimits: make(map[string]int), pendingDecision: make(chan struct{}, 1),
+		revisions: make(map[string]int64), partKeys: make(map[string]map[string]bool), partLimits: make(map[string]int), pendingDecision: make(chan struct{}, 1), relistDue: make(chan struct{}, 1),
 		withheld:   withheld{workers: make(map[string]bool), forgottenAt: make(map[string]time.Time), changed: make(chan struct{}, 1)},
 		components: abort.Group{Log: e.Log},
 	}
