--- a/internal/node/term/cancels_test.go
+++ b/internal/node/term/cancels_test.go
@@ -73,8 +73,8 @@
 	s.store.CompactHistory()
 }
 
-// cancelMs is the time within which an acknowledged cancel is to be carried out.
-const cancelMs = 3 * time.Second
+// cancelBound is the time within which an acknowledged cancel is to be carried out.
+const cancelBound = 3 * time.Second
 
 // Guards against acknowledged cancels that are carried out late: after failures at once and then a silent store, whose history is gone,
 // one read of all jobs waits for 16 s and the watch waits for it (review/8, UNASKED).
@@ -95,7 +95,7 @@
 		s.store.Put(work.CancelKey(job), nil)
 		cancelled := time.Now()
 		s.eventually("the cancel is carried out", func() bool { return s.record().Phase == work.Cancelled })
-		assert.Assert(t, time.Since(cancelled) < cancelMs, "%s", time.Since(cancelled))
+		assert.Assert(t, time.Since(cancelled) < cancelBound, "%s", time.Since(cancelled))
 	})
 }
 
@@ -115,7 +115,7 @@
 		s.store.Put(work.CancelKey(job), nil)
 		cancelled := time.Now()
 		s.eventually("the cancel is carried out", func() bool { return s.record().Phase == work.Cancelled })
-		assert.Assert(t, time.Since(cancelled) < cancelMs, "%s", time.Since(cancelled))
+		assert.Assert(t, time.Since(cancelled) < cancelBound, "%s", time.Since(cancelled))
 	})
 }
 
@@ -148,12 +148,12 @@
 		s := newStaleSite(t, [2]refused{}, [2]refused{})
 		kv := &troubledReads{Transactor: s.store}
 		s.a.Store = kv
-		s.a.Limits.CancelAge, s.b.Limits.CancelAge = cancelMs, cancelMs
+		s.a.Limits.CancelAge, s.b.Limits.CancelAge = cancelBound, cancelBound
 		s.start()
 		time.Sleep(20 * time.Second)
 		assert.Assert(t, strings.Contains(s.owner(), `"instance":"a"`), "it resigned without a cause")
 		kv.set(silent)
-		time.Sleep(cancelMs + 5*time.Second)
+		time.Sleep(cancelBound + 5*time.Second)
 		assert.Assert(t, cmp.Contains(s.owner(), `"instance":"b"`))
 	})
 }
--- a/internal/node/term/stale.go
+++ b/internal/node/term/stale.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// staleAfter is how long nothing may start, as the configuration or the list of workers is too old, or cancels are unknown, before the owner asks other
-	// instances whether they can read them.
+	// staleAfter is how long nothing may start, as the configuration or the list of workers is too old, or cancels are unknown, before
+	// the owner asks other instances whether they can read.
 	staleAfter = 1500 * time.Millisecond
 	// staleAlone is after how long the owner resigns if none of the other instances answers.
 	staleAlone = 6 * time.Second
--- a/internal/node/term/withheld.go
+++ b/internal/node/term/withheld.go
@@ -101,8 +101,8 @@
 		writtenBy = at
 	}
 	end := writtenBy.Add(onThisClock(remaining))
-	if began, seen := t.firstSighting(record.Token); seen && record.TermAge > 0 {
-		end = earlier(end, began.Add(onThisClock(record.TermAge+remaining)))
+	if termSeen, seen := t.firstSighting(record.Token); seen && record.TermAge > 0 {
+		end = earlier(end, termSeen.Add(onThisClock(record.TermAge+remaining)))
 	}
 	return end
 }
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -98,7 +98,7 @@
 // if there is none. That a task is done holds whatever runs now; any other exit says nothing of a run in another incarnation.
 func (e *Engine) applyExit(w *Worker, incarnation int64, entry ExitEntry, now time.Time) *Job {
 	m := w.members[runKey{entry.Task, entry.Run}]
-	if m == nil || !m.isOf(incarnation) {
+	if m == nil || !m.ranIn(incarnation) {
 		if entry.Status == Done {
 			return e.applyLateSuccess(w, entry, now)
 		}
@@ -204,7 +204,7 @@
 			e.endOutlived(m, now)
 		}
 	case m.target == 0 && m.Worker.Incarnation != 0 && !e.mayGiveUp(m):
-		// The run may be one of an earlier incarnation.
+		// The run may have been one of an earlier incarnation, and a report may tell how it ended.
 	case !e.mayStartOn(m.Worker, now) || m.Worker.overcommitted():
 		e.endMember(m, Void, "", now)
 	case !m.Run.Group.occ.dependenciesDone(m.Run.Group.Step):
--- a/internal/place/group/heard.go
+++ b/internal/place/group/heard.go
@@ -86,7 +86,7 @@
 	state := "not known"
 	if m := w.members[runKey{x.Exit.Task, x.Exit.Run}]; m != nil {
 		state = m.State.String()
-		if !m.isOf(x.Incarnation) {
+		if !m.ranIn(x.Incarnation) {
 			state += " in another incarnation"
 		}
 	}
--- a/internal/place/group/incarnation.go
+++ b/internal/place/group/incarnation.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// isOf reports whether an exit that the incarnation of the member's worker has listed is one of this member. Numbers of runs alone don't
-// tell: an owner of an earlier release may have started the run again in a later incarnation. An unknown incarnation is that of the
+// ranIn reports whether an exit that the incarnation of the member's worker has listed is the member's. The number of the run alone does
+// not tell: an owner of an earlier release may have started the run again in a later incarnation. An unknown incarnation is that of the
 // member only if the worker reports none.
-func (m *Member) isOf(incarnation int64) bool {
+func (m *Member) ranIn(incarnation int64) bool {
 	return incarnation == m.Worker.Incarnation || incarnation != 0 && incarnation == m.target
 }
 
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -64,14 +64,18 @@
 
 // IncarnationOf returns the incarnation to which the start of the task with that index is sent, zero if it is unknown.
 func (g *GroupRecord) IncarnationOf(task int) int64 {
-	if len(g.Incarnations) != len(g.Workers) {
+	if len(g.Incarnations) != len(g.Workers) || task >= len(g.Workers) {
 		return 0
 	}
 	return g.Incarnations[task]
 }
 
-// SetIncarnation sets the result of IncarnationOf. Copies of the record that were made before don't change.
+// SetIncarnation sets the result of IncarnationOf; a task without a worker is left out. Copies of the record that were made before don't
+// change.
 func (g *GroupRecord) SetIncarnation(task int, incarnation int64) {
+	if task >= len(g.Workers) {
+		return
+	}
 	list := make([]int64, len(g.Workers))
 	if len(g.Incarnations) == len(list) {
 		copy(list, g.Incarnations)
