--- a/internal/node/term/cancels_test.go
+++ b/internal/node/term/cancels_test.go
@@ -99,6 +99,28 @@
 	})
 }
 
+// The same for a cancel that was acknowledged before the store was back for the owner: no watch shows it, as its history is gone. A list
+// that fails at once must not prolong the next one.
+func TestCancelOfAnOutageIsSeenSoonAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		kv := &troubledReads{Transactor: s.store}
+		s.electOn("a", kv, s.agents, nil)
+		s.submit()
+		s.eventually("the task runs", s.running)
+		kv.set(refusing)
+		time.Sleep(2500 * time.Millisecond)
+		kv.set(silent)
+		time.Sleep(2 * time.Second)
+		s.store.Put(work.CancelKey(job), nil)
+		s.dropHistory()
+		kv.set(served)
+		cancelled := time.Now()
+		s.eventually("the cancel is carried out", func() bool { return s.record().Phase == work.Cancelled })
+		assert.Assert(t, time.Since(cancelled) < cancelBound, "%s", time.Since(cancelled))
+	})
+}
+
 // Guards against a watch that does not go on, as the list of all jobs fails and the history is gone: it goes on from the latest revision
 // that was read.
 func TestCancelIsSeenThoughTheJobsCanNotBeListed(t *testing.T) {
--- a/internal/place/group/incarnation_test.go
+++ b/internal/place/group/incarnation_test.go
@@ -191,3 +191,32 @@
 	c.step()
 	assert.DeepEqual(t, c.runsOf("job-a.0.0.0"), []int{2})
 }
+
+// Guards against two runs of one task: its run is given up as the worker list shows a restart, before the new incarnation has answered; until
+// then it takes orders of earlier owners.
+func TestRunIsNotGivenUpBeforeTheNextIncarnationAnswers(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.silent["w0-1"] = true
+	c.infos = append(c.infos, group.WorkerInfo{
+		ID: "w0-9", Service: "main", Address: "w0-9", DataCentre: "dc0", Rack: "r0", Capacity: group.Resources{MilliCores: 32000, MemoryMB: 128000, Accelerators: 8}, Incarnation: 1,
+	})
+	c.running["w0-9"] = make(map[string]group.RunningEntry)
+	c.silent["w0-9"] = true
+	c.engine.SetWorkers(c.infos, c.now)
+	record := &work.Record{Phase: work.Running, Groups: []work.GroupRecord{{Run: 1, Workers: []string{"w0-0", "w0-9"}, Incarnations: []int64{1, 1}}}}
+	c.engine.Load(&work.Spec{Job: "job-a", Queue: planQueue, Steps: []work.Step{gang(2, 8)}}, record, 0, c.now, c.now)
+	c.pollAll()
+	c.step()
+	c.restart("w0-0", 2)
+	c.engine.SetWorkers(c.infos, c.now)
+	c.silent["w0-0"], c.silent["w0-9"] = true, false
+	c.running["w0-9"]["job-a.0.0.1"] = group.RunningEntry{Task: "job-a.0.0.1", Run: 1}
+	c.poll("w0-9")
+	c.step()
+	assert.DeepEqual(t, c.runsOf("job-a.0.0.1"), []int{1})
+	assert.Equal(t, len(c.stops), 0)
+	c.silent["w0-0"], c.silent["w0-1"] = false, false
+	c.pollAll()
+	c.advanceTime(time.Second)
+	assert.DeepEqual(t, c.runsOf("job-a.0.0.0"), []int{2})
+}
