--- a/internal/node/term/keeper.go
+++ b/internal/node/term/keeper.go
@@ -146,8 +146,9 @@
 }
 
 // collectExits applies the exits that earlier owners have left with other instances, and what these have seen of the owner's key. The
-// last owner left them with the first instance of each data centre but itself, so that may be the second one here.
-func (t *term) collectExits(ctx context.Context) {
+// last owner left them with the first instance of each data centre but itself, so that may be the second one here. It reports whether
+// others have seen anything.
+func (t *term) collectExits(ctx context.Context) (seen bool) {
 	request := &grants.Request{Token: t.token}
 	var mu sync.Mutex
 	exits, unreached := slices.Clone(t.keptBefore(t.token).Exits), 0
@@ -175,4 +176,5 @@
 	t.state.Unlock()
 	t.notify()
 	t.Log.Emit(event.ExitsCollected, event.Fields{"token": t.token, "exits": len(exits), "unreached": unreached})
+	return len(sightings) > 0
 }
--- a/internal/node/term/predecessor.go
+++ b/internal/node/term/predecessor.go
@@ -110,7 +110,7 @@
 // collectReports collects what earlier owners have left with other instances. Once asked is closed too, all reports of earlier owners
 // are complete; the workers are known by now, so the instances that keep exits are too.
 func (t *term) collectReports(ctx context.Context, asked <-chan struct{}) {
-	t.collectExits(ctx)
+	seen := t.collectExits(ctx)
 	select {
 	case <-ctx.Done():
 		return
@@ -120,9 +120,11 @@
 	t.engine.ReportsComplete()
 	t.state.Unlock()
 	t.notify()
-	// The other instances may have seen more of the owner's key.
-	t.inheritBound(ctx)
-	t.inheritRecord(ctx)
+	if seen {
+		// What others have seen of the owner's key may shorten times that were computed without it.
+		t.inheritBound(ctx)
+		t.inheritRecord(ctx)
+	}
 }
 
 // inheritFromLast asks earlier owners until one is the last before this term, and reports whether it has replied.
