--- a/internal/node/term/load.go
+++ b/internal/node/term/load.go
@@ -87,7 +87,7 @@
 	defer t.state.Unlock()
 	t.loadWithheld(leases, t.Now())
 	if snapshot, _ := t.Policy.Current(); snapshot.Policy != nil {
-		t.engine.SetPolicy(snapshot.Policy.PlacementQueues(), snapshot.Policy.Guarantees(), snapshot.Evacuated)
+		t.engine.SetPolicy(snapshot.Placement())
 	}
 	t.logRacks(workers)
 	t.engine.SetWorkers(workers, t.Now())
--- a/internal/node/term/proxy_test.go
+++ b/internal/node/term/proxy_test.go
@@ -35,7 +35,7 @@
 		Limits: Limits{MaxLease: 6 * time.Second, StopTimeout: time.Second, Retention: time.Minute, RemoteFactor: 3},
 	}
 	tm := newTerm(e, 1, 7, now)
-	tm.engine.SetPolicy([]group.Queue{{Name: "plan", Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3}}, nil, nil)
+	tm.engine.SetPolicy(group.Policy{Queues: []group.Queue{{Name: "plan", Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3}}})
 	var infos []group.WorkerInfo
 	for _, id := range []string{"here-busy", "here-idle", "there-busy", "there-idle"} {
 		infos = append(infos, group.WorkerInfo{ID: id, Address: id, Service: "main", DataCentre: id[:len(id)-5], Rack: id, Labels: []string{id[len(id)-4:]}, Capacity: group.Resources{MilliCores: 8000, MemoryMB: 8000, Accelerators: 8}, Incarnation: 1})
--- a/internal/node/term/shrunk_worker_test.go
+++ b/internal/node/term/shrunk_worker_test.go
@@ -29,7 +29,7 @@
 	}
 	assert.NilError(t, e.Policy.Refresh(t.Context()))
 	s.term = newTerm(e, 1, 7, s.now)
-	s.engine.SetPolicy([]group.Queue{{Name: "plan", Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3}}, nil, nil)
+	s.engine.SetPolicy(group.Policy{Queues: []group.Queue{{Name: "plan", Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3}}})
 	s.listCapacity(8)
 	s.engine.ApplyListing("w", group.Listing{Incarnation: 1}, s.now, s.now)
 	s.sessions["w"] = &session{term: s.term, id: "w", clock: clockReading{incarnation: 1, reading: time.Minute, at: s.now}}
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -274,7 +274,7 @@
 	snapshot, _ := t.Policy.Current()
 	t.state.Lock()
 	if snapshot.Policy != nil {
-		t.engine.SetPolicy(snapshot.Policy.PlacementQueues(), snapshot.Policy.Guarantees(), snapshot.Evacuated)
+		t.engine.SetPolicy(snapshot.Placement())
 	}
 	t.engine.Decide(t.mayStart(now), now)
 	t.timeDecision(now)
--- a/internal/place/group/bench_test.go
+++ b/internal/place/group/bench_test.go
@@ -38,11 +38,11 @@
 func newFullEngine(workers, jobs int) (*group.Engine, time.Time) {
 	now := time.Unix(1000, 0)
 	e := group.New(group.DefaultConfig())
-	e.SetPolicy([]group.Queue{
+	e.SetPolicy(group.Policy{Queues: []group.Queue{
 		{Name: quickQueue, Service: "main", Priority: 0, MaxAttempts: 4, Stretch: 1.5},
 		{Name: planQueue, Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3},
 		{Name: batchQueue, Service: "main", Priority: 2, MaxAttempts: 4, Stretch: 3},
-	}, map[string]int{"alpha": 16}, nil)
+	}, Workspaces: []group.Workspace{{Name: "alpha", Guaranteed: 16}}})
 	infos := fullWorkers(workers)
 	e.SetWorkers(infos, now)
 	for _, info := range infos {
--- a/internal/place/group/closed_worker_test.go
+++ b/internal/place/group/closed_worker_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/lentildeck/lentildeck/internal/place/group"
 	"gotest.tools/v3/assert"
 )
 
@@ -19,13 +20,13 @@
 
 func TestNothingStartsInAnEvacuatedDataCentreUntilItIsTakenBack(t *testing.T) {
 	c := newCluster(t, 2, 1)
-	c.engine.SetPolicy(nil, nil, map[string]bool{"dc0": true})
+	c.engine.SetPolicy(group.Policy{Evacuated: map[string]bool{"dc0": true}})
 	c.submit("one", quickQueue, "alpha", gang(1, 8))
 	c.submit("two", quickQueue, "alpha", gang(1, 8))
 	c.step()
 	assert.Equal(t, len(c.running["w0-0"]), 0)
 	assert.Equal(t, len(c.running["w1-0"]), 1)
-	c.engine.SetPolicy(nil, nil, nil)
+	c.engine.SetPolicy(group.Policy{})
 	c.step()
 	assert.Equal(t, len(c.running["w0-0"]), 1)
 }
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -219,7 +219,7 @@
 
 // markWithinGuarantee marks the jobs of priority 0 that are within their workspace's guarantee; older jobs come first.
 func (e *Engine) markWithinGuarantee(now time.Time) {
-	used := make(map[string]int, len(e.guaranteed))
+	used := make(map[string]int, len(e.workspaces))
 	for _, j := range e.openJobs {
 		j.withinGuarantee = false
 		if j.Record.Phase.Final() || j.Cancelled || j.queue.Priority != 0 {
@@ -227,7 +227,7 @@
 		}
 		workspace := j.Spec.Workspace
 		need := j.unfinishedAccelerators(now)
-		if used[workspace]+need > e.guaranteed[workspace] {
+		if used[workspace]+need > e.workspaces[workspace].Guaranteed {
 			continue
 		}
 		used[workspace] += need
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -90,7 +90,7 @@
 	endedJobs   []*Job
 	changedJobs []*Job
 	queues      map[string]Queue
-	guaranteed  map[string]int
+	workspaces  map[string]Workspace
 	evacuated   map[string]bool
 	// inherited is what is known of the leases of earlier owners, beside Config.InheritedLease.
 	inherited InheritedLeases
@@ -126,18 +126,36 @@
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, workers: make(map[string]*Worker), jobs: make(map[string]*Job),
-		queues: make(map[string]Queue), guaranteed: make(map[string]int), evacuated: make(map[string]bool),
+		queues: make(map[string]Queue), workspaces: make(map[string]Workspace), evacuated: make(map[string]bool),
 		workersWithExits: make(map[*Worker]bool),
 	}
 }
 
-// SetPolicy replaces the given queues, the guaranteed accelerators by workspace, and the data centres that get no new tasks.
-// Queues that are missing from the list stay.
-func (e *Engine) SetPolicy(queues []Queue, guaranteed map[string]int, evacuated map[string]bool) {
-	for _, q := range queues {
+// Policy is the part of the operators' configuration that the engine needs.
+type Policy struct {
+	Queues     []Queue
+	Workspaces []Workspace
+	// Evacuated are the data centres that get no new tasks.
+	Evacuated map[string]bool
+}
+
+// Workspace is a tenant with its guarantee.
+type Workspace struct {
+	Name string
+	// Guaranteed is the number of accelerators that are guaranteed to its jobs of priority 0.
+	Guaranteed int
+}
+
+// SetPolicy replaces the workspaces, the evacuated data centres and the given queues. Queues that are missing from the policy stay.
+func (e *Engine) SetPolicy(p Policy) {
+	for _, q := range p.Queues {
 		e.queues[q.Name] = q
 	}
-	e.guaranteed, e.evacuated = guaranteed, evacuated
+	clear(e.workspaces)
+	for _, ws := range p.Workspaces {
+		e.workspaces[ws.Name] = ws
+	}
+	e.evacuated = p.Evacuated
 }
 
 // defaultMaxAttempts applies to jobs of earlier releases whose queue this owner has never seen in a configuration.
--- a/internal/place/group/engine_test.go
+++ b/internal/place/group/engine_test.go
@@ -53,11 +53,11 @@
 			})
 		}
 	}
-	c.engine.SetPolicy([]group.Queue{
+	c.engine.SetPolicy(group.Policy{Queues: []group.Queue{
 		{Name: quickQueue, Service: "main", Priority: 0, MaxAttempts: 4, Stretch: 1.5, Target: 250 * time.Millisecond},
 		{Name: planQueue, Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3, Target: time.Second},
 		{Name: batchQueue, Service: "main", Priority: 2, MaxAttempts: 4, Stretch: 3, Target: 3 * time.Second},
-	}, map[string]int{"alpha": 16}, nil)
+	}, Workspaces: []group.Workspace{{Name: "alpha", Guaranteed: 16}}})
 	c.engine.SetWorkers(c.infos, c.now)
 	c.pollAll()
 	return c
--- a/internal/place/group/faulty_owner_test.go
+++ b/internal/place/group/faulty_owner_test.go
@@ -72,10 +72,10 @@
 	cfg.InheritedLease = worstWorkerLease
 	f.engine = group.New(cfg)
 	f.starts, f.stops = make(map[*group.Member]*faultyStart), make(map[group.StopOrder]bool)
-	f.engine.SetPolicy([]group.Queue{
+	f.engine.SetPolicy(group.Policy{Queues: []group.Queue{
 		{Name: quickQueue, Service: "main", Priority: 0, MaxAttempts: 4, Stretch: 1.5, Target: 250 * time.Millisecond},
 		{Name: batchQueue, Service: "main", Priority: 2, MaxAttempts: 4, Stretch: 3, Target: 3 * time.Second},
-	}, map[string]int{"alpha": 16}, nil)
+	}, Workspaces: []group.Workspace{{Name: "alpha", Guaranteed: 16}}})
 	f.list()
 	for _, w := range f.workers {
 		w.known, w.answeredAt = 0, f.now
--- a/internal/place/group/standing_test.go
+++ b/internal/place/group/standing_test.go
@@ -91,7 +91,7 @@
 		{group.ExcludedUnlisted, func(c *cluster) { c.engine.SetWorkers(nil, c.now) }},
 		{group.ExcludedDraining, func(c *cluster) { c.infos[0].Draining = true; c.engine.SetWorkers(c.infos, c.now) }},
 		{group.ExcludedEvacuated, func(c *cluster) {
-			c.engine.SetPolicy(nil, nil, map[string]bool{"dc0": true})
+			c.engine.SetPolicy(group.Policy{Evacuated: map[string]bool{"dc0": true}})
 		}},
 		{group.ExcludedOutdated, func(c *cluster) {
 			c.engine.ApplyListing("w0-0", group.Listing{Incarnation: 2}, c.now, c.now)
--- a/internal/place/group/usage_test.go
+++ b/internal/place/group/usage_test.go
@@ -30,7 +30,7 @@
 			c.infos[i].Service = "other"
 		}
 	}
-	c.engine.SetPolicy([]group.Queue{{Name: "others", Service: "other", Priority: 2, MaxAttempts: 4, Stretch: 3}}, nil, nil)
+	c.engine.SetPolicy(group.Policy{Queues: []group.Queue{{Name: "others", Service: "other", Priority: 2, MaxAttempts: 4, Stretch: 3}}})
 	c.engine.SetWorkers(c.infos, c.now)
 	c.submit("busy", "others", "beta", work.Step{Count: 8, MilliCores: 1000, Accelerators: 8, Estimate: time.Hour, LongRunning: true})
 	c.step()
--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -46,7 +46,7 @@
 	p := &policy.Policy{
 		Version:    item.Revision,
 		Queues:     []policy.Queue{{Queue: group.Queue{Name: "plan", Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3, Target: time.Second}, Host: "host", Prefix: "/plan/"}},
-		Workspaces: []policy.Workspace{{Name: "alpha", Keys: append([]string(nil), s.keys...)}},
+		Workspaces: []policy.Workspace{{Workspace: group.Workspace{Name: "alpha"}, Keys: append([]string(nil), s.keys...)}},
 	}
 	p.Prepare()
 	return policy.Snapshot{Policy: p, Guard: store.Expectation{Key: configKey, Revision: item.Revision}}, nil
--- a/internal/state/policy/policy.go
+++ b/internal/state/policy/policy.go
@@ -20,12 +20,10 @@
 	Timeout time.Duration
 }
 
-// Workspace is a tenant with its API keys and its guarantee.
+// Workspace is a tenant with its API keys.
 type Workspace struct {
-	Name string
+	group.Workspace
 	Keys []string
-	// Guaranteed is the number of accelerators that are guaranteed to its jobs of priority 0.
-	Guaranteed int
 }
 
 // Policy is one version of the operators' configuration.
@@ -85,20 +83,14 @@
 	return best, path[len(best.Prefix):]
 }
 
-// Guarantees returns the number of guaranteed accelerators by workspace.
-func (p *Policy) Guarantees() map[string]int {
-	guaranteed := make(map[string]int, len(p.Workspaces))
-	for _, ws := range p.Workspaces {
-		guaranteed[ws.Name] = ws.Guaranteed
+// Placement returns the snapshot's policy, which must not be nil, in the form that the placement uses.
+func (s Snapshot) Placement() group.Policy {
+	p := group.Policy{Queues: make([]group.Queue, len(s.Policy.Queues)), Workspaces: make([]group.Workspace, len(s.Policy.Workspaces)), Evacuated: s.Evacuated}
+	for i, q := range s.Policy.Queues {
+		p.Queues[i] = q.Queue
 	}
-	return guaranteed
-}
-
-// PlacementQueues returns the queues in the form that the placement uses.
-func (p *Policy) PlacementQueues() []group.Queue {
-	list := make([]group.Queue, len(p.Queues))
-	for i, q := range p.Queues {
-		list[i] = q.Queue
+	for i, ws := range s.Policy.Workspaces {
+		p.Workspaces[i] = ws.Workspace
 	}
-	return list
+	return p
 }
