group: caps and shares of workspaces

It is checked where a run is planned, before a recorded start is sent again, and before a start is sent; a lowered cap withdraws what has not started and drops reservations. A job that needs more than the cap at once is refused with the reason. While others wait, workspaces above their weighted dominant share come after the others.

--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -61,6 +61,9 @@
 	// PolicyAge and ListAge are the maximum ages of the configuration and of the list of workers for tasks to be started.
 	PolicyAge time.Duration
 	ListAge   time.Duration
+	// CapAge is the maximum age of the configuration for tasks to be started while any workspace has a cap, as the cap may have been
+	// lowered since; zero sets none beside PolicyAge.
+	CapAge time.Duration
 	// CancelAge is how long the owner may not know of cancels before it resigns if another instance can read; zero if it need not.
 	CancelAge time.Duration
 	// Retention is how long the records of ended jobs are kept.
--- a/internal/node/term/standing.go
+++ b/internal/node/term/standing.go
@@ -102,7 +102,7 @@
 	if !t.leaseValid(now) {
 		by = append(by, "lease")
 	}
-	if now.Sub(confirmedAt) >= t.Limits.PolicyAge {
+	if now.Sub(confirmedAt) >= t.policyAge() {
 		by = append(by, "configuration")
 	}
 	if now.Sub(t.listedAt) >= t.Limits.ListAge {
@@ -117,7 +117,7 @@
 	const leaseLimit = leaseTTL - leaseMargin
 	return event.Fields{
 		"leaseAge": ageOf(t.validUntil.Add(-leaseLimit), now), "leaseLimit": leaseLimit.String(),
-		"configurationAge": ageOf(confirmedAt, now), "configurationLimit": t.Limits.PolicyAge.String(),
+		"configurationAge": ageOf(confirmedAt, now), "configurationLimit": t.policyAge().String(),
 		"listAge": ageOf(t.listedAt, now), "listLimit": t.Limits.ListAge.String(),
 	}
 }
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -170,6 +170,7 @@
 	defer t.cancel()
 	t.Log.Emit(event.TermBegan, event.Fields{"token": t.token, "lease": t.lease})
 	t.engine.AwaitReports()
+	t.Meter.Publish("workspaces", func() any { return t.usages() })
 	t.components.Go("renewal", func() { t.renewLease(ctx) })
 	t.components.Go("standing", func() { t.watchStanding(ctx) })
 	asked := make(chan struct{})
@@ -220,7 +221,25 @@
 // holds t.state.
 func (t *term) mayStart(now time.Time) bool {
 	_, confirmedAt := t.Policy.Current()
-	return t.leaseValid(now) && now.Sub(confirmedAt) < t.Limits.PolicyAge && now.Sub(t.listedAt) < t.Limits.ListAge
+	return t.leaseValid(now) && now.Sub(confirmedAt) < t.policyAge() && now.Sub(t.listedAt) < t.Limits.ListAge
+}
+
+// usages returns what the workspaces have running, nil if this is no longer the owner.
+func (t *term) usages() []group.Usage {
+	t.state.Lock()
+	defer t.state.Unlock()
+	if !t.leaseValid(t.Now()) {
+		return nil
+	}
+	return t.engine.Usages()
+}
+
+// policyAge returns the maximum age of the configuration for tasks to be started. The caller holds t.state.
+func (t *term) policyAge() time.Duration {
+	if t.Limits.CapAge > 0 && t.engine.Capped() {
+		return min(t.Limits.PolicyAge, t.Limits.CapAge)
+	}
+	return t.Limits.PolicyAge
 }
 
 // notify requests a decision soon; it never blocks.
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -84,6 +84,8 @@
 	// WorkerChanged means that the worker can't take a task any more whose start was not sent: it has too little room or has
 	// restarted, perhaps as another kind.
 	WorkerChanged
+	// WorkspaceCapped means that the task group's workspace would have more running than its cap.
+	WorkspaceCapped
 )
 
 // Decision is a decision log entry; fields that don't apply are zero.
--- a/internal/place/group/cause_enumer.go
+++ b/internal/place/group/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "noCausefreeRoomreservedRoomfleetFullroomReservedscatteredstopAwaitedretryDelayedpreemptedcanceljobFinishedmemberEndedstartUnansweredworkerLeavingoutlastsWorkernoProgressslowWorkerworkerChanged"
+const _CauseName = "noCausefreeRoomreservedRoomfleetFullroomReservedscatteredstopAwaitedretryDelayedpreemptedcanceljobFinishedmemberEndedstartUnansweredworkerLeavingoutlastsWorkernoProgressslowWorkerworkerChangedworkspaceCapped"
 
-var _CauseIndex = [...]uint8{0, 7, 15, 27, 36, 48, 57, 68, 80, 89, 95, 106, 117, 132, 145, 159, 169, 179, 192}
+var _CauseIndex = [...]uint8{0, 7, 15, 27, 36, 48, 57, 68, 80, 89, 95, 106, 117, 132, 145, 159, 169, 179, 192, 207}
 
-const _CauseLowerName = "nocausefreeroomreservedroomfleetfullroomreservedscatteredstopawaitedretrydelayedpreemptedcanceljobfinishedmemberendedstartunansweredworkerleavingoutlastsworkernoprogressslowworkerworkerchanged"
+const _CauseLowerName = "nocausefreeroomreservedroomfleetfullroomreservedscatteredstopawaitedretrydelayedpreemptedcanceljobfinishedmemberendedstartunansweredworkerleavingoutlastsworkernoprogressslowworkerworkerchangedworkspacecapped"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -42,9 +42,10 @@
 	_ = x[NoProgress-(15)]
 	_ = x[SlowWorker-(16)]
 	_ = x[WorkerChanged-(17)]
+	_ = x[WorkspaceCapped-(18)]
 }
 
-var _CauseValues = []Cause{NoCause, FreeRoom, ReservedRoom, FleetFull, RoomReserved, Scattered, StopAwaited, RetryDelayed, Preempted, Cancel, JobFinished, MemberEnded, StartUnanswered, WorkerLeaving, OutlastsWorker, NoProgress, SlowWorker, WorkerChanged}
+var _CauseValues = []Cause{NoCause, FreeRoom, ReservedRoom, FleetFull, RoomReserved, Scattered, StopAwaited, RetryDelayed, Preempted, Cancel, JobFinished, MemberEnded, StartUnanswered, WorkerLeaving, OutlastsWorker, NoProgress, SlowWorker, WorkerChanged, WorkspaceCapped}
 
 var _CauseNameToValueMap = map[string]Cause{
 	_CauseName[0:7]:          NoCause,
@@ -83,6 +84,8 @@
 	_CauseLowerName[169:179]: SlowWorker,
 	_CauseName[179:192]:      WorkerChanged,
 	_CauseLowerName[179:192]: WorkerChanged,
+	_CauseName[192:207]:      WorkspaceCapped,
+	_CauseLowerName[192:207]: WorkspaceCapped,
 }
 
 var _CauseNames = []string{
@@ -104,6 +107,7 @@
 	_CauseName[159:169],
 	_CauseName[169:179],
 	_CauseName[179:192],
+	_CauseName[192:207],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -13,6 +13,8 @@
 	e.moveFinished()
 	e.checkMembers(now)
 	e.withdrawUnfit(now)
+	e.refreshAccounts()
+	e.withdrawCapped(now)
 	e.updateSpeeds(now)
 	if !mayStart {
 		return
@@ -164,6 +166,7 @@
 // readySteps returns the steps with task groups that could start, the most urgent first.
 func (e *Engine) readySteps(now time.Time) []waitingStep {
 	e.markWithinGuarantee(now)
+	e.refreshShares()
 	occs := make([]*occurrence, 0, len(e.openJobs))
 	for _, j := range e.openJobs {
 		if j.Record.Phase.Final() || j.Cancelled {
@@ -182,7 +185,7 @@
 		}
 	}
 	slices.SortStableFunc(occs, func(a, b *occurrence) int {
-		return cmp.Or(cmp.Compare(a.job.tier, b.job.tier), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.rank, b.rank))
+		return cmp.Or(cmp.Compare(a.job.tier, b.job.tier), cmp.Compare(a.class(), b.class()), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.rank, b.rank))
 	})
 	var list []waitingStep
 	for _, occ := range occs {
@@ -195,6 +198,19 @@
 	return list
 }
 
+// class orders the occurrences of a tier: those of workspaces above their share come after the others, and what is worth nothing any
+// more comes last.
+func (occ *occurrence) class() int {
+	switch {
+	case occ.lateness == expired:
+		return 2
+	case occ.job.account.aboveShare:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // waitingStep is a step of an occurrence with task groups that could start.
 type waitingStep struct {
 	occ  *occurrence
@@ -219,18 +235,17 @@
 
 // markWithinGuarantee marks the jobs of priority 0 that are within their workspace's guarantee; older jobs come first.
 func (e *Engine) markWithinGuarantee(now time.Time) {
-	used := make(map[string]int, len(e.workspaces))
+	used := make(map[*account]int, len(e.accounts))
 	for _, j := range e.openJobs {
 		j.withinGuarantee = false
 		if j.Record.Phase.Final() || j.Cancelled || j.queue.Priority != 0 {
 			continue
 		}
-		workspace := j.Spec.Workspace
 		need := j.unfinishedAccelerators(now)
-		if used[workspace]+need > e.workspaces[workspace].Guaranteed {
+		if used[j.account]+need > j.account.Guaranteed {
 			continue
 		}
-		used[workspace] += need
+		used[j.account] += need
 		j.withinGuarantee = true
 	}
 }
@@ -294,7 +309,7 @@
 // placeAll plans runs for the steps in their order.
 func (e *Engine) placeAll(ready []waitingStep, p *pass, now time.Time) {
 	e.countBackfills()
-	e.waitingGroups = 0
+	e.waitingGroups, e.roomWaiters = 0, 0
 	for _, step := range ready {
 		if first := step.groups()[0]; first.Count > 1 {
 			if first.Run == nil && first.reservation == nil {
@@ -309,6 +324,9 @@
 
 // placeGang plans a run of the gang if there is room, and otherwise tries to make room.
 func (e *Engine) placeGang(g *Group, p *pass, now time.Time) {
+	if e.heldByCap(g, p, now) {
+		return
+	}
 	workers, f := e.findRoom(g, p, now, func(f filter) []*Worker { return e.findUnlessMissed(g, f, p) })
 	if workers != nil {
 		e.planRun(g, workers, FreeRoom, "free room", now)
@@ -348,6 +366,7 @@
 // makeRoom preempts other work or makes a backfill reservation for a group that found no room, and reports whether it did;
 // if not, it records why the job waits.
 func (e *Engine) makeRoom(g *Group, f filter, p *pass, now time.Time) bool {
+	e.roomWaiters++
 	if p.preemptions < maxPreemptionsPerPass && e.mayPreempt(g, now) && !now.Before(g.nextReservationAt) && !now.Before(g.nextPreemptionAt) {
 		p.preemptions++
 		if e.preempt(g, f, p, now) {
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -90,8 +90,10 @@
 	endedJobs   []*Job
 	changedJobs []*Job
 	queues      map[string]Queue
-	workspaces  map[string]Workspace
-	evacuated   map[string]bool
+	// accounts has the workspaces by name, capped is true if any of them has a cap.
+	accounts  map[string]*account
+	capped    bool
+	evacuated map[string]bool
 	// inherited is what is known of the leases of earlier owners, beside Config.InheritedLease.
 	inherited InheritedLeases
 	// awaitsReports is true while exits that earlier owners have heard may still be reported.
@@ -110,8 +112,9 @@
 	// backfillCount is the number of backfill reservations, backfillIdle the number of accelerators that are idle for them.
 	backfillCount int
 	backfillIdle  int
-	// waitingGroups counts the task groups that the last decision left without a run.
+	// waitingGroups counts the task groups that the last decision left without a run, roomWaiters its searches that found no room.
 	waitingGroups int
+	roomWaiters   int
 	// reservedGroups are the task groups with a reservation, the oldest reservation first.
 	reservedGroups []*Group
 	// freeIndex lists the open workers by their free accelerators.
@@ -126,7 +129,7 @@
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, workers: make(map[string]*Worker), jobs: make(map[string]*Job),
-		queues: make(map[string]Queue), workspaces: make(map[string]Workspace), evacuated: make(map[string]bool),
+		queues: make(map[string]Queue), accounts: make(map[string]*account), evacuated: make(map[string]bool),
 		workersWithExits: make(map[*Worker]bool),
 	}
 }
@@ -139,22 +142,24 @@
 	Evacuated map[string]bool
 }
 
-// Workspace is a tenant with its guarantee.
+// Workspace is a tenant with its guarantee, its cap and its share.
 type Workspace struct {
 	Name string
 	// Guaranteed is the number of accelerators that are guaranteed to its jobs of priority 0.
 	Guaranteed int
+	// Cap is the maximum that it may have running on all workers; zero fields are no limits.
+	Cap Resources
+	// Weight sets its share of the workers while there is not enough for all, relative to the other workspaces; zero sets none.
+	Weight float64
 }
 
-// SetPolicy replaces the workspaces, the evacuated data centres and the given queues. Queues that are missing from the policy stay.
+// SetPolicy replaces the workspaces, the evacuated data centres and the given queues. Queues that are missing from the policy stay, and
+// so do the caps of workspaces.
 func (e *Engine) SetPolicy(p Policy) {
 	for _, q := range p.Queues {
 		e.queues[q.Name] = q
 	}
-	clear(e.workspaces)
-	for _, ws := range p.Workspaces {
-		e.workspaces[ws.Name] = ws
-	}
+	e.setWorkspaces(p.Workspaces)
 	e.evacuated = p.Evacuated
 }
 
--- a/internal/place/group/fit.go
+++ b/internal/place/group/fit.go
@@ -51,17 +51,22 @@
 			list = append(list, m)
 		}
 	}
+	sortLeastUrgentFirst(list)
+	return list
+}
+
+// sortLeastUrgentFirst sorts members by the tier of their jobs, then the last planned first.
+func sortLeastUrgentFirst(list []*Member) {
 	slices.SortStableFunc(list, func(a, b *Member) int {
 		return cmp.Or(cmp.Compare(b.Run.Group.Job.tier, a.Run.Group.Job.tier), b.Run.PlannedAt.Compare(a.Run.PlannedAt))
 	})
-	return list
 }
 
 // unsent reports whether the member certainly does not run, as its start was not sent.
 func (m *Member) unsent() bool { return m.State == Planned || m.State == Ordered && !m.startSent }
 
-// StartFits reports whether the member's worker has room for all that may be alive there and suits the task, as a start must
-// not be sent otherwise. How much a run needs that is no member is unknown, so it must end first.
+// StartFits reports whether the member's worker has room for all that may be alive there and suits the task, and its workspace is
+// within its cap, as a start must not be sent otherwise. How much a run needs that is no member is unknown, so it must end first.
 func (m *Member) StartFits() bool {
-	return len(m.Worker.orphans) == 0 && len(m.Worker.abandoned) == 0 && m.fits()
+	return len(m.Worker.orphans) == 0 && len(m.Worker.abandoned) == 0 && m.fits() && !m.Run.Group.Job.account.exceeded()
 }
--- a/internal/place/group/incarnation.go
+++ b/internal/place/group/incarnation.go
@@ -44,7 +44,7 @@
 		}
 	case m.target == 0 && m.Worker.Incarnation != 0 && !e.mayGiveUp(m):
 		// The run may have been one of an earlier incarnation, and a report may tell how it ended.
-	case !e.mayStartOn(m.Worker, now) || m.Worker.overcommitted():
+	case !e.mayStartOn(m.Worker, now) || m.Worker.overcommitted() || m.Run.Group.Job.account.exceeded():
 		e.endMember(m, Void, "", now)
 	case !m.Run.Group.occ.dependenciesDone(m.Run.Group.Step):
 		// The ends of earlier steps were recorded in other parts of the record, which were not written.
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -32,6 +32,7 @@
 	// Waiting is why a task group of the job waits for room, or empty.
 	Waiting string
 
+	account     *account
 	groups      []*Group
 	occurrences []*occurrence
 	// begun is true once any task has started.
@@ -265,6 +266,8 @@
 	}
 	j := &Job{Spec: spec, Accepted: now.Add(-age), hasPendingKey: true, criticalPath: spec.CriticalPath(), longRunning: spec.LongRunning()}
 	j.queue = e.queue(j)
+	e.adoptCap(j)
+	j.account = e.account(spec.Workspace)
 	j.buildOccurrences(now, wall)
 	e.jobs[spec.Job] = j
 	e.insertOpen(j)
@@ -355,6 +358,7 @@
 	w.members[runKey{m.task, m.Run.Number}] = m
 	w.memberCache = nil
 	w.Used = w.Used.Add(m.Run.Group.taskNeed())
+	m.Run.Group.Job.account.used = m.Run.Group.Job.account.used.Add(m.Run.Group.taskNeed())
 	w.reindex()
 }
 
@@ -362,5 +366,6 @@
 	delete(w.members, runKey{m.task, m.Run.Number})
 	w.memberCache = nil
 	w.Used = w.Used.Sub(m.Run.Group.taskNeed())
+	m.Run.Group.Job.account.used = m.Run.Group.Job.account.used.Sub(m.Run.Group.taskNeed())
 	w.reindex()
 }
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -263,6 +263,7 @@
 
 func (e *Engine) addReservation(g *Group, r *reservation) {
 	g.reservation = r
+	g.Job.account.reserved = g.Job.account.reserved.Add(g.totalNeed())
 	e.reservedGroups = append(e.reservedGroups, g)
 	for _, w := range r.workers {
 		w.adjustReserved(r.backfill, g.taskNeed())
@@ -277,6 +278,7 @@
 		w.adjustReserved(g.reservation.backfill, g.taskNeed().Times(-1))
 	}
 	g.reservation = nil
+	g.Job.account.reserved = g.Job.account.reserved.Sub(g.totalNeed())
 	e.reservedGroups = slices.DeleteFunc(e.reservedGroups, func(o *Group) bool { return o == g })
 }
 
@@ -301,6 +303,11 @@
 		case !couldHold(g, workers):
 			e.dropReservation(g)
 			g.Job.Waiting = ""
+		case !g.Job.account.promised().within(g.Job.account.Cap):
+			// The cap was lowered, or an earlier owner has recorded more than it allows.
+			e.dropReservation(g)
+			g.Job.Waiting = ""
+			g.nextReservationAt = now.Add(reservationRetryDelay)
 		case now.After(g.reservation.until) || slices.ContainsFunc(workers, e.Closed):
 			e.dropReservation(g)
 			g.Job.Waiting = ""
--- a/internal/place/group/standing.go
+++ b/internal/place/group/standing.go
@@ -29,6 +29,8 @@
 	StandsRetry
 	// StandsReserved means that room is reserved for the task group and not free yet.
 	StandsReserved
+	// StandsCapped means that the workspace may not have more running.
+	StandsCapped
 	// StandsWithoutRoom means that the task group has neither a run nor a reservation.
 	StandsWithoutRoom
 )
@@ -216,6 +218,8 @@
 		return obstacle{state: StandsReserved, since: g.readyAt, remaining: g.reservation.until.Sub(now), why: g.Job.Waiting}
 	case g.hasFailed() && !g.mayRetryFailed(now):
 		return obstacle{state: StandsRetry, since: g.readyAt, remaining: g.retryFailedAt.Sub(now), why: g.Job.Waiting}
+	case !g.Job.account.promised().Add(g.totalNeed()).within(g.Job.account.Cap):
+		return obstacle{state: StandsCapped, since: g.readyAt, why: g.Job.Waiting}
 	default:
 		return obstacle{state: StandsWithoutRoom, since: g.readyAt, why: g.Job.Waiting}
 	}
--- a/internal/place/group/standing_enumer.go
+++ b/internal/place/group/standing_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _StandingStateName = "heldstoppingorderedinheritedrejectedplannedretryreservedwithoutRoom"
+const _StandingStateName = "heldstoppingorderedinheritedrejectedplannedretryreservedcappedwithoutRoom"
 
-var _StandingStateIndex = [...]uint8{0, 4, 12, 19, 28, 36, 43, 48, 56, 67}
+var _StandingStateIndex = [...]uint8{0, 4, 12, 19, 28, 36, 43, 48, 56, 62, 73}
 
-const _StandingStateLowerName = "heldstoppingorderedinheritedrejectedplannedretryreservedwithoutroom"
+const _StandingStateLowerName = "heldstoppingorderedinheritedrejectedplannedretryreservedcappedwithoutroom"
 
 func (i StandingState) String() string {
 	if i < 0 || i >= StandingState(len(_StandingStateIndex)-1) {
@@ -32,10 +32,11 @@
 	_ = x[StandsPlanned-(5)]
 	_ = x[StandsRetry-(6)]
 	_ = x[StandsReserved-(7)]
-	_ = x[StandsWithoutRoom-(8)]
+	_ = x[StandsCapped-(8)]
+	_ = x[StandsWithoutRoom-(9)]
 }
 
-var _StandingStateValues = []StandingState{StandsHeld, StandsStopping, StandsOrdered, StandsInherited, StandsRejected, StandsPlanned, StandsRetry, StandsReserved, StandsWithoutRoom}
+var _StandingStateValues = []StandingState{StandsHeld, StandsStopping, StandsOrdered, StandsInherited, StandsRejected, StandsPlanned, StandsRetry, StandsReserved, StandsCapped, StandsWithoutRoom}
 
 var _StandingStateNameToValueMap = map[string]StandingState{
 	_StandingStateName[0:4]:        StandsHeld,
@@ -54,8 +55,10 @@
 	_StandingStateLowerName[43:48]: StandsRetry,
 	_StandingStateName[48:56]:      StandsReserved,
 	_StandingStateLowerName[48:56]: StandsReserved,
-	_StandingStateName[56:67]:      StandsWithoutRoom,
-	_StandingStateLowerName[56:67]: StandsWithoutRoom,
+	_StandingStateName[56:62]:      StandsCapped,
+	_StandingStateLowerName[56:62]: StandsCapped,
+	_StandingStateName[62:73]:      StandsWithoutRoom,
+	_StandingStateLowerName[62:73]: StandsWithoutRoom,
 }
 
 var _StandingStateNames = []string{
@@ -67,7 +70,8 @@
 	_StandingStateName[36:43],
 	_StandingStateName[43:48],
 	_StandingStateName[48:56],
-	_StandingStateName[56:67],
+	_StandingStateName[56:62],
+	_StandingStateName[62:73],
 }
 
 // StandingStateString retrieves an enum value from the enum constants string name.
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -23,6 +23,9 @@
 		if g.Run != nil || g.reservation != nil || g.record().Done {
 			continue
 		}
+		if e.heldByCap(g, p, now) {
+			return
+		}
 		f := e.newFilter(g, p, false, now)
 		placed := e.placeTask(g, f, searches, p, now)
 		if !placed && g.mayRetryFailed(now) {
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -12,6 +12,7 @@
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/node/meter"
+	"github.com/lentildeck/lentildeck/internal/place/group"
 	"github.com/lentildeck/lentildeck/internal/state/policy"
 	"github.com/lentildeck/lentildeck/internal/state/store"
 	"github.com/lentildeck/lentildeck/internal/state/work"
@@ -99,6 +100,7 @@
 type target struct {
 	queue     *policy.Queue
 	workspace string
+	cap       group.Resources
 	jobID     string
 	guard     store.Expectation
 }
@@ -123,7 +125,7 @@
 	t := target{queue: queue, jobID: jobID, guard: snapshot.Guard}
 	ws := snapshot.Policy.Workspace(caller.Key)
 	if ws != nil {
-		t.workspace = ws.Name
+		t.workspace, t.cap = ws.Name, ws.Cap
 	} else if !queue.Public {
 		return target{}, &Reply{Result: BadKey, Why: "the key belongs to no workspace"}
 	}
@@ -247,6 +249,9 @@
 	spec.Config = &work.QueueConfig{
 		Service: t.queue.Service, Priority: t.queue.Priority, MaxAttempts: t.queue.MaxAttempts, Stretch: t.queue.Stretch, Target: t.queue.Target,
 	}
+	if t.cap != (group.Resources{}) {
+		spec.Config.Cap = &work.Cap{MilliCores: t.cap.MilliCores, MemoryMB: t.cap.MemoryMB, Accelerators: t.cap.Accelerators}
+	}
 	if err := spec.Check(); err != nil {
 		return target{}, &Reply{Result: BadRequest, Why: err.Error()}
 	}
@@ -256,6 +261,9 @@
 	if err := spec.CheckAccepted(cmp.Or(s.MaxValueBytes, store.DefaultMaxValueBytes)); err != nil {
 		return target{}, &Reply{Result: BadRequest, Why: err.Error()}
 	}
+	if why := group.AboveCap(spec, t.cap); why != "" {
+		return target{}, &Reply{Result: BadRequest, Why: why}
+	}
 	if s.UnservableReason != nil {
 		if why := s.UnservableReason(ctx, t.queue.Service, spec); why != "" {
 			return target{}, &Reply{Result: BadRequest, Why: why}
--- a/internal/state/work/spec.go
+++ b/internal/state/work/spec.go
@@ -45,7 +45,7 @@
 	Interval time.Duration `json:"interval"`
 }
 
-// QueueConfig is the configuration of a job's queue.
+// QueueConfig is the configuration of a job's queue and workspace.
 type QueueConfig struct {
 	// Service is the service whose workers run the job's tasks.
 	Service string `json:"service"`
@@ -56,6 +56,15 @@
 	// Stretch and Target set the objective of a job: Stretch times its critical path, plus Target.
 	Stretch float64       `json:"stretch,omitempty"`
 	Target  time.Duration `json:"target,omitempty"`
+	// Cap is the cap of the job's workspace, nil if it has none.
+	Cap *Cap `json:"cap,omitempty"`
+}
+
+// Cap is what a workspace may have running on all workers; zero fields are no limits.
+type Cap struct {
+	MilliCores   int `json:"milliCores,omitempty"`
+	MemoryMB     int `json:"memoryMB,omitempty"`
+	Accelerators int `json:"accelerators,omitempty"`
 }
 
 // Spec is a job as it was accepted; it never changes.
