--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -13,7 +13,7 @@
 	e.moveFinished()
 	e.checkMembers(now)
 	e.withdrawUnfit(now)
-	e.refreshAccounts()
+	e.refreshAccounts(now)
 	e.withdrawCapped(now)
 	e.updateSpeeds(now)
 	if !mayStart {
--- a/internal/place/group/quota.go
+++ b/internal/place/group/quota.go
@@ -20,12 +20,19 @@
 	unrecorded Resources
 	// stopping is the part of used that belongs to runs which were ordered to stop, as of the decision.
 	stopping Resources
-	// claimant is a task group for which room below the cap is kept, nil if there is none.
-	claimant *Group
+	// claims are the task groups for which room below the cap is kept.
+	claims []claim
 	// aboveShare is true in a decision if the workspace uses more than its share while others wait.
 	aboveShare bool
 }
 
+// claim keeps room below a cap for a task group.
+type claim struct {
+	group *Group
+	// until is when the claim ends of a task group for which other runs were stopped; zero for one that waits for runs to end.
+	until time.Time
+}
+
 // account returns the account of the workspace.
 func (e *Engine) account(workspace string) *account {
 	a := e.accounts[workspace]
@@ -97,19 +104,28 @@
 	if !total.within(a.Cap) {
 		return false
 	}
-	return a.ignoresClaim(g, total) || total.Add(a.claimant.totalNeed()).within(a.Cap)
+	belowHalf := total.within(a.Cap.half())
+	for _, c := range a.claims {
+		if c.binds(g, belowHalf) {
+			total = total.Add(c.group.totalNeed())
+		}
+	}
+	return total.within(a.Cap)
 }
 
-// ignoresClaim reports whether the task group, with which the workspace would run the total, may use the room that is kept for the
-// claimant: it is of a higher tier or long-running, or the workspace uses less than half of its cap, where each of its jobs must get to
-// run.
-func (a *account) ignoresClaim(g *Group, total Resources) bool {
-	return a.claimant == nil || a.claimant == g || g.Job.tier < a.claimant.Job.tier || g.step().LongRunning || total.within(a.Cap.half())
+// binds reports whether the task group must leave the room of the claim; belowHalf is true if its workspace uses less than half of its
+// cap with it. There each of the workspace's jobs must get to run, unless runs were stopped for the claim.
+func (c claim) binds(g *Group, belowHalf bool) bool {
+	if c.group == g || g.Job.tier < c.group.Job.tier {
+		return false
+	}
+	return !c.until.IsZero() || !belowHalf && !g.step().LongRunning
 }
 
-// claims reports whether the task group still waits, so that room below the cap is kept for it.
-func (g *Group) claims() bool {
-	return g.Run == nil && g.reservation == nil && !g.record().Done && !g.Job.Cancelled && !g.Job.Record.Phase.Final()
+// ended reports whether the task group of the claim no longer waits for its room.
+func (c claim) ended(now time.Time) bool {
+	g := c.group
+	return g.Run != nil || g.reservation != nil || g.record().Done || g.Job.Cancelled || g.Job.Record.Phase.Final() || !c.until.IsZero() && now.After(c.until)
 }
 
 // half returns half of a cap; a field without a limit stays without one.
@@ -124,15 +140,13 @@
 }
 
 // refreshAccounts determines for one decision what the workspaces run beside the members, and what of it is being stopped.
-func (e *Engine) refreshAccounts() {
+func (e *Engine) refreshAccounts(now time.Time) {
 	if !e.capped {
 		return
 	}
 	for _, a := range e.accounts {
 		a.unrecorded, a.stopping = Resources{}, Resources{}
-		if a.claimant != nil && !a.claimant.claims() {
-			a.claimant = nil
-		}
+		a.claims = slices.DeleteFunc(a.claims, func(c claim) bool { return c.ended(now) })
 	}
 	for _, w := range e.sortedWorkers {
 		for key := range w.orphans {
@@ -191,12 +205,12 @@
 	if a.Cap == (Resources{}) || a.allows(g) {
 		return false
 	}
-	if e.mayPreempt(g, now) && g.Job.queue.Priority == 0 && !now.Before(g.nextPreemptionAt) {
-		e.yieldToQuick(g, p, now)
+	if g.Job.queue.Priority == 0 && e.mayPreempt(g, now) && !now.Before(g.nextYieldAt) && !now.Before(g.nextPreemptionAt) {
 		g.nextPreemptionAt = now.Add(g.preemptionRetryDelay())
+		e.yieldToQuick(g, p, now)
 	}
-	if now.Sub(g.readyAt) > backfillDelay && g.totalNeed().within(a.Cap) && (a.claimant == nil || g.totalNeed().Cores() > a.claimant.totalNeed().Cores()) {
-		a.claimant = g
+	if now.Sub(g.readyAt) > backfillDelay {
+		a.claimRoom(g)
 	}
 	if g.Job.Waiting == "" {
 		g.Job.Waiting = fmt.Sprintf("step %d: %d tasks need %+v, workspace %q has %+v and may have %+v", g.Step, g.Count, g.totalNeed(), a.Name, a.promised(), a.Cap)
@@ -205,12 +219,31 @@
 	return true
 }
 
+// claimRoom keeps room for the task group unless it is kept for a larger one that waits for runs to end.
+func (a *account) claimRoom(g *Group) {
+	if !g.totalNeed().within(a.Cap) || slices.ContainsFunc(a.claims, func(c claim) bool { return c.group == g }) {
+		return
+	}
+	at := slices.IndexFunc(a.claims, func(c claim) bool { return c.until.IsZero() })
+	switch {
+	case at < 0:
+		a.claims = append(a.claims, claim{group: g})
+	case g.totalNeed().Cores() > a.claims[at].group.totalNeed().Cores():
+		a.claims[at].group = g
+	}
+}
+
 // yieldToQuick stops runs of the quick task group's own workspace until it fits below the cap, if the work that is lost is worth it. Runs
 // of other workspaces would not help.
 func (e *Engine) yieldToQuick(g *Group, p *pass, now time.Time) {
 	a := g.Job.account
-	// Room that is being freed already counts as free.
+	// Room that is being freed already counts as free, unless runs were stopped for another task group.
 	total := a.promised().Sub(a.stopping).Add(g.totalNeed())
+	for _, c := range a.claims {
+		if c.group != g && !c.until.IsZero() {
+			total = total.Add(c.group.totalNeed())
+		}
+	}
 	var chosen []victim
 	wasted := 0.0
 	for _, v := range e.candidates(g, p, now).all {
@@ -231,6 +264,11 @@
 		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID()+" below the cap of their workspace", now)
 		a.stopping = a.stopping.Add(v.run.Group.taskNeed().Times(v.run.aliveMembers))
 	}
+	if len(chosen) > 0 {
+		until := now.Add(e.cfg.StopTimeout + reservationSlack)
+		a.claims = append(slices.DeleteFunc(a.claims, func(c claim) bool { return c.group == g }), claim{group: g, until: until})
+		g.nextYieldAt = until
+	}
 }
 
 // helps reports whether less of need would bring the total closer to the cap.
--- a/internal/place/group/quota_test.go
+++ b/internal/place/group/quota_test.go
@@ -195,6 +195,34 @@
 	assert.Equal(t, len(c.stops), 8)
 }
 
+// Guards against stopping and starting the same tasks again and again: quick work that can't start although its workspace has made way
+// for it below the cap, as its workers are full, and several quick jobs that count on the same stops.
+func TestWorkThatMakesWayBelowTheCapIsNotStoppedAgainAndAgain(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	for i := range c.infos {
+		if i > 0 {
+			c.infos[i].Labels = append(c.infos[i].Labels, "large")
+		}
+	}
+	c.engine.SetWorkers(c.infos, c.now)
+	c.setCaps(map[string]int{"beta": 16, "gamma": 24})
+	large := tasks(3, 8)
+	large.Requires, large.LongRunning = "large", true
+	c.submit("busy", quickQueue, "gamma", large)
+	c.step()
+	assert.Equal(t, c.runningOf("busy"), 3)
+	c.submit("batch", batchQueue, "beta", tasks(8, 1))
+	c.setCaps(map[string]int{"beta": 8, "gamma": 24})
+	c.step()
+	for _, id := range []string{"quick-1", "quick-2"} {
+		quick := gang(1, 4)
+		quick.Requires = "large"
+		c.submit(id, quickQueue, "beta", quick)
+	}
+	c.advanceTime(2 * time.Second)
+	assert.Assert(t, len(c.stops) <= 8, "%d stops", len(c.stops))
+}
+
 // Guards against a gang, or a large task, that small tasks of its own workspace overtake for ever, as each end makes room below the cap
 // for just one of them.
 func TestLargeWorkBelowTheCapIsNotOvertakenForever(t *testing.T) {
