world: explorations judge caps of workspaces

Nothing judged QUOTA outside the platform. The worlds have workspaces with caps now, which an event may change; checkQuota counts what runs on the workers at each start, late ones included, against the highest cap that may be in force.

--- a/internal/node/term/explore_outage_test.go
+++ b/internal/node/term/explore_outage_test.go
@@ -16,6 +16,9 @@
 	if outage, ok := outages[name]; ok {
 		return outage()
 	}
+	if capped, ok := cappedWorlds[name]; ok {
+		return capped()
+	}
 	return scenarios[name]()
 }
 
--- a/internal/node/term/explore_test.go
+++ b/internal/node/term/explore_test.go
@@ -59,7 +59,7 @@
 
 // exploreBounds are the times of the platform's rules: cancelMs, stopTimeoutMs, drainMs, evacuateMs and contactMs.
 var exploreBounds = world.Bounds{
-	Cancel: 4 * time.Second, Stop: 900 * time.Millisecond, Drain: 2 * time.Second, Evacuate: 5 * time.Second, Contact: 3 * time.Second,
+	Cancel: 4 * time.Second, Stop: 900 * time.Millisecond, Drain: 2 * time.Second, Evacuate: 5 * time.Second, Config: 3 * time.Second, Contact: 3 * time.Second,
 	Finish: 25 * time.Second, Run: time.Minute,
 }
 
@@ -99,7 +99,7 @@
 		elector := &term.Elector{
 			Instance: access.Name(), Store: access, Agent: access, Lister: access, Policy: holder,
 			Limits: term.Limits{
-				MaxLease: soakLease, StopTimeout: exploreBounds.Stop, PolicyAge: exploreBounds.Evacuate * 6 / 10, ListAge: exploreBounds.Drain * 6 / 10,
+				MaxLease: soakLease, StopTimeout: exploreBounds.Stop, PolicyAge: exploreBounds.Evacuate * 6 / 10, CapAge: exploreBounds.Config * 6 / 10, ListAge: exploreBounds.Drain * 6 / 10,
 				Retention: time.Hour, RemoteFactor: 3, MaxValueBytes: cfg.MaxValueBytes, MaxEntries: cfg.MaxEntries,
 			},
 			Log: event.NewLog(&log.Logger{Handler: log.HandlerFunc(note), Level: log.DebugLevel}), Meter: meter.New(t.Name() + access.Name()),
--- a/internal/proof/world/check.go
+++ b/internal/proof/world/check.go
@@ -114,6 +114,7 @@
 		w.breach("BUDGET", r.task, "run %d begins after %d failures and %d crashes", r.number, seen.failuresNoted, seen.crashes)
 	}
 	w.checkRoom(r)
+	w.checkQuota(r, now)
 	w.checkOrder(r)
 	w.checkClosed(r, now)
 	w.checkProbation(r, now)
--- a/internal/proof/world/process.go
+++ b/internal/proof/world/process.go
@@ -62,6 +62,9 @@
 // policy is the configuration as of now.
 func (w *World) policy() policy.Snapshot {
 	all := &policy.Policy{Version: 1}
+	for _, ws := range w.workspaces {
+		all.Workspaces = append(all.Workspaces, policy.Workspace{Workspace: ws.Workspace})
+	}
 	for _, q := range w.cfg.Queues {
 		if !w.removedQueues[q.Name] {
 			all.Queues = append(all.Queues, policy.Queue{Queue: q})
--- a/internal/proof/world/world.go
+++ b/internal/proof/world/world.go
@@ -26,6 +26,8 @@
 	MaxValueBytes int
 	MaxEntries    int
 	Queues        []group.Queue
+	// Workspaces are those of the first configuration; LowerCap changes them.
+	Workspaces []group.Workspace
 	// Jobs are submitted at their times.
 	Jobs []Job
 	// PeerDelay is how long an instance takes to answer another one.
@@ -47,6 +49,8 @@
 	// Drain and Evacuate are the times after which nothing may start on a draining worker and in an evacuated data centre.
 	Drain    time.Duration
 	Evacuate time.Duration
+	// Config is the time after which a changed configuration must be applied.
+	Config time.Duration
 	// Contact is how long a disturbance counts as near.
 	Contact time.Duration
 	// Finish is how long after the last disturbance all jobs must have ended.
@@ -75,6 +79,7 @@
 	evacuated map[string]time.Time
 	// removedQueues are the queues that are in no configuration any more.
 	removedQueues map[string]bool
+	workspaces    map[string]*workspace
 	tasks         map[string]*task
 	checks        checks
 	// effects are the lines of the journal that are not log lines of an instance.
@@ -101,7 +106,7 @@
 func New(ctx context.Context, cfg Config) *World {
 	w := &World{
 		cfg: cfg, began: time.Now(), store: fake.NewTransactor(), wake: make(chan struct{}, 1), byID: make(map[string]*worker),
-		evacuated: make(map[string]time.Time), removedQueues: make(map[string]bool), tasks: make(map[string]*task), checks: newChecks(),
+		evacuated: make(map[string]time.Time), removedQueues: make(map[string]bool), workspaces: make(map[string]*workspace), tasks: make(map[string]*task), checks: newChecks(),
 	}
 	if cfg.MaxValueBytes > 0 {
 		w.store.SetLimits(cfg.MaxValueBytes, cfg.MaxEntries)
@@ -112,6 +117,9 @@
 		w.byID[c.ID] = one
 		one.boot(w.began)
 	}
+	for _, ws := range cfg.Workspaces {
+		w.workspaces[ws.Name] = &workspace{Workspace: ws}
+	}
 	for i := range cfg.Jobs {
 		w.schedule(w.began.Add(cfg.Jobs[i].At), func(now time.Time) { w.submit(&cfg.Jobs[i], now) })
 	}
