--- a/internal/place/group/quota_test.go
+++ b/internal/place/group/quota_test.go
@@ -157,9 +157,14 @@
 	order := c.lastStartOrder()
 	c.setCaps(map[string]int{"beta": 5})
 	assert.Assert(t, !order.Member.StartFits())
+	// The withdrawn run no longer counts, so that what fits starts at once.
+	c.submit("small", planQueue, "beta", gang(1, 1))
+	c.step()
+	assert.Equal(t, c.runningOf("small"), 1)
 	c.advanceTime(2 * time.Second)
 	assert.Equal(t, c.runningOf("new"), 0)
 	assert.Equal(t, c.runningOf("old"), 1)
+	c.exitTask("small.0.0.0", group.Done)
 	c.setCaps(map[string]int{"beta": 8})
 	c.advanceTime(time.Second)
 	assert.Equal(t, c.runningOf("new"), 1)
@@ -184,9 +189,12 @@
 	c := newCluster(t, 1, 4)
 	c.setCaps(map[string]int{"alpha": 16})
 	c.submit("batch", batchQueue, "alpha", tasks(16, 1))
-	c.submit("other", batchQueue, "beta", tasks(8, 1))
 	c.step()
 	assert.Equal(t, c.runningOf("batch"), 16)
+	// A stop of the other workspace's work would cost less, as it has just begun.
+	c.advanceTime(2 * time.Second)
+	c.submit("other", batchQueue, "beta", tasks(8, 1))
+	c.step()
 	c.submit("quick", quickQueue, "alpha", gang(1, 8))
 	c.advanceTime(time.Second)
 	assert.Equal(t, c.runningOf("quick"), 1)
@@ -195,6 +203,30 @@
 	assert.Equal(t, len(c.stops), 8)
 }
 
+// Guards against work of a workspace that takes back the room which it has just left to a quick job, while other stops are awaited.
+func TestRoomThatIsFreedBelowTheCapIsKeptForItsQuickJob(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	c.setCaps(map[string]int{"alpha": 16})
+	c.submit("batch", batchQueue, "alpha", tasks(32, 1))
+	c.step()
+	slow := ""
+	for _, info := range c.infos {
+		if len(c.running[info.ID]) > 0 {
+			slow = info.ID
+		}
+	}
+	c.advanceTime(time.Second)
+	c.silent[slow] = true
+	c.submit("quick", quickQueue, "alpha", gang(1, 8))
+	c.submit("more", quickQueue, "alpha", gang(1, 4))
+	c.advanceTime(600 * time.Millisecond)
+	delete(c.silent, slow)
+	c.advanceTime(time.Second)
+	assert.Equal(t, c.runningOf("quick"), 1)
+	assert.Equal(t, c.runningOf("more"), 1)
+	assert.Equal(t, len(c.stops), 12)
+}
+
 // Guards against stopping and starting the same tasks again and again: quick work that can't start although its workspace has made way
 // for it below the cap, as its workers are full, and several quick jobs that count on the same stops.
 func TestWorkThatMakesWayBelowTheCapIsNotStoppedAgainAndAgain(t *testing.T) {
