--- a/internal/route/admit/admit_test.go
+++ b/internal/route/admit/admit_test.go
@@ -27,6 +27,8 @@
 type policySource struct {
 	store *fake.Transactor
 	keys  []string
+	// limit is the cap of the workspace.
+	limit group.Resources
 	down  bool
 	// beforeRead is called at the start of each read, if it is set.
 	beforeRead func()
@@ -46,7 +48,7 @@
 	p := &policy.Policy{
 		Version:    item.Revision,
 		Queues:     []policy.Queue{{Queue: group.Queue{Name: "plan", Service: "main", Priority: 1, MaxAttempts: 2, Stretch: 3, Target: time.Second}, Host: "host", Prefix: "/plan/"}},
-		Workspaces: []policy.Workspace{{Workspace: group.Workspace{Name: "alpha"}, Keys: append([]string(nil), s.keys...)}},
+		Workspaces: []policy.Workspace{{Workspace: group.Workspace{Name: "alpha", Cap: s.limit}, Keys: append([]string(nil), s.keys...)}},
 	}
 	p.Prepare()
 	return policy.Snapshot{Policy: p, Guard: store.Expectation{Key: configKey, Revision: item.Revision}}, nil
