group: failures close at most a quarter of a service's workers, those that many jobs fail on

Cause: each failure closed its worker for 1 to 6 s, whatever else was known of the job. Tasks of one job that fail wherever they run kept all workers with room closed, and tasks that had started before a pause renewed it.

At most a quarter of a service's workers, rounded up, is closed at once for failures: those with the strongest evidence, where a job counts by its share on each worker on which it failed. Failures of runs from before a pause of 6 s don't renew it. Pauses after refusals, slowness and missing progress are as before.

--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -107,6 +107,9 @@
 	// usableAccelerators is the number of accelerators of all usable workers, utilization the share of them that is in use.
 	usableAccelerators int
 	utilization        float64
+	// closable counts the workers of each service that could get tasks, as of closableAt.
+	closable   map[string]int
+	closableAt time.Time
 	// usages has how much of each service is in use, by name.
 	usages map[string]*usage
 	// backfillCount is the number of backfill reservations, backfillIdle the number of accelerators that are idle for them.
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -355,7 +355,8 @@
 	switch status {
 	case Done:
 		e.recordSuccess(m, now)
-		m.Worker.failedGroups = nil
+		m.Worker.failures.groups = nil
+		g.Job.noteOutcome(m.Worker, false, now)
 	case Failed:
 		e.recordFailure(g, m, now)
 	default:
--- a/internal/place/group/failure.go
+++ b/internal/place/group/failure.go
@@ -60,18 +60,22 @@
 
 // pauseAfterFailure keeps new tasks off a worker after a failure, and longer after failures of several distinct task groups.
 func (e *Engine) pauseAfterFailure(m *Member, now time.Time) {
-	w := m.Worker
-	if !slices.Contains(w.failedGroups, m.Run.Group) {
-		w.failedGroups = append(w.failedGroups, m.Run.Group)
+	w, j := m.Worker, m.Run.Group.Job
+	c := &w.failures
+	j.noteOutcome(w, true, now)
+	c.note(m.Run.Group, now)
+	if e.failsAnywhere(j, now) || now.Before(c.until) && m.Run.PlannedAt.Before(c.longSince) {
+		// What started before a long pause is no reason for another one.
+		return
 	}
 	pause := e.cfg.FirstFailurePause
 	switch {
-	case len(w.failedGroups) >= e.cfg.FailuresBeforePause:
+	case len(c.groups) >= e.cfg.FailuresBeforePause:
 		pause = e.cfg.RepeatedFailurePause
-		w.failedGroups = w.failedGroups[:0]
+		c.groups, c.longSince = nil, now
 	case !m.startAckedAt.IsZero() && now.Sub(m.startAckedAt) < e.cfg.EarlyFailureWindow:
 		pause = e.cfg.EarlyFailurePause
 	}
-	w.avoid(now.Add(pause))
-	e.emit(Decision{Kind: WorkerAvoided, Worker: w.ID, Job: m.Run.Group.Job.ID(), Text: "a task failed on this worker; no new tasks for " + pause.String()})
+	c.until, c.exempt = latest(c.until, now.Add(pause)), false
+	e.emit(Decision{Kind: WorkerAvoided, Worker: w.ID, Job: j.ID(), Text: "a task failed on this worker; no new tasks for " + pause.String()})
 }
--- a/internal/place/group/fleet.go
+++ b/internal/place/group/fleet.go
@@ -66,7 +66,7 @@
 	if !usable {
 		reason := e.exclusion(w, now)
 		f.Excluded[reason]++
-		if remaining := w.AvoidUntil.Sub(now); reason == ExcludedAvoided && (f.AvoidedFor == 0 || remaining < f.AvoidedFor) {
+		if remaining := w.avoidedUntil(now).Sub(now); reason == ExcludedAvoided && (f.AvoidedFor == 0 || remaining < f.AvoidedFor) {
 			f.AvoidedFor = remaining
 		}
 		return
@@ -100,7 +100,7 @@
 		return ExcludedOrphans
 	case len(w.abandoned) > 0:
 		return ExcludedAbandoned
-	case now.Before(w.AvoidUntil):
+	case e.Avoided(w, now):
 		return ExcludedAvoided
 	default:
 		return ExcludedProbation
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -63,6 +63,10 @@
 	// changes counts the changes of the record, durableChanges those of them that are durable.
 	changes        int
 	durableChanges int
+	// outcomes has the last end of the job's tasks on each worker; failsAnywhere was determined at judgedAt.
+	outcomes      map[*Worker]outcome
+	judgedAt      time.Time
+	failsAnywhere bool
 	// queue is the configuration of the job's queue at the last decision, criticalPath the estimated time of the longest
 	// chain of steps.
 	queue        Queue
--- a/internal/place/group/rack.go
+++ b/internal/place/group/rack.go
@@ -47,6 +47,7 @@
 func (e *Engine) refreshIndex(now time.Time) {
 	e.refreshRacks()
 	e.refreshUsage(now)
+	e.boundClosures(now)
 	e.examined = 0
 	e.freeIndex.reset()
 	e.usableAccelerators = 0
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -61,7 +61,7 @@
 	InheritedEnds time.Time
 	// leaseExtension is until when tasks may live because a lease proxy may extend their leases for the owner.
 	leaseExtension leaseExtension
-	// AvoidUntil is when the worker gets new tasks again after failures, refusals or slowness.
+	// AvoidUntil is when the worker gets new tasks again after refusals, slowness or a task without progress.
 	AvoidUntil time.Time
 	// leavesAt is the earliest time at which a draining worker kills what runs on it; zero if it is unknown.
 	leavesAt time.Time
@@ -86,8 +86,7 @@
 	// that wait for runs to end; quick jobs and long-running tasks ignore the latter.
 	reserved         Resources
 	backfillReserved Resources
-	// failedGroups are the distinct task groups that failed here since the last success or long pause.
-	failedGroups []*Group
+	failures         failureClosure
 	// speed is the worker's speed relative to the others; the average is 1.
 	speed float64
 
@@ -143,7 +142,7 @@
 
 // mayStartOn is usable for the tasks of a run that is placed there already, perhaps on probation.
 func (e *Engine) mayStartOn(w *Worker, now time.Time) bool {
-	return !now.Before(w.AvoidUntil) && e.answers(w, now)
+	return !e.Avoided(w, now) && e.answers(w, now)
 }
 
 // answers reports whether the worker is open to new tasks and answers, and nothing unknown may be alive there.
