group: tests of the evidence of a job that fails on several workers, and of the log

Two one-line mutations of the bound on closed workers survived: a job that counts fully on each worker on which it failed, and log lines that name workers as avoided which stay open. TestJobThatFailsOnSeveralWorkersTellsLessOfEach and the count of lines in TestFailuresTellOfWorkersIfTheJobRunsSoundlyOnMost catch them now.

--- a/internal/place/group/closed_for_failures_test.go
+++ b/internal/place/group/closed_for_failures_test.go
@@ -27,6 +27,16 @@
 	c.step()
 }
 
+// avoided counts the workers that get no new tasks after failures.
+func (c *cluster) avoided() (n int) {
+	for _, w := range c.engine.Workers() {
+		if c.engine.Avoided(w, c.now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against a faulty worker that is opened instead of one on which a single job fails: one of four workers may be closed.
 func TestWorkerOnWhichMostJobsFailStaysClosed(t *testing.T) {
 	c := newCluster(t, 4, 1)
@@ -72,15 +82,37 @@
 				for n := range 3 {
 					c.exitTask(fmt.Sprintf("wide.0.0.%d", n), group.Failed)
 				}
-				c.engine.Decide(true, c.now)
-				avoided := 0
-				for _, w := range c.engine.Workers() {
-					if c.engine.Avoided(w, c.now) {
-						avoided++
+				c.step()
+				assert.Equal(t, c.avoided(), closed)
+				lines := 0
+				for _, d := range c.decisions {
+					if d.Kind == group.WorkerAvoided {
+						lines++
 					}
 				}
-				assert.Equal(t, avoided, closed)
+				assert.Equal(t, lines, 2+closed/2, "the log names a worker as avoided that stays open")
 			})
 		}
 	}
 }
+
+// Guards against a worker that is opened instead of one of those on which a single job fails: three of twelve workers may be closed.
+func TestJobThatFailsOnSeveralWorkersTellsLessOfEach(t *testing.T) {
+	c := newCluster(t, 12, 1)
+	whole := single(1, 8)
+	whole.Requires, whole.Estimate = "r0", time.Hour
+	c.submit("only-here", batchQueue, "beta", whole)
+	c.step()
+	step := single(3, 1)
+	step.MaxPerWorker, step.Estimate, step.LongRunning = 1, time.Hour, true
+	c.submit("wide", batchQueue, "beta", step)
+	c.advanceTime(time.Second)
+	for n := range 3 {
+		c.exitTask(fmt.Sprintf("wide.0.0.%d", n), group.Failed)
+	}
+	c.advanceTime(200 * time.Millisecond)
+	assert.Equal(t, c.avoided(), 3)
+	c.failOne("only-here")
+	assert.Equal(t, c.avoided(), 3)
+	assert.Assert(t, c.engine.Avoided(c.engine.Worker("w0-0"), c.now))
+}
--- a/internal/place/group/failure_load_test.go
+++ b/internal/place/group/failure_load_test.go
@@ -122,13 +122,7 @@
 
 // countClosed determines the most workers that were open to no ordinary task at once.
 func (l *failureLoad) countClosed() {
-	closed := 0
-	for _, w := range l.engine.Workers() {
-		if l.engine.Avoided(w, l.now) {
-			closed++
-		}
-	}
-	l.closedMost = max(l.closedMost, closed)
+	l.closedMost = max(l.closedMost, l.avoided())
 }
 
 func sortedTasks(running map[string]group.RunningEntry) []string {
