group: long-running tasks are restarted after any number of crashes; crashes long after a start count no more

A job that ends was given up in the same way, the more likely the longer it ran.

Cause: the count of crashes under a task only grew, over its whole life, and four of them failed any job.

The records keep their form.

--- a/internal/place/group/crash.go
+++ b/internal/place/group/crash.go
@@ -14,9 +14,10 @@
 	crashWindow = time.Second
 	// blameWindow is how long before a crash a task may have started for the crash to count against it.
 	blameWindow = 150 * time.Millisecond
-	// maxSuspectedCrashes is how many crashes may count against a task before its job fails.
+	// maxSuspectedCrashes is how many crashes may count against a task before its job fails, or before its runs are delayed if it is
+	// long-running.
 	maxSuspectedCrashes = 2
-	// maxCrashes is how many workers may crash under a task before its job fails, whenever it had started.
+	// maxCrashes is the same for all crashes under a task that had not run for crashClearedAfter.
 	maxCrashes = 4
 	// maxUnheard is for how long exits may have gone unheard before a crash for it to be certain that a task was alive.
 	maxUnheard = 100 * time.Millisecond
@@ -67,12 +68,21 @@
 	if !evidence.certain {
 		return
 	}
+	if !e.crashTells(m, evidence, now) {
+		rec.PassOverCrash(task, m.Run.Number, m.ranLong(now))
+		e.markGroupChanged(m.Run.Group)
+		return
+	}
 	crashes := rec.AddCrash(task, m.Run.Number, evidence.blamed)
 	e.markGroupChanged(m.Run.Group)
 	e.emit(Decision{
 		Kind: WorkerCrashed, Job: j.ID(), Worker: m.Worker.ID, Task: m.task, Run: m.Run.Number, Crashes: crashes.Count, Suspected: crashes.Suspected,
 	})
-	if (crashes.Suspected >= maxSuspectedCrashes || crashes.Count >= maxCrashes) && !j.Record.Phase.Final() {
+	switch tooMany := crashes.Suspected >= maxSuspectedCrashes || crashes.Count >= maxCrashes; {
+	case !tooMany || j.Record.Phase.Final():
+	case m.Run.Group.step().LongRunning:
+		e.restartAfterCrash(m.Run.Group, now)
+	default:
 		e.finishJob(j, work.Failed, fmt.Sprintf("%d workers crashed under task %s", crashes.Count, m.task), now)
 	}
 }
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -11,6 +11,7 @@
 // true, plans runs for the task groups that are ready.
 func (e *Engine) Decide(mayStart bool, now time.Time) {
 	e.moveFinished()
+	e.measureCrashRate(now)
 	e.checkMembers(now)
 	e.withdrawUnfit(now)
 	e.refreshAccounts()
@@ -324,7 +325,7 @@
 
 // placeGang plans a run of the gang if there is room, and otherwise tries to make room.
 func (e *Engine) placeGang(g *Group, p *pass, now time.Time) {
-	if e.heldByCap(g, p, now) {
+	if g.heldAsSuspect(now) || e.heldByCap(g, p, now) {
 		return
 	}
 	workers, f := e.findRoom(g, p, now, func(f filter) []*Worker { return e.findUnlessMissed(g, f, p) })
@@ -433,6 +434,7 @@
 	}
 	if g.suspected() {
 		run.beginProbation()
+		g.delaySuspects(now)
 	}
 	if !slices.ContainsFunc(rec.Incarnations, func(incarnation int64) bool { return incarnation != 0 }) {
 		rec.Incarnations = nil
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -107,6 +107,7 @@
 	// usableAccelerators is the number of accelerators of all usable workers, utilization the share of them that is in use.
 	usableAccelerators int
 	utilization        float64
+	crashRate          crashRate
 	// closable counts the workers of each service that could get tasks, as of closableAt.
 	closable   map[string]int
 	closableAt time.Time
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -63,6 +63,8 @@
 	// changes counts the changes of the record, durableChanges those of them that are durable.
 	changes        int
 	durableChanges int
+	// nextSuspectAt is when the next long-running task group that may have crashed several workers may begin.
+	nextSuspectAt time.Time
 	// outcomes has the last end of the job's tasks on each worker; failsAnywhere was determined at judgedAt.
 	outcomes      map[*Worker]outcome
 	judgedAt      time.Time
--- a/internal/place/group/restart.go
+++ b/internal/place/group/restart.go
@@ -14,6 +14,7 @@
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
 	crash := w.crashEvidence()
+	e.countCrash(w)
 	w.moreExits = false
 	for _, m := range w.sortedMembers() {
 		e.memberRestarted(m, m.listedIn(running), crash[m], now)
@@ -81,6 +82,7 @@
 	}
 	clear(w.abandoned)
 	if ended {
+		e.countCrash(w)
 		e.emit(Decision{Kind: WorkerReplaced, Worker: w.ID, Text: "another worker answers at " + w.Address})
 	}
 	return ended
--- a/internal/place/group/standing.go
+++ b/internal/place/group/standing.go
@@ -25,7 +25,8 @@
 	StandsRejected
 	// StandsPlanned means that the record of the planned run is not durable.
 	StandsPlanned
-	// StandsRetry means that the task group keeps away from the workers on which it failed.
+	// StandsRetry means that the task group keeps away from the workers on which it failed, or that it is long-running and may have
+	// crashed several.
 	StandsRetry
 	// StandsReserved means that room is reserved for the task group and not free yet.
 	StandsReserved
@@ -218,6 +219,8 @@
 		return obstacle{state: StandsReserved, since: g.readyAt, remaining: g.reservation.until.Sub(now), why: g.Job.Waiting}
 	case g.hasFailed() && !g.mayRetryFailed(now):
 		return obstacle{state: StandsRetry, since: g.readyAt, remaining: g.retryFailedAt.Sub(now), why: g.Job.Waiting}
+	case g.heldAsSuspect(now):
+		return obstacle{state: StandsRetry, since: g.readyAt, remaining: g.Job.nextSuspectAt.Sub(now), why: "it may have crashed several workers"}
 	case !g.Job.account.promised().Add(g.totalNeed()).within(g.Job.account.Cap):
 		return obstacle{state: StandsCapped, since: g.readyAt, why: g.Job.Waiting}
 	default:
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -20,7 +20,7 @@
 	searches := make(map[filter]*taskSlots, 1)
 	interchangeable := step.occ.job.queue.Priority != 0 && step.occ.job.Spec.Steps[step.step].Affinity == ""
 	for _, g := range step.groups() {
-		if g.Run != nil || g.reservation != nil || g.record().Done {
+		if g.Run != nil || g.reservation != nil || g.record().Done || g.heldAsSuspect(now) {
 			continue
 		}
 		if e.heldByCap(g, p, now) {
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -129,6 +129,20 @@
 	return crashes
 }
 
+// PassOverCrash records that a crash under the task with that index in the given run does not count. If the run was long, it clears the
+// task of earlier crashes. Copies of the record that were made before don't change.
+func (g *GroupRecord) PassOverCrash(task, run int, clears bool) {
+	crashes := g.CrashesOf(task)
+	if clears {
+		crashes.Count, crashes.Suspected = 0, 0
+	}
+	list := slices.DeleteFunc(slices.Clone(g.Crashes), func(c TaskCrashes) bool { return c.Task == task })
+	if crashes.Run = run; crashes.Count > 0 {
+		list = append(list, crashes)
+	}
+	g.Crashes = list
+}
+
 // Record is the owner's durable state of a job. A small one is a single value; the task groups of a large one are divided into parts
 // with keys of their own.
 type Record struct {
--- a/internal/state/work/record_test.go
+++ b/internal/state/work/record_test.go
@@ -42,3 +42,17 @@
 	assert.Equal(t, group.IncarnationOf(0), int64(0))
 	assert.Equal(t, group.IncarnationOf(1), int64(9))
 }
+
+// Guards against changes of a copy that is being written, against crashes that are forgotten though the run was short, and against a record
+// that keeps the counts of a task that is cleared.
+func TestCrashThatDoesNotCountChangesNoCopy(t *testing.T) {
+	group := work.GroupRecord{}
+	group.AddCrash(0, 1, true)
+	group.AddCrash(1, 1, false)
+	earlier := group
+	group.PassOverCrash(0, 2, false)
+	assert.DeepEqual(t, group.CrashesOf(0), work.TaskCrashes{Count: 1, Suspected: 1, Run: 2})
+	group.PassOverCrash(0, 3, true)
+	assert.DeepEqual(t, group.Crashes, []work.TaskCrashes{{Task: 1, Count: 1, Run: 1}})
+	assert.DeepEqual(t, earlier.CrashesOf(0), work.TaskCrashes{Count: 1, Suspected: 1, Run: 1})
+}
