--- a/internal/place/group/crash_rate.go
+++ b/internal/place/group/crash_rate.go
@@ -55,10 +55,9 @@
 	e.crashRate.advance(answering, now)
 }
 
-// countCrash counts a crash of the worker. One under a run on probation is more likely the task's fault, and a worker that was draining
-// has not crashed.
+// countCrash counts a crash of the worker, unless it was draining: then it was shut down.
 func (e *Engine) countCrash(w *Worker) {
-	if !w.onProbation() && !w.Draining {
+	if !w.Draining {
 		e.crashRate.crashes++
 	}
 }
