group: an overdue long-running task uses avoided workers whatever is in use, and does not wait for others of its step

Cause: overdue asked that less than half of the service be in use, for long-running tasks too; placeTasks left a step at its first task without room.

Change: a long-running group is overdue after two seconds at any use. While half of the service or more is in use it keeps its preferences for racks, and only avoided workers are added. After the first task of a step without room, those that are overdue are still tried.

--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -346,7 +346,7 @@
 		workers = find(f)
 	}
 	if workers == nil && e.overdue(g, now) {
-		f = g.overdueFilter(now)
+		f = e.overdueFilter(g, p, now)
 		workers = find(f)
 	}
 	return workers, f
--- a/internal/place/group/filter.go
+++ b/internal/place/group/filter.go
@@ -66,8 +66,14 @@
 	return f
 }
 
-// overdueFilter returns the filter of an overdue group, which may use any room.
-func (g *Group) overdueFilter(now time.Time) filter {
+// overdueFilter returns the filter of an overdue group, which may use any room. While half of its service or more is in use, it keeps its
+// preferences for racks, and only workers that are avoided are added.
+func (e *Engine) overdueFilter(g *Group, p *pass, now time.Time) filter {
+	if !e.mostlyFree(g) {
+		f := e.newFilter(g, p, g.mayRetryFailed(now), now)
+		f.overdue = true
+		return f
+	}
 	return filter{emptiestFirst: g.suspected(), retryFailed: g.mayRetryFailed(now), quickRacksToo: true, overdue: true}
 }
 
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -19,7 +19,11 @@
 func (e *Engine) placeTasks(step waitingStep, p *pass, now time.Time) {
 	searches := make(map[filter]*taskSlots, 1)
 	interchangeable := step.occ.job.queue.Priority != 0 && step.occ.job.Spec.Steps[step.step].Affinity == ""
+	full := false
 	for _, g := range step.groups() {
+		if full && !e.overdue(g, now) {
+			continue
+		}
 		if g.Run != nil || g.reservation != nil || g.record().Done || g.heldAsSuspect(now) {
 			continue
 		}
@@ -33,10 +37,10 @@
 			placed = e.placeTask(g, f, searches, p, now)
 		}
 		if !placed && e.overdue(g, now) {
-			f = g.overdueFilter(now)
+			f = e.overdueFilter(g, p, now)
 			placed = e.placeTask(g, f, searches, p, now)
 		}
-		if placed {
+		if placed || full {
 			continue
 		}
 		if e.makeRoom(g, f, p, now) {
@@ -44,7 +48,9 @@
 			clear(searches)
 			continue
 		}
-		if interchangeable && !g.hasFailed() && !f.emptiestFirst {
+		// Those that come later in the step have no room either, unless they are overdue and this one is not.
+		full = interchangeable && !g.hasFailed() && !f.emptiestFirst
+		if full && f.overdue {
 			return
 		}
 	}
--- a/internal/place/group/usage.go
+++ b/internal/place/group/usage.go
@@ -51,15 +51,18 @@
 	return &usage{}
 }
 
-// overdueDelay is how long a group waits for the room that suits it best while less than half of its service is in use: some of each job
-// and all long-running tasks must run within three seconds then.
+// overdueDelay is how long a group waits for the room that suits it best: long-running tasks must run within three seconds, and some of each
+// other job while less than half of its service is in use.
 const overdueDelay = 2 * time.Second
 
 // overdue reports whether the group has waited so long that any room is better for it than to wait on.
 func (e *Engine) overdue(g *Group, now time.Time) bool {
-	return now.Sub(g.readyAt) > overdueDelay && e.usageFor(g).lowestShare() < fragmentedBelow && (g.step().LongRunning || g.Job.stands(now))
+	return now.Sub(g.readyAt) > overdueDelay && (g.step().LongRunning || e.mostlyFree(g) && g.Job.stands(now))
 }
 
+// mostlyFree reports whether less than half of the group's service is in use.
+func (e *Engine) mostlyFree(g *Group) bool { return e.usageFor(g).lowestShare() < fragmentedBelow }
+
 // stands reports whether nothing of the job runs or is about to, apart from what may be alive on workers that don't answer. It is
 // computed once in a decision.
 func (j *Job) stands(now time.Time) bool {
