group: a suspect is not placed on a worker on which a start is under way

Cause: one decision planned a task and then a suspect on one worker, and the worker executed the start of the suspect first.

It is tried as soon as the start is answered or given up. TestOnlyTheSuspectOnProbationIsBlamed takes one decision more before its crash, as its two tasks were planned in one decision; what it checks is the same.

TestSuspectIsNotPlacedWhereAStartIsUnderWay fails before.

--- a/internal/place/group/crash_test.go
+++ b/internal/place/group/crash_test.go
@@ -245,6 +245,7 @@
 	c.poll("again")
 	sound := c.submit("a-sound", quickQueue, "beta", step)
 	c.step()
+	c.step()
 	assert.Equal(t, len(c.running["again"]), 2)
 	c.replace("again", "again-2")
 	assert.Equal(t, deadly.Record.Phase, work.Failed)
--- a/internal/place/group/find.go
+++ b/internal/place/group/find.go
@@ -58,7 +58,7 @@
 func (list *slotList) addFreeSlots(e *Engine, g *Group, f filter, workers []*Worker) {
 	for _, w := range workers {
 		e.examined++
-		if !w.openFor(f) || !f.quickRacksToo && e.excludesRack(g, w.rack) || !f.allows(g, w) {
+		if !w.openFor(f) || f.emptiestFirst && !w.allowsProbation() || !f.quickRacksToo && e.excludesRack(g, w.rack) || !f.allows(g, w) {
 			continue
 		}
 		sl := w.slotFor(g, f)
--- /dev/null
+++ b/internal/place/group/probation_test.go
@@ -0,0 +1,46 @@
+package group_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/work"
+	"gotest.tools/v3/assert"
+)
+
+// loadSuspect loads a job of one task that may have crashed a worker.
+func (c *cluster) loadSuspect(id string) *group.Job {
+	record := &work.Record{Phase: work.Running, Groups: []work.GroupRecord{{Run: 1, MayCrash: true}}}
+	return c.engine.Load(&work.Spec{Job: id, Queue: batchQueue, Steps: []work.Step{single(1, 1)}}, record, 0, c.now, c.now)
+}
+
+// Guards against a task that begins beside a suspect (PROBATION): both are planned in one decision, and the worker executes the start of
+// the suspect first.
+func TestSuspectIsNotPlacedWhereAStartIsUnderWay(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.submit("sound", quickQueue, "beta", single(1, 1))
+	suspect := c.loadSuspect("suspect")
+	order := c.lastStartOrder()
+	assert.Equal(t, order.Task, "sound.0.0.0")
+	assert.Equal(t, suspect.Record.Groups[0].Run, 1, "the suspect is planned while the other start is under way")
+	order.Member.MarkSent()
+	c.running[order.Worker][order.Task] = group.RunningEntry{Task: order.Task, Run: order.Run}
+	c.engine.ApplyStartResult(order.Member, group.Accepted, c.now)
+	c.step()
+	assert.Equal(t, len(c.workersOf("suspect")), 1)
+}
+
+// Guards against suspects that take the room of a start which is under way on each worker, and against one that is never tried.
+func TestSuspectsAreTriedBesideTasksThatRun(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.submit("sound", batchQueue, "beta", longRunning(4))
+	for n := range 2 {
+		c.loadSuspect(fmt.Sprint("suspect-", n))
+	}
+	c.advanceTime(400 * time.Millisecond)
+	for n := range 2 {
+		assert.Equal(t, len(c.workersOf(fmt.Sprint("suspect-", n))), 1)
+	}
+}
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -108,7 +108,7 @@
 		if sl.fits == 0 || !f.allows(g, sl.worker) {
 			continue
 		}
-		if !sl.worker.openFor(f) || sl.worker.slotFor(g, f).fits == 0 {
+		if !sl.worker.openFor(f) || f.emptiestFirst && !sl.worker.allowsProbation() || sl.worker.slotFor(g, f).fits == 0 {
 			sl.fits = 0
 			continue
 		}
