--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -48,9 +48,9 @@
 			clear(searches)
 			continue
 		}
-		// Those that come later in the step have no room either, unless they are overdue and this one is not.
+		// Those that come later in the step have no room either, unless they are long-running and overdue, and this one is not.
 		full = interchangeable && !g.hasFailed() && !f.emptiestFirst
-		if full && f.overdue {
+		if full && (f.overdue || !g.step().LongRunning) {
 			return
 		}
 	}
