--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -21,7 +21,7 @@
 		return
 	}
 	e.refreshIndex(now)
-	ready := e.readySteps(now)
+	ready := e.suspectsLast(e.readySteps(now), now)
 	p := newPass()
 	e.startReserved(p, now)
 	e.placeAll(ready, p, now)
--- a/internal/place/group/probation_test.go
+++ b/internal/place/group/probation_test.go
@@ -44,3 +44,60 @@
 		assert.Equal(t, len(c.workersOf(fmt.Sprint("suspect-", n))), 1)
 	}
 }
+
+// Guards against the same for tasks of one step, which share searches: the second suspect finds the room that the first search has listed.
+func TestSuspectIsNotPlacedWhereATaskOfItsStepStarts(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	record := &work.Record{Phase: work.Running, Groups: []work.GroupRecord{{Run: 1, MayCrash: true}, {}, {Run: 1, MayCrash: true}}}
+	job := c.engine.Load(&work.Spec{Job: "job", Queue: batchQueue, Steps: []work.Step{single(3, 1)}}, record, 0, c.now, c.now)
+	c.engine.Decide(true, c.now)
+	assert.Equal(t, job.Record.Groups[0].Run, 2)
+	assert.Equal(t, job.Record.Groups[1].Run, 1)
+	assert.Equal(t, job.Record.Groups[2].Run, 1, "planned beside a task that is about to start")
+}
+
+// Guards against the same for gangs, which are placed by other code.
+func TestSuspectedGangIsNotPlacedWhereAStartIsUnderWay(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.submit("sound", quickQueue, "beta", single(1, 1))
+	record := &work.Record{Phase: work.Running, Groups: []work.GroupRecord{{Run: 1, MayCrash: true}}}
+	job := c.engine.Load(&work.Spec{Job: "job", Queue: batchQueue, Steps: []work.Step{gang(2, 7)}}, record, 0, c.now, c.now)
+	c.engine.Decide(true, c.now)
+	assert.Equal(t, job.Record.Groups[0].Run, 1, "planned beside a task that is about to start")
+}
+
+// Guards against an urgent suspect that comes after other work without need: the other has not waited for long, or most of the service is
+// in use.
+func TestUrgentSuspectKeepsItsOrder(t *testing.T) {
+	for _, inUse := range []bool{false, true} {
+		t.Run(fmt.Sprint("most is in use: ", inUse), func(t *testing.T) {
+			c := newCluster(t, 1, 1)
+			first := longRunning(1)
+			if inUse {
+				first.Accelerators, first.MilliCores = 6, 24000
+			}
+			c.submit("first", batchQueue, "beta", first)
+			c.step()
+			full := longRunning(1)
+			full.Accelerators = 8 - first.Accelerators
+			c.submit("full", batchQueue, "beta", full)
+			c.step()
+			record := &work.Record{Phase: work.Running, Groups: []work.GroupRecord{{Run: 1, MayCrash: true}}}
+			need := single(1, full.Accelerators)
+			c.engine.Load(&work.Spec{Job: "suspect", Queue: planQueue, Steps: []work.Step{need}}, record, 0, c.now, c.now)
+			if inUse {
+				c.submit("batch", batchQueue, "beta", need)
+			}
+			c.advanceTime(1400 * time.Millisecond)
+			assert.Equal(t, len(c.workersOf("suspect")), 0)
+			if !inUse {
+				c.submit("batch", batchQueue, "beta", need)
+			}
+			c.engine.Cancel("full", c.now)
+			c.step()
+			c.step()
+			assert.Equal(t, len(c.workersOf("suspect")), 1)
+			assert.Equal(t, len(c.workersOf("batch")), 0)
+		})
+	}
+}
