group: a gang leaves a slow worker only if it was not known as slow and faster ones are free

A worker's speed carries its certainty, the share that stems from samples. A member keeps the speed that was known when its run was placed; a worker that is no slower than that is no reason for a move, and is not avoided. A move is decided after the free room is known, and only if the rest of the work takes 1.5 times as long as the stop and the restart on the fastest workers with room. Workers of known speed count for more in the base rate of a gang.

--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -15,6 +15,7 @@
 	e.withdrawUnfit(now)
 	e.refreshAccounts()
 	e.withdrawCapped(now)
+	e.slowRuns = e.slowRuns[:0]
 	e.updateSpeeds(now)
 	if !mayStart {
 		return
@@ -22,6 +23,7 @@
 	e.refreshIndex(now)
 	ready := e.readySteps(now)
 	p := newPass()
+	e.moveSlowRuns(p, now)
 	e.startReserved(p, now)
 	e.placeAll(ready, p, now)
 }
@@ -427,7 +429,7 @@
 	rec.Workers, rec.Incarnations = make([]string, len(workers)), make([]int64, len(workers))
 	for i, w := range workers {
 		rec.Workers[i], rec.Incarnations[i] = w.ID, w.Incarnation
-		m := &Member{Run: run, Worker: w, State: Planned, task: g.taskName(i), target: w.Incarnation, progressedAt: now}
+		m := &Member{Run: run, Worker: w, State: Planned, task: g.taskName(i), target: w.Incarnation, progressedAt: now, placedSpeed: w.speed}
 		run.Members = append(run.Members, m)
 		w.attach(m)
 	}
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -121,6 +121,8 @@
 	freeIndex freeIndex
 	// examined counts the workers examined by the searches of the last decision, each as often as it was examined.
 	examined int
+	// slowRuns are the runs that moveSlowRuns checks in this decision.
+	slowRuns []slowRun
 	// slotBuffer is reused by each search.
 	slotBuffer []slot
 }
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -471,9 +471,9 @@
 
 // slowestSpeed returns the speed of the slowest worker of the run.
 func (r *Run) slowestSpeed() float64 {
-	slowest := r.Members[0].Worker.speed
+	slowest := r.Members[0].Worker.speed.value
 	for _, m := range r.Members {
-		slowest = min(slowest, m.Worker.speed)
+		slowest = min(slowest, m.Worker.speed.value)
 	}
 	return slowest
 }
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -248,6 +248,8 @@
 	rateUnused         bool
 	sampleStartedAt    time.Time
 	sampleStartPercent int
+	// placedSpeed is the speed of the worker that was known when the run was placed, or taken over by this owner.
+	placedSpeed workerSpeed
 }
 
 // Task returns the member's name on the worker.
@@ -344,7 +346,7 @@
 				w.Listed = false
 				e.addWorker(w)
 			}
-			m := &Member{Run: run, Worker: w, State: Inherited, task: g.taskName(i), target: rec.IncarnationOf(i), progressedAt: now}
+			m := &Member{Run: run, Worker: w, State: Inherited, task: g.taskName(i), target: rec.IncarnationOf(i), progressedAt: now, placedSpeed: w.speed}
 			run.Members = append(run.Members, m)
 			w.attach(m)
 		}
--- a/internal/place/group/restart.go
+++ b/internal/place/group/restart.go
@@ -10,7 +10,7 @@
 func (e *Engine) workerRestarted(w *Worker, incarnation int64, source string, running []RunningEntry, now time.Time) {
 	e.emit(Decision{Kind: WorkerRestarted, Worker: w.ID, Incarnation: incarnation, Previous: w.Incarnation, Text: "read from " + source})
 	w.pastIncarnations[w.Incarnation] = true
-	w.Incarnation, w.incarnationSeenAt, w.LastExit, w.speed = incarnation, now, 0, 1
+	w.Incarnation, w.incarnationSeenAt, w.LastExit, w.speed = incarnation, now, 0, unknownSpeed()
 	w.pendingExits, w.reportedDurable = nil, 0
 	clear(w.orphans)
 	crash := w.crashEvidence()
--- a/internal/place/group/speed.go
+++ b/internal/place/group/speed.go
@@ -1,9 +1,6 @@
 package group
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// minRateWindow is the minimum time over which a task's progress is sampled, and minRatePercent the minimum progress
@@ -21,10 +18,6 @@
 	// minAcceptableSpeed is the speed, relative to its peers, below which a worker gets no new tasks for slowWorkerPause.
 	minAcceptableSpeed = 0.5
 	slowWorkerPause    = 1500 * time.Millisecond
-	// minMoveGain is how many times longer than a restart elsewhere the remaining work must take for a gang to move.
-	minMoveGain = 1.5
-	// maxMoves limits how often a task group is moved because of slow workers.
-	maxMoves = 2
 )
 
 // sampleRate updates the member's rate of progress. A worker that delays its answer to a poll until a task exits reports the
@@ -58,8 +51,8 @@
 	}
 }
 
-// updateStepSpeeds applies the new rates of one step's members to their workers' speeds, keeps new tasks off slow workers
-// and moves the step's gang if need be.
+// updateStepSpeeds applies the new rates of one step's members to their workers' speeds, keeps new tasks off workers that
+// have become slow, and lists the step's gang if it may have to move.
 func (e *Engine) updateStepSpeeds(step []*Group, now time.Time) {
 	var members []*Member
 	fresh := false
@@ -77,7 +70,7 @@
 	if !fresh || !onSeveralWorkers(members) {
 		return
 	}
-	base := medianRate(members)
+	base := baseRate(members)
 	weight := singleSampleWeight
 	if step[0].Count > 1 {
 		weight = gangSampleWeight
@@ -88,22 +81,12 @@
 		}
 		m.rateUnused = false
 		speed := m.rate / base
-		if speed < minAcceptableSpeed {
+		if speed < minAcceptableSpeed && !m.Worker.speed.explains(speed) {
 			m.Worker.avoid(now.Add(slowWorkerPause))
 		}
-		m.Worker.speed += weight * (min(max(speed, minAcceptableSpeed), 1/minAcceptableSpeed) - m.Worker.speed)
-	}
-	e.moveFromSlowWorker(step[0], base, now)
-}
-
-// medianRate is the rate of the members' work on a worker of speed 1.
-func medianRate(members []*Member) float64 {
-	rates := make([]float64, len(members))
-	for i, m := range members {
-		rates[i] = m.rate / m.Worker.speed
+		m.Worker.speed.add(min(max(speed, minAcceptableSpeed), 1/minAcceptableSpeed), weight)
 	}
-	slices.Sort(rates)
-	return rates[len(rates)/2]
+	e.noteSlowRun(step[0], base)
 }
 
 func onSeveralWorkers(members []*Member) bool {
@@ -115,33 +98,8 @@
 	return false
 }
 
-// moveFromSlowWorker stops a gang if one of its workers has become so slow that a restart elsewhere finishes sooner.
-func (e *Engine) moveFromSlowWorker(g *Group, base float64, now time.Time) {
-	run := g.Run
-	if g.Count == 1 || run == nil || run.stopReason != "" || g.slowWorkerMoves >= maxMoves {
-		return
-	}
-	remaining, restart := 0.0, 0.0
-	for _, m := range run.Members {
-		if m.rate <= 0 || m.State != Started {
-			continue
-		}
-		remainingPercent := float64(100 - m.Percent)
-		remaining = max(remaining, remainingPercent/m.rate)
-		if g.step().Checkpoints {
-			restart = max(restart, remainingPercent/base)
-		} else {
-			restart = 100 / base
-		}
-	}
-	if remaining > minMoveGain*(restart+e.cfg.StopTimeout.Seconds()) {
-		g.slowWorkerMoves++
-		e.stopRun(run, SlowWorker, "one of its workers has become slow", now)
-	}
-}
-
 // fast reports whether the worker is not known to be slower than most.
-func (w *Worker) fast() bool { return w.speed >= minFastSpeed }
+func (w *Worker) fast() bool { return w.speed.value >= minFastSpeed }
 
 // choicesBySpeed lists the subsets of slots to choose from, the best first: a gang is as fast as its slowest member, so it
 // should not mix fast and slow workers, and quick jobs should get the fast ones.
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -88,8 +88,7 @@
 	backfillReserved Resources
 	// failedGroups are the distinct task groups that failed here since the last success or long pause.
 	failedGroups []*Group
-	// speed is the worker's speed relative to the others; the average is 1.
-	speed float64
+	speed        workerSpeed
 
 	// rack holds this worker and its neighbours; position is the worker's index when all are listed rack by rack.
 	rack     *rack
@@ -111,7 +110,7 @@
 // newWorker returns a worker that may hold a lease of an earlier owner until inheritedEnds.
 func newWorker(info WorkerInfo, inheritedEnds time.Time) *Worker {
 	return &Worker{
-		WorkerInfo: info, Listed: true, listedIncarnation: info.Incarnation, speed: 1, InheritedEnds: inheritedEnds,
+		WorkerInfo: info, Listed: true, listedIncarnation: info.Incarnation, speed: unknownSpeed(), InheritedEnds: inheritedEnds,
 		pastIncarnations: make(map[int64]bool),
 		members:          make(map[runKey]*Member), orphans: make(map[runKey]bool), abandoned: make(map[runKey]bool),
 	}
