group: gangs go to workers of like speed, and work uses slow ones only within its objective

Cause: with one worker in four at 0.55 of the usual speed, gangs of other queues than quick ones took any slow workers first, whatever their objective; a gang for which neither kind alone had room mixed any of both, the fullest first; single tasks took no notice of speed.

Quick work uses fast workers while they are free. A gang of another queue uses the slowest workers of like speed on which it meets its objective at 1.5 times its estimate, then fast ones, then the fastest that hold it. Single tasks take the workers on which they meet their objective first. All free workers are among the last choices, so nothing waits for a fast one. If all workers with room count as fast, the choice is as before. Gangs that were moved from a slow worker prefer fast ones.

--- a/internal/place/group/find.go
+++ b/internal/place/group/find.go
@@ -112,7 +112,7 @@
 
 // chooseWorkers returns a worker for each task of the group, or nil if not all tasks fit.
 func (list *slotList) chooseWorkers(g *Group, f filter) []*Worker {
-	for _, choice := range choicesBySpeed(g, list.slots, g.Job.queue.Priority == 0) {
+	for _, choice := range choicesBySpeed(g, list.slots, list.sameRack) {
 		workers := []*Worker(nil)
 		if list.sameRack {
 			workers = fillTightestRack(g, choice, f)
--- a/internal/place/group/speed.go
+++ b/internal/place/group/speed.go
@@ -100,23 +100,3 @@
 
 // fast reports whether the worker is not known to be slower than most.
 func (w *Worker) fast() bool { return w.speed.value >= minFastSpeed }
-
-// choicesBySpeed lists the subsets of slots to choose from, the best first: a gang is as fast as its slowest member, so it
-// should not mix fast and slow workers, and quick jobs should get the fast ones.
-func choicesBySpeed(g *Group, slots []slot, quick bool) [][]slot {
-	if g.Count == 1 && !quick {
-		return [][]slot{slots}
-	}
-	var fast, slow []slot
-	for _, sl := range slots {
-		if sl.worker.fast() {
-			fast = append(fast, sl)
-		} else {
-			slow = append(slow, sl)
-		}
-	}
-	if quick {
-		return [][]slot{fast, slots}
-	}
-	return [][]slot{slow, fast, slots}
-}
--- a/internal/place/group/tasks.go
+++ b/internal/place/group/tasks.go
@@ -71,23 +71,14 @@
 }
 
 // searchTaskSlots searches for room for the tasks of the group's step. The fullest workers come first, so that empty ones
-// stay free for large tasks, unless the group is suspected of a crash; for quick jobs, fast workers come before all others.
+// stay free for large tasks, unless the group is suspected of a crash; workers that the group does not prefer by their speed come last.
 func (e *Engine) searchTaskSlots(g *Group, f filter) *taskSlots {
 	// The search includes workers on which this task has failed, as they may suit the other tasks.
 	all := f
 	all.retryFailed = true
 	list := e.listFreeSlots(g, all)
 	slots := slices.Clone(list.slots)
-	quick := g.Job.queue.Priority == 0
-	slices.SortStableFunc(slots, func(a, b slot) int {
-		if quick && a.worker.fast() != b.worker.fast() {
-			if a.worker.fast() {
-				return -1
-			}
-			return 1
-		}
-		return f.compare(a, b)
-	})
+	slices.SortStableFunc(slots, g.compareBySpeed(slots, f))
 	return &taskSlots{slots: slots, anyRoom: list.anyRoom}
 }
 
