group: the speed of a worker without samples is that of its kind, where labels tell speeds

Cause: with each owner and each new worker a speed began at 1 and needed samples of its own, so gangs went to slow workers of a kind whose speed was known, and left them.

A label predicts a speed if six workers with it have a known speed and nine in ten of them are within 0.1 of their median, and if some label of the service predicts an unusual speed. Otherwise all is as before. A predicted speed counts as known, so it is no reason for a move. Labels are compared at most once a second, and only if speeds were sampled.

--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -121,6 +121,12 @@
 	freeIndex freeIndex
 	// examined counts the workers examined by the searches of the last decision, each as often as it was examined.
 	examined int
+	// kindSpeeds are the speeds that labels predict as of kindsUpdatedAt, speedsChanged is true if a worker's speed was sampled since;
+	// kindsApplied is true if workers' speeds were completed with predictions.
+	kindSpeeds     map[workerKind]kindSpeed
+	kindsUpdatedAt time.Time
+	speedsChanged  bool
+	kindsApplied   bool
 	// slowRuns are the runs that moveSlowRuns checks in this decision.
 	slowRuns []slowRun
 	// slotBuffer is reused by each search.
--- a/internal/place/group/slow_worker.go
+++ b/internal/place/group/slow_worker.go
@@ -97,7 +97,7 @@
 		}
 	}
 	return fmt.Sprintf("worker %s has become slow: speed %.2f, %.2f with certainty %.2f when placed; rest %s, restart %s at speed %.2f saves %s",
-		slowest.Worker.ID, slowest.rate/s.base, slowest.placedSpeed.value, slowest.placedSpeed.certainty,
+		slowest.Worker.ID, slowest.rate/s.base, slowest.placedSpeed.value, slowest.placedSpeed.confidence(),
 		remaining.Round(time.Millisecond), restart.Round(time.Millisecond), speed, (remaining - restart).Round(time.Millisecond))
 }
 
@@ -127,7 +127,10 @@
 
 // expectedSpeed returns the speed that the worker would have for the gang after a restart.
 func (s slowRun) expectedSpeed(w *Worker, unsampled float64) float64 {
-	speed := unsampled + w.speed.certainty*(w.speed.value-unsampled)
+	speed := w.speed.value
+	if w.speed.expectedCertainty == 0 {
+		speed = unsampled + w.speed.certainty*(w.speed.value-unsampled)
+	}
 	for _, m := range s.run.Members {
 		if m.Worker == w && m.rate > 0 {
 			speed = m.rate / s.base
--- a/internal/place/group/speed.go
+++ b/internal/place/group/speed.go
@@ -49,6 +49,7 @@
 			}
 		}
 	}
+	e.updateKinds(now)
 }
 
 // updateStepSpeeds applies the new rates of one step's members to their workers' speeds, keeps new tasks off workers that
@@ -79,7 +80,7 @@
 		if !m.rateUnused {
 			continue
 		}
-		m.rateUnused = false
+		m.rateUnused, e.speedsChanged = false, true
 		speed := m.rate / base
 		if speed < minAcceptableSpeed && !m.Worker.speed.explains(speed) {
 			m.Worker.avoid(now.Add(slowWorkerPause))
--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -203,6 +203,7 @@
 		if w == nil {
 			w = newWorker(info, earliestKnown(now.Add(e.cfg.InheritedLease), e.inherited.of(info.ID)))
 			w.updateLeavesAt(now)
+			e.expectSpeed(w)
 			e.addWorker(w)
 			continue
 		}
@@ -215,6 +216,7 @@
 		}
 		e.racksStale = e.racksStale || w.Rack != info.Rack
 		w.WorkerInfo, w.Listed = info, true
+		e.expectSpeed(w)
 		w.updateLeavesAt(now)
 	}
 	for id, w := range e.workers {
