term, group: learned speeds outlive an owner

Cause: speeds began at 1 with each owner, so after each change of owner gangs were placed on slow workers and moved again.

The key `speeds` has the speed, certainty and incarnation of each known worker in one value of at most 64 KiB. The owner writes it at most every 3 s, conditional on its own key, and only if a speed differs by 0.1 from the recorded one, or from 1 without one; equal workers cause no write. A term reads it once, beside its load, and applies it when it comes. Without a readable record all speeds are 1. A speed counts only for the incarnation for which it was recorded. A run that an earlier owner placed counts as placed with the recorded speeds.

--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -176,6 +176,7 @@
 	asked := make(chan struct{})
 	t.components.Go("predecessor", func() { t.inheritLeases(ctx, asked) })
 	t.components.Go("history", func() { t.inheritBound(ctx) })
+	t.components.Go("speeds", func() { t.keepSpeeds(ctx) })
 	if t.load(ctx) {
 		t.components.Go("reports", func() { t.collectReports(ctx, asked) })
 		t.components.Go("leases", func() {
--- a/internal/place/group/engine.go
+++ b/internal/place/group/engine.go
@@ -127,6 +127,8 @@
 	kindsUpdatedAt time.Time
 	speedsChanged  bool
 	kindsApplied   bool
+	// inheritedSpeeds are the speeds that an earlier owner has learned, by worker, until they are applied.
+	inheritedSpeeds map[string]KnownSpeed
 	// slowRuns are the runs that moveSlowRuns checks in this decision.
 	slowRuns []slowRun
 	// slotBuffer is reused by each search.
--- a/internal/place/group/kind_speed.go
+++ b/internal/place/group/kind_speed.go
@@ -89,8 +89,10 @@
 	return median, float64(near) >= minKindShare*float64(len(speeds))
 }
 
-// expectSpeed completes the worker's speed with the one that its labels predict; the label with the most samples counts.
+// expectSpeed completes the worker's speed with the one that an earlier owner has learned and the one that its labels predict; the label
+// with the most samples counts.
 func (e *Engine) expectSpeed(w *Worker) {
+	e.inheritSpeed(w)
 	var best kindSpeed
 	for _, label := range w.Labels {
 		if kind := e.kindSpeeds[workerKind{w.Service, label}]; kind.workers > best.workers {
--- a/internal/state/work/keys.go
+++ b/internal/state/work/keys.go
@@ -18,6 +18,8 @@
 	OwnerKey = "owner"
 	// LeasesKey holds the LeaseRecord.
 	LeasesKey = "leases"
+	// SpeedsKey holds the SpeedRecord.
+	SpeedsKey = "speeds"
 	// SizesKey holds the largest capacities that workers have had, by service.
 	SizesKey     = "sizes"
 	cancelSuffix = "/cancel"
