--- a/internal/place/group/worker.go
+++ b/internal/place/group/worker.go
@@ -87,8 +87,7 @@
 	reserved         Resources
 	backfillReserved Resources
 	failures         failureClosure
-	// speed is the worker's speed relative to the others; the average is 1.
-	speed float64
+	speed            workerSpeed
 
 	// rack holds this worker and its neighbours; position is the worker's index when all are listed rack by rack.
 	rack     *rack
@@ -110,7 +109,7 @@
 // newWorker returns a worker that may hold a lease of an earlier owner until inheritedEnds.
 func newWorker(info WorkerInfo, inheritedEnds time.Time) *Worker {
 	return &Worker{
-		WorkerInfo: info, Listed: true, listedIncarnation: info.Incarnation, speed: 1, InheritedEnds: inheritedEnds,
+		WorkerInfo: info, Listed: true, listedIncarnation: info.Incarnation, speed: unknownSpeed(), InheritedEnds: inheritedEnds,
 		pastIncarnations: make(map[int64]bool),
 		members:          make(map[runKey]*Member), orphans: make(map[runKey]bool), abandoned: make(map[runKey]bool),
 	}
@@ -203,6 +202,7 @@
 		if w == nil {
 			w = newWorker(info, earliestKnown(now.Add(e.cfg.InheritedLease), e.inherited.of(info.ID)))
 			w.updateLeavesAt(now)
+			e.expectSpeed(w)
 			e.addWorker(w)
 			continue
 		}
@@ -215,6 +215,7 @@
 		}
 		e.racksStale = e.racksStale || w.Rack != info.Rack
 		w.WorkerInfo, w.Listed = info, true
+		e.expectSpeed(w)
 		w.updateLeavesAt(now)
 	}
 	for id, w := range e.workers {
