group: a victim's cost is its work since the last checkpoint; runs about to end are awaited

A stop was counted from the time when the run was planned, or when this owner had loaded it. So a new owner stopped inherited work first, however far it was, and a run was stopped even if it would have ended before its stop took effect.

The cost is now the work of all members since they started, from their progress where an earlier owner started them. The discarded work in the log of a stop counts inherited members too.

--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -12,6 +11,9 @@
 	until   time.Time
 	// backfill is true if no run was stopped for the reservation: the room becomes free as runs end.
 	backfill bool
+	// awaited are the runs that are expected to end by themselves until awaitedUntil; those that have not are stopped then.
+	awaited      []*Run
+	awaitedUntil time.Time
 }
 
 // reservationSlack is added to the time a stop may take before a reservation is dropped.
@@ -54,6 +56,8 @@
 	// wastePerCore is wastedCoreSeconds for each core that the stop frees.
 	wastedCoreSeconds float64
 	wastePerCore      float64
+	// endsByItself is true if the run is expected to have ended before its stop would take effect, so that it is not stopped.
+	endsByItself bool
 }
 
 // requester is what determines which runs may be stopped for a task group, apart from the runs of its own job.
@@ -63,7 +67,7 @@
 	service         string
 }
 
-// candidates are the runs that may be stopped: those of quick jobs last, otherwise in ascending order of wastePerCore.
+// candidates are the runs that may be stopped, in the order of compareVictims.
 type candidates struct {
 	all    []victim
 	byRack map[*rack][]victim
@@ -86,10 +90,9 @@
 	if best == nil || !g.Job.withinGuarantee && best.wastedCoreSeconds > maxWasteRatio*g.step().Estimate.Seconds()*g.totalNeed().Cores() {
 		return false
 	}
-	for _, v := range best.victims {
-		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID(), now)
-	}
-	e.addReservation(g, &reservation{workers: best.chooseWorkers(g, f), until: now.Add(e.cfg.StopTimeout + reservationSlack)})
+	r := &reservation{workers: best.chooseWorkers(g, f), until: now.Add(e.cfg.StopTimeout + reservationSlack)}
+	e.stopVictims(g, r, best.victims, now)
+	e.addReservation(g, r)
 	g.Job.Waiting = "waits until preempted runs have stopped"
 	e.emit(Decision{Kind: JobWaits, Job: g.Job.ID(), Task: g.taskName(0), Cause: StopAwaited, CoreSeconds: best.wastedCoreSeconds, Text: g.Job.Waiting})
 	return true
@@ -217,13 +220,12 @@
 				continue
 			}
 			if run := other.Run; run != nil && run.stopReason == "" && !run.broken() && run.complete() {
-				wasted := wastedCoreSeconds(run, now)
-				list = append(list, victim{run: run, priority: j.queue.Priority, wastedCoreSeconds: wasted, wastePerCore: wasted / other.totalNeed().Cores()})
+				list = append(list, e.newVictim(run, now))
 			}
 		}
 	}
 	slices.SortStableFunc(list, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(min(b.priority, 1), min(a.priority, 1)), cmp.Compare(a.wastePerCore, b.wastePerCore))
+		return compareVictims(&a, &b)
 	})
 	return list
 }
@@ -249,18 +251,6 @@
 	return j.queue.Priority > 0 || requesting.withinGuarantee
 }
 
-// checkpointStopSeconds is how many seconds of work a stop costs a run with checkpoints; its progress is saved.
-const checkpointStopSeconds = 0.5
-
-// wastedCoreSeconds is the work that stopping the run discards, in core-seconds.
-func wastedCoreSeconds(run *Run, now time.Time) float64 {
-	cores := run.Group.totalNeed().Cores()
-	if run.Group.step().Checkpoints {
-		return checkpointStopSeconds * cores
-	}
-	return now.Sub(run.PlannedAt).Seconds() * cores
-}
-
 func (e *Engine) addReservation(g *Group, r *reservation) {
 	g.reservation = r
 	g.Job.account.reserved = g.Job.account.reserved.Add(g.totalNeed())
@@ -317,6 +307,7 @@
 			e.planRun(g, workers, ReservedRoom, "reserved room is free", now)
 		default:
 			e.retryElsewhere(g, p, now)
+			e.stopAwaited(g, now)
 		}
 	}
 }
--- /dev/null
+++ b/internal/place/group/victim.go
@@ -0,0 +1,59 @@
+package group
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// newVictim returns what a stop of the run would cost.
+func (e *Engine) newVictim(run *Run, now time.Time) victim {
+	v := victim{run: run, priority: run.Group.Job.queue.Priority, endsByItself: run.endsWithin(e.cfg.StopTimeout, now)}
+	if !v.endsByItself {
+		v.wastedCoreSeconds = run.unsavedCoreSeconds(now)
+		v.wastePerCore = v.wastedCoreSeconds / run.Group.totalNeed().Cores()
+	}
+	return v
+}
+
+// compareVictims orders the runs that end by themselves first and those of quick jobs last, otherwise by wastePerCore.
+func compareVictims(a, b *victim) int {
+	switch {
+	case a.endsByItself != b.endsByItself && a.endsByItself:
+		return -1
+	case a.endsByItself != b.endsByItself:
+		return 1
+	default:
+		return cmp.Or(cmp.Compare(min(b.priority, 1), min(a.priority, 1)), cmp.Compare(a.wastePerCore, b.wastePerCore))
+	}
+}
+
+// stopVictims stops the runs for the task group, except those that end by themselves, which the reservation awaits.
+func (e *Engine) stopVictims(g *Group, r *reservation, victims []victim, now time.Time) {
+	for _, v := range victims {
+		if v.endsByItself {
+			r.awaited = append(r.awaited, v.run)
+			continue
+		}
+		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID(), now)
+	}
+	if len(r.awaited) > 0 {
+		r.awaitedUntil = now.Add(e.cfg.StopTimeout)
+		r.until = r.until.Add(e.cfg.StopTimeout)
+	}
+}
+
+// stopAwaited stops the runs that the group's reservation awaits and that have not ended in time, as progress may have slowed down.
+func (e *Engine) stopAwaited(g *Group, now time.Time) {
+	r := g.reservation
+	if r == nil || len(r.awaited) == 0 || now.Before(r.awaitedUntil) {
+		return
+	}
+	runs := slices.Clone(r.awaited)
+	r.awaited = nil
+	for _, run := range runs {
+		if run.aliveMembers > 0 && run.stopReason == "" {
+			e.stopRunFor(g.Job.ID(), run, Preempted, "did not end in time for "+g.Job.ID(), now)
+		}
+	}
+}
