group: awaited runs below a cap are not stopped, and the wait for them is bounded

And a run whose progress ceases just before its end could be awaited again and again there.

Such runs are not stopped, a run that should have ended for more than half of the limit is not awaited any longer, and the limit is half of StopTimeout for jobs within their guarantee: with the default of 0.9 s they begin at most 0.45 + 0.23 + 0.9 s after the decision, and reclaimMs is 2.7 s or more. The test of a run that slows down checks the shorter limit now.

--- a/internal/place/group/loss.go
+++ b/internal/place/group/loss.go
@@ -41,7 +41,8 @@
 	}
 }
 
-// endsWithin reports whether all members of the run will have ended before the time has passed, by their measured rates.
+// endsWithin reports whether all members of the run will have ended before the time has passed, by their measured rates. A run that
+// should have ended for longer than half of that already has slowed down or makes no progress.
 func (r *Run) endsWithin(limit time.Duration, now time.Time) bool {
 	if r.Group.step().LongRunning {
 		return false
@@ -50,7 +51,10 @@
 		if m.State == Ended {
 			continue
 		}
-		if m.State != Started || m.rate <= 0 || m.Worker.silent(now) || m.remaining()-now.Sub(m.progressedAt) > limit {
+		if m.State != Started || m.rate <= 0 || m.Worker.silent(now) {
+			return false
+		}
+		if endsIn := m.remaining() - now.Sub(m.progressedAt); endsIn > limit || endsIn < -limit/2 {
 			return false
 		}
 	}
--- a/internal/place/group/loss_test.go
+++ b/internal/place/group/loss_test.go
@@ -78,10 +78,34 @@
 // Guards against a guaranteed job that waits for longer than a stop takes because a run slows down just before its end.
 func TestQuickLoadStopsARunThatDoesNotEndInTime(t *testing.T) {
 	c := nearlyDone(t)
-	c.pollIn(800 * time.Millisecond)
+	c.pollIn(400 * time.Millisecond)
+	c.step()
+	assert.Equal(t, len(c.stops), 0)
+	c.pollIn(100 * time.Millisecond)
+	c.step()
+	c.step()
+	assert.Equal(t, len(c.stops), 1)
+	assert.Equal(t, len(c.workersOf("quick")), 1)
+}
+
+// Guards against a quick job below the cap of its workspace that stops a run of the workspace which is about to end, or awaits it for
+// longer than a stop takes.
+func TestQuickLoadBelowACapAwaitsRunsThatEndBeforeTheirStop(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.engine.SetPolicy(group.Policy{Workspaces: []group.Workspace{{Name: "alpha", Guaranteed: 8, Cap: group.Resources{Accelerators: 8}}}})
+	c.submit("long", batchQueue, "alpha", gang(1, 8))
+	c.step()
+	for _, percent := range []int{72, 82, 92} {
+		c.pollIn(500 * time.Millisecond)
+		c.setPercent("long.0.0.0", percent)
+		c.pollAll()
+	}
+	c.submit("quick", quickQueue, "alpha", gang(1, 8))
+	c.step()
+	c.pollIn(400 * time.Millisecond)
 	c.step()
 	assert.Equal(t, len(c.stops), 0)
-	c.pollIn(200 * time.Millisecond)
+	c.pollIn(500 * time.Millisecond)
 	c.step()
 	c.step()
 	assert.Equal(t, len(c.stops), 1)
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -220,7 +220,7 @@
 				continue
 			}
 			if run := other.Run; run != nil && run.stopReason == "" && !run.broken() && run.complete() {
-				list = append(list, e.newVictim(run, now))
+				list = append(list, e.newVictim(g, run, now))
 			}
 		}
 	}
--- a/internal/place/group/quota.go
+++ b/internal/place/group/quota.go
@@ -228,6 +228,9 @@
 		return
 	}
 	for _, v := range chosen {
+		if v.endsByItself {
+			continue
+		}
 		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID()+" below the cap of their workspace", now)
 		a.stopping = a.stopping.Add(v.run.Group.taskNeed().Times(v.run.aliveMembers))
 	}
--- a/internal/place/group/victim.go
+++ b/internal/place/group/victim.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// newVictim returns what a stop of the run would cost.
-func (e *Engine) newVictim(run *Run, now time.Time) victim {
-	v := victim{run: run, priority: run.Group.Job.queue.Priority, endsByItself: run.endsWithin(e.cfg.StopTimeout, now)}
+// newVictim returns what a stop of the run for the task group would cost.
+func (e *Engine) newVictim(g *Group, run *Run, now time.Time) victim {
+	v := victim{run: run, priority: run.Group.Job.queue.Priority, endsByItself: run.endsWithin(e.awaitLimit(g), now)}
 	if !v.endsByItself {
 		v.wastedCoreSeconds = run.unsavedCoreSeconds(now)
 		v.wastePerCore = v.wastedCoreSeconds / run.Group.totalNeed().Cores()
@@ -16,6 +16,15 @@
 	return v
 }
 
+// awaitLimit is how long the task group waits for the end of a run rather than for its stop. A job within its guarantee must start
+// within 2.7 s (reclaimMs), also if the run has to be stopped after all.
+func (e *Engine) awaitLimit(g *Group) time.Duration {
+	if g.Job.withinGuarantee {
+		return e.cfg.StopTimeout / 2
+	}
+	return e.cfg.StopTimeout
+}
+
 // compareVictims orders the runs that end by themselves first and those of quick jobs last, otherwise by wastePerCore.
 func compareVictims(a, b *victim) int {
 	switch {
@@ -38,8 +47,8 @@
 		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID(), now)
 	}
 	if len(r.awaited) > 0 {
-		r.awaitedUntil = now.Add(e.cfg.StopTimeout)
-		r.until = r.until.Add(e.cfg.StopTimeout)
+		r.awaitedUntil = now.Add(e.awaitLimit(g))
+		r.until = r.until.Add(e.awaitLimit(g))
 	}
 }
 
