group: victims are ordered by what their callers lose

The work of the present run alone decided who was stopped. So a task group that had just begun again after a stop was the cheapest and was stopped again; a run that then missed its objective was stopped although another one had time; and useful work was stopped beside runs that were worth nothing any more.

Among runs of equal standing (quick ones stay last) the order is now: what the stop does to the objective, what the caller loses in all (work of this run and of earlier ones that were stopped, which weighs more with each stop), and, within half a second of work per core, the less important queue first.

--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -427,7 +427,8 @@
 			discarded = run.unsavedCoreSeconds(now)
 		}
 		e.emit(Decision{
-			Kind: RunStopped, Job: run.Group.Job.ID(), Task: run.Group.taskName(0), Run: run.Number, Cause: cause, For: job, CoreSeconds: discarded, Text: why,
+			Kind: RunStopped, Job: run.Group.Job.ID(), Task: run.Group.taskName(0), Run: run.Number, Cause: cause, For: job, CoreSeconds: discarded,
+			Preemptions: run.Group.preemptions, Text: why,
 		})
 	}
 	for _, m := range run.Members {
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -56,6 +56,10 @@
 	// wastePerCore is wastedCoreSeconds for each core that the stop frees.
 	wastedCoreSeconds float64
 	wastePerCore      float64
+	// lossPerCore is what its caller has lost through stops for others, including this one, for each core.
+	lossPerCore float64
+	// harm is what the stop does to the objective of the run's occurrence.
+	harm harm
 	// endsByItself is true if the run is expected to have ended before its stop would take effect, so that it is not stopped.
 	endsByItself bool
 }
--- a/internal/place/group/quota.go
+++ b/internal/place/group/quota.go
@@ -231,7 +231,7 @@
 		if v.endsByItself {
 			continue
 		}
-		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID()+" below the cap of their workspace", now)
+		e.preemptRun(g, v.run, "preempted by "+g.Job.ID()+" below the cap of their workspace", now)
 		a.stopping = a.stopping.Add(v.run.Group.taskNeed().Times(v.run.aliveMembers))
 	}
 }
