group: no stop where a quick job can await an end, or misses its objective anyway

A quick job beyond its guarantee stopped work at once, also when a run was to end soon enough for its objective, and when it could not meet the objective any more. It now awaits the runs that it might stop, by their measured rates, for as long as it meets its objective if they have to be stopped after all, and at most half of its own estimate. A requester that would be late even if its work took half of the estimate stops nothing, unless it is within its guarantee (RECLAIM) or less than half of its service is in use (LOST). Ends of runs that it might not stop are not counted yet.

--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -69,6 +69,7 @@
 	priority        int
 	withinGuarantee bool
 	service         string
+	awaitLimit      time.Duration
 }
 
 // candidates are the runs that may be stopped, in the order of compareVictims.
@@ -102,15 +103,17 @@
 	return true
 }
 
-// mayPreempt reports whether other runs may be stopped for the task group: for quick jobs that are not expired or are within
-// their guarantee, for waiting gangs that are not expired, and for any waiting gang while much is free, as stopped runs then
+// mayPreempt reports whether other runs may be stopped for the task group: for quick jobs that can meet their objective or are
+// within their guarantee, for waiting gangs that can, and for any waiting gang while much is free, as stopped runs then
 // find room elsewhere.
 func (e *Engine) mayPreempt(g *Group, now time.Time) bool {
-	stillUseful := g.occ.lateness != expired
-	if g.Job.queue.Priority == 0 && (stillUseful || g.Job.withinGuarantee) {
-		return true
+	quick := g.Job.queue.Priority == 0
+	gangWaits := g.Count > 1 && now.Sub(g.readyAt) > gangPreemptionDelay
+	if !quick && !gangWaits {
+		return false
 	}
-	return g.Count > 1 && (stillUseful || e.fragmented(g)) && now.Sub(g.readyAt) > gangPreemptionDelay
+	stillUseful := g.occ.lateness != expired && !e.missesObjective(g, now)
+	return quick && (stillUseful || g.Job.withinGuarantee) || gangWaits && (stillUseful || e.fragmented(g))
 }
 
 // preemption is a plan to make room: the runs to stop, and the slots once they have stopped.
@@ -194,7 +197,7 @@
 
 // candidates returns the runs that may be stopped for the task group; they are listed once for each requester in a pass.
 func (e *Engine) candidates(g *Group, p *pass, now time.Time) *candidates {
-	key := requester{priority: g.Job.queue.Priority, withinGuarantee: g.Job.withinGuarantee, service: g.Job.queue.Service}
+	key := requester{priority: g.Job.queue.Priority, withinGuarantee: g.Job.withinGuarantee, service: g.Job.queue.Service, awaitLimit: e.awaitLimit(g, now)}
 	if cand := p.candidates[key]; cand != nil {
 		return cand
 	}
--- a/internal/place/group/victim.go
+++ b/internal/place/group/victim.go
@@ -25,7 +25,7 @@
 // newVictim returns what a stop of the run for the requesting task group would cost.
 func (e *Engine) newVictim(requesting *Group, run *Run, now time.Time) victim {
 	g := run.Group
-	v := victim{run: run, priority: g.Job.queue.Priority, endsByItself: run.endsWithin(e.awaitLimit(requesting), now)}
+	v := victim{run: run, priority: g.Job.queue.Priority, endsByItself: run.endsWithin(e.awaitLimit(requesting, now), now)}
 	if v.endsByItself {
 		return v
 	}
@@ -39,15 +39,6 @@
 	return v
 }
 
-// awaitLimit is how long the task group waits for the end of a run rather than for its stop. A job within its guarantee must start
-// within 2.7 s (reclaimMs), also if the run has to be stopped after all.
-func (e *Engine) awaitLimit(g *Group) time.Duration {
-	if g.Job.withinGuarantee {
-		return e.cfg.StopTimeout / 2
-	}
-	return e.cfg.StopTimeout
-}
-
 // harmOfStop estimates what a stop does to the objective of the run's occurrence, if the task group starts again at once.
 func (e *Engine) harmOfStop(run *Run, now time.Time) harm {
 	g := run.Group
@@ -125,8 +116,8 @@
 		e.preemptRun(g, v.run, "preempted by "+g.Job.ID(), now)
 	}
 	if len(r.awaited) > 0 {
-		r.awaitedUntil = now.Add(e.awaitLimit(g))
-		r.until = r.until.Add(e.awaitLimit(g))
+		r.awaitedUntil = now.Add(e.awaitLimit(g, now))
+		r.until = r.until.Add(e.awaitLimit(g, now))
 	}
 }
 
