--- a/internal/place/group/quota.go
+++ b/internal/place/group/quota.go
@@ -261,7 +261,10 @@
 		return
 	}
 	for _, v := range chosen {
-		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID()+" below the cap of their workspace", now)
+		if v.endsByItself {
+			continue
+		}
+		e.preemptRun(g, v.run, "preempted by "+g.Job.ID()+" below the cap of their workspace", now)
 		a.stopping = a.stopping.Add(v.run.Group.taskNeed().Times(v.run.aliveMembers))
 	}
 	if len(chosen) > 0 {
