--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -88,7 +88,9 @@
 	// notifier notifies the owner of accepted jobs; nil without a PeerAddress.
 	notifier *notify.Notifier
 	// leaseProxy extends leases in this data centre for an owner in another one.
-	leaseProxy     *extend.Proxy
+	leaseProxy *extend.Proxy
+	// now is the monotonic clock.
+	now            func() time.Time
 	stopping       atomic.Bool
 	refreshFailing bool
 }
@@ -96,8 +98,8 @@
 // New returns an instance that is not yet running.
 func New(options Options) *Server {
 	log := options.Log
-	s := &Server{Options: options, Meter: meter.New(options.Instance)}
-	s.policy = policy.NewHolder(options.Source, clock.Now, s.logActivePolicy)
+	s := &Server{Options: options, Meter: meter.New(options.Instance), now: clock.Now}
+	s.policy = policy.NewHolder(options.Source, s.now, s.logActivePolicy)
 	s.Jobs = &admit.Service{
 		Store: options.Store, Policy: s.policy, MaxPolicyAge: options.KeyAge, MaxValueBytes: options.Limits.MaxValueBytes, Log: log, Meter: s.Meter, Now: clock.Now, WallNow: time.Now,
 	}
@@ -139,7 +141,7 @@
 // Ready reports whether the balancer should send callers to this instance.
 func (s *Server) Ready() bool {
 	snapshot, confirmedAt := s.policy.Current()
-	return !s.Stopping() && snapshot.Policy != nil && clock.Now().Sub(confirmedAt) < min(s.KeyAge, maxReadyAge)
+	return !s.Stopping() && snapshot.Policy != nil && s.now().Sub(confirmedAt) < min(s.KeyAge, maxReadyAge)
 }
 
 // Signals returns a channel of the signals that Run handles.
@@ -159,11 +161,11 @@
 	owning, resign := context.WithCancel(ctx)
 	defer resign()
 	components := abort.Group{Log: s.Log}
-	components.Go("configuration", func() { s.refresh(ctx) })
-	components.Go("workers", func() { s.workerSizes.run(ctx) })
-	components.Go("owner", func() { s.elector.Run(owning, electorDone) })
+	components.Go("configuration", func() { s.refresh(store.From(ctx, store.Configuration)) })
+	components.Go("workers", func() { s.workerSizes.run(store.From(ctx, store.Sizes)) })
+	components.Go("owner", func() { s.elector.Run(store.From(owning, store.Election), electorDone) })
 	if s.PeerAddress != "" {
-		components.Go("instances", func() { s.peers.Run(ctx) })
+		components.Go("instances", func() { s.peers.Run(store.From(ctx, store.Instances)) })
 		components.Go("peers", func() { s.servePeers(ctx) })
 		components.Go("substitute", func() { s.leaseProxy.Run(ctx) })
 		components.Go("teller", func() { s.notifier.Run(ctx) })
--- a/internal/node/term/stale.go
+++ b/internal/node/term/stale.go
@@ -7,6 +7,7 @@
 
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/peer/probe"
+	"github.com/lentildeck/lentildeck/internal/state/store"
 )
 
 const (
@@ -38,7 +39,7 @@
 
 // Probe reads the configuration and the list of workers for an owner that can't.
 func (e *Elector) Probe(ctx context.Context, _ *probe.Request) (*probe.Reply, error) {
-	call, done := context.WithTimeout(ctx, probeReadTimeout)
+	call, done := context.WithTimeout(store.From(ctx, store.Probe), probeReadTimeout)
 	defer done()
 	if err := e.Policy.Refresh(call); err != nil {
 		return &probe.Reply{Error: err.Error()}, nil
--- a/internal/node/term/term.go
+++ b/internal/node/term/term.go
@@ -10,6 +10,7 @@
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
 	"github.com/lentildeck/lentildeck/internal/place/group"
+	"github.com/lentildeck/lentildeck/internal/state/store"
 )
 
 const (
@@ -166,12 +167,12 @@
 
 // run loads the state, makes decisions until the term is over, and returns why it ended.
 func (t *term) run(ctx context.Context) error {
-	ctx, t.cancel = context.WithCancel(ctx)
+	ctx, t.cancel = context.WithCancel(store.From(ctx, store.Term))
 	defer t.cancel()
 	t.Log.Emit(event.TermBegan, event.Fields{"token": t.token, "lease": t.lease})
 	t.engine.AwaitReports()
 	t.Meter.Publish("workspaces", func() any { return t.usages() })
-	t.components.Go("renewal", func() { t.renewLease(ctx) })
+	t.components.Go("renewal", func() { t.renewLease(store.From(ctx, store.Renewal)) })
 	t.components.Go("standing", func() { t.watchStanding(ctx) })
 	asked := make(chan struct{})
 	t.components.Go("predecessor", func() { t.inheritLeases(ctx, asked) })
@@ -183,10 +184,10 @@
 			t.withholdLeases(ctx)
 		})
 		t.components.Go("exits", func() { t.leaveExits(ctx) })
-		t.components.Go("workers", func() { t.listWorkers(ctx) })
-		t.components.Go("list", func() { t.relistJobs(ctx) })
-		t.components.Go("watch", func() { t.watchJobs(ctx) })
-		t.components.Go("pending", func() { t.scanWaiting(ctx) })
+		t.components.Go("workers", func() { t.listWorkers(store.From(ctx, store.Workers)) })
+		t.components.Go("list", func() { t.relistJobs(store.From(ctx, store.Relist)) })
+		t.components.Go("watch", func() { t.watchJobs(store.From(ctx, store.Watch)) })
+		t.components.Go("pending", func() { t.scanWaiting(store.From(ctx, store.Pending)) })
 		t.components.Go("staleness", func() { t.watchStaleness(ctx) })
 		t.components.Go("leftovers", func() { t.deleteLeftovers(ctx) })
 		t.components.Go("substitutes", func() { t.runProxies(ctx) })
@@ -307,7 +308,7 @@
 	t.state.Unlock()
 	t.dispatch(ctx, actions)
 	for _, updates := range batches {
-		t.components.Go("commit", func() { t.commit(ctx, updates) })
+		t.components.Go("commit", func() { t.commit(store.From(ctx, store.Records), updates) })
 	}
 	if 2*silent > all && now.Sub(t.startedAt) > cutOffAfter {
 		t.end(&cutOffError{silent: silent, all: all})
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -183,6 +183,7 @@
 
 // submitLocally creates the job in the key-value store. If an attempt may have created it, the job is tried again until ctx ends.
 func (s *Service) submitLocally(ctx context.Context, caller Caller, spec *work.Spec, a *attempts) Reply {
+	ctx = store.From(ctx, store.Submit)
 	for {
 		reply, done := s.trySubmit(ctx, caller, spec, a)
 		if done {
@@ -283,7 +284,7 @@
 	if answered, took := s.Policy.LastRead(); took > slowResponse && s.Now().Sub(answered) < recentResponse {
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, firstTryTimeout)
+	callCtx, cancel := context.WithTimeout(store.From(ctx, store.Check), firstTryTimeout)
 	defer cancel()
 	_, err := s.Store.Item(callCtx, work.OwnerKey)
 	return err
@@ -317,6 +318,7 @@
 // cancelLocally records the cancellation in the key-value store. A repeated cancel has no further effect, so it is tried until ctx
 // ends.
 func (s *Service) cancelLocally(ctx context.Context, caller Caller, a *attempts) Reply {
+	ctx = store.From(ctx, store.Cancel)
 	for {
 		reply, done := s.tryCancel(ctx, caller, a)
 		if done || !pause.For(ctx, retryPause) {
@@ -374,6 +376,7 @@
 }
 
 func (s *Service) stateLocally(ctx context.Context, caller Caller) Reply {
+	ctx = store.From(ctx, store.State)
 	t, refusal := s.resolve(caller, s.Now())
 	if refusal != nil {
 		return *refusal
