--- a/internal/node/server/calls_test.go
+++ b/internal/node/server/calls_test.go
@@ -234,6 +234,6 @@
 
 // maxCalmPrice and maxBusyPrice bound the price of the calls in the two minutes of TestCallsToTheStore, one tenth above what was measured.
 const (
-	maxCalmPrice = 12200
-	maxBusyPrice = 21800
+	maxCalmPrice = 8300
+	maxBusyPrice = 17600
 )
--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -116,6 +116,8 @@
 	// Now is the monotonic clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
+	// OnTerm is called as a term of this instance begins; it must not block. It may be nil.
+	OnTerm func()
 	// Jitter returns a delay with the given mean before something is tried again; if it is nil, the delays are random.
 	Jitter func(mean time.Duration) time.Duration
 
@@ -165,6 +167,9 @@
 		t.sightings = slices.Clone(e.sightings)
 		e.current = t
 		e.mu.Unlock()
+		if e.OnTerm != nil {
+			e.OnTerm()
+		}
 		cause := t.run(ctx)
 		past := t.close()
 		if ctx.Err() == nil {
