--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -33,11 +33,7 @@
 )
 
 const (
-	// refreshInterval is how often the configuration is read: several times within its maximum age.
-	refreshInterval = 400 * time.Millisecond
-	// refreshTimeout limits one read; a store that is slower by a factor of 100 still answers within it.
-	refreshTimeout = 600 * time.Millisecond
-	// maxReadyAge is the maximum age of the configuration for the instance to be ready: two failed reads. It is well below
+	// maxReadyAge is how long ago the store may have responded for the instance to be ready: two failed calls. It is well below
 	// KeyAge, as the balancer takes two more seconds to notice.
 	maxReadyAge = 1200 * time.Millisecond
 	// resignTimeout limits the wait, after the listeners have closed, for the owner's lease to be revoked.
@@ -89,16 +85,21 @@
 	// notifier notifies the owner of accepted jobs; nil without a PeerAddress.
 	notifier *notify.Notifier
 	// leaseProxy extends leases in this data centre for an owner in another one.
-	leaseProxy     *extend.Proxy
+	leaseProxy *extend.Proxy
+	// now is the monotonic clock.
+	now            func() time.Time
 	stopping       atomic.Bool
 	refreshFailing bool
+	// termBegan asks for a read of the configuration at once; steadyFrom is when the last failure is long enough ago for pings.
+	termBegan  chan struct{}
+	steadyFrom time.Time
 }
 
 // New returns an instance that is not yet running.
 func New(options Options) *Server {
 	log := options.Log
-	s := &Server{Options: options, Meter: meter.New(options.Instance)}
-	s.policy = policy.NewHolder(options.Source, clock.Now, s.logActivePolicy)
+	s := &Server{Options: options, Meter: meter.New(options.Instance), now: clock.Now, termBegan: make(chan struct{}, 1)}
+	s.policy = policy.NewHolder(options.Source, s.now, s.logActivePolicy)
 	s.Jobs = &admit.Service{
 		Store: options.Store, Policy: s.policy, MaxPolicyAge: options.KeyAge, MaxValueBytes: options.Limits.MaxValueBytes, Log: log, Meter: s.Meter, Now: clock.Now, WallNow: time.Now,
 	}
@@ -107,6 +108,7 @@
 	s.peers = &relay.Peers{Store: options.Store, Self: relay.Peer{Name: options.Instance, Address: options.PeerAddress, DataCentre: options.DataCentre, Cores: options.Cores}, Log: log}
 	client := link.NewClient(nil)
 	if options.PeerAddress != "" {
+		s.Jobs.Ping = s.peers.Ping
 		s.Jobs.Relay = &relay.Relay{Peers: s.peers, Client: client, Log: log, Now: clock.Now}
 	}
 	s.leaseProxy = &extend.Proxy{Agent: options.Agent, Log: log, Now: clock.Now, Incarnation: rand.Int64N(math.MaxInt64) + 1}
@@ -127,6 +129,7 @@
 			s.notifier.Notify(&notify.Job{ID: job, Spec: spec, Revision: revision})
 		}
 	}
+	s.elector.OnTerm, s.elector.Instances = s.requestRefresh, s.peers.Count
 	s.Meter.Publish("owner", func() any { return s.elector.Owns() })
 	return s
 }
@@ -144,7 +147,8 @@
 // Ready reports whether the balancer should send callers to this instance.
 func (s *Server) Ready() bool {
 	snapshot, confirmedAt := s.policy.Current()
-	return !s.Stopping() && snapshot.Policy != nil && clock.Now().Sub(confirmedAt) < min(s.KeyAge, maxReadyAge)
+	now := s.now()
+	return !s.Stopping() && snapshot.Policy != nil && now.Sub(confirmedAt) < s.KeyAge && now.Sub(s.policy.ContactAt()) < min(s.KeyAge, maxReadyAge)
 }
 
 // Signals returns a channel of the signals that Run handles.
@@ -164,11 +168,12 @@
 	owning, resign := context.WithCancel(ctx)
 	defer resign()
 	components := abort.Group{Log: s.Log}
-	components.Go("configuration", func() { s.refresh(ctx) })
-	components.Go("workers", func() { s.workerSizes.run(ctx) })
-	components.Go("owner", func() { s.elector.Run(owning, electorDone) })
+	components.Go("configuration", func() { s.refresh(store.From(ctx, store.Configuration)) })
+	components.Go("workers", func() { s.workerSizes.run(store.From(ctx, store.Sizes)) })
+	components.Go("owner", func() { s.elector.Run(store.From(owning, store.Election), electorDone) })
 	if s.PeerAddress != "" {
-		components.Go("instances", func() { s.peers.Run(ctx) })
+		components.Go("instances", func() { s.peers.Run(store.From(ctx, store.Instances)) })
+		components.Go("list", func() { s.peers.Follow(store.From(ctx, store.Instances)) })
 		components.Go("peers", func() { s.servePeers(ctx) })
 		components.Go("substitute", func() { s.leaseProxy.Run(ctx) })
 		components.Go("teller", func() { s.notifier.Run(ctx) })
@@ -224,25 +229,3 @@
 	}
 	s.Log.Emit(event.Reloaded, fields)
 }
-
-// refresh reads the configuration repeatedly until ctx ends, at twice the rate after a failure.
-func (s *Server) refresh(ctx context.Context) {
-	for ctx.Err() == nil {
-		call, done := context.WithTimeout(ctx, refreshTimeout)
-		err := s.policy.Refresh(call)
-		done()
-		if failed := err != nil; failed != s.refreshFailing {
-			s.refreshFailing = failed
-			if failed {
-				s.Log.Emit(event.StoreLost, event.Fields{"call": "configuration", "error": err.Error()})
-			} else {
-				s.Log.Emit(event.StoreBack, event.Fields{"call": "configuration"})
-			}
-		}
-		wait := refreshInterval
-		if err != nil {
-			wait = refreshInterval / 2
-		}
-		pause.For(ctx, wait)
-	}
-}
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,16 +19,13 @@
 	keyPrefix = "node/"
 	// leaseTTL is how long an instance stays listed after it has stopped; a call to a stopped peer costs one attempt.
 	leaseTTL = 8 * time.Second
-	// refreshEvery is how often an instance renews its own entry and reads those of the others.
+	// refreshEvery is how often an instance renews its own entry, and the minimum time between two calls for those of the others.
 	refreshEvery = 2 * time.Second
 	// refreshTimeout limits one such refresh.
 	refreshTimeout = time.Second
 	// largerPeerFactor is how many times this instance's cores a peer must have to be preferred as the owner: a handover takes
 	// 0.1 s, which a smaller difference does not make up for.
 	largerPeerFactor = 1.5
-	// maxMissed is how many reads in a row may leave out an instance before it counts as gone. Entries lapse while the store is away,
-	// and each instance writes its own again within refreshEvery.
-	maxMissed = 2
 )
 
 // Peer is an instance as it is listed in the key-value store.
@@ -50,9 +46,9 @@
 
 	mu     sync.Mutex
 	others []Peer
-	// missed counts the reads in a row in which an instance of others was not listed.
-	missed map[string]int
 	lease  int64
+	// cancelWatch ends the watch of the entries, if one waits.
+	cancelWatch context.CancelFunc
 }
 
 // Others returns the other instances as of the last successful read.
@@ -111,29 +107,71 @@
 	return ""
 }
 
-// Run renews the entry and reads the list until ctx ends.
+// Run keeps the entry until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
-	reads := event.ListReads(p.Log, "instances")
+	reads := event.ListReads(p.Log, "entry")
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, refreshTimeout)
-		err := errors.Join(p.register(callCtx), p.refresh(callCtx))
+		err := p.register(callCtx)
 		cancel()
 		if ctx.Err() == nil {
 			reads.Report(err)
 		}
+		if err != nil {
+			p.interruptWatch()
+		}
 		pause.For(ctx, refreshEvery)
 	}
 }
 
+// Count returns the number of instances that are known, including this one.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.others) + 1
+}
+
+// Listed reports whether this instance holds a lease for its entry, so that Ping costs only a renewal.
+func (p *Peers) Listed() bool { return p.entryLease() != 0 }
+
+// Ping renews the lease of the entry to learn whether the key-value store responds; without a lease it reads the entry. It returns nil
+// if the store has responded, even if the lease has lapsed.
+func (p *Peers) Ping(ctx context.Context) error {
+	lease := p.entryLease()
+	if lease == 0 {
+		_, err := p.Store.Item(ctx, keyPrefix+p.Self.Name)
+		return err
+	}
+	err := p.Store.Renew(ctx, lease)
+	var lapsedErr *store.LapsedError
+	if err == nil || errors.As(err, &lapsedErr) {
+		return nil
+	}
+	p.interruptWatch()
+	return err
+}
+
+func (p *Peers) entryLease() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lease
+}
+
+func (p *Peers) setEntryLease(lease int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lease = lease
+}
+
 // register renews the lease of the entry, or creates the entry again if its lease has lapsed.
 func (p *Peers) register(ctx context.Context) error {
-	if p.lease != 0 {
-		err := p.Store.Renew(ctx, p.lease)
+	if held := p.entryLease(); held != 0 {
+		err := p.Store.Renew(ctx, held)
 		var lapsedErr *store.LapsedError
 		if !errors.As(err, &lapsedErr) {
 			return err
 		}
-		p.lease = 0
+		p.setEntryLease(0)
 	}
 	data, err := json.Marshal(p.Self)
 	if err != nil {
@@ -146,43 +184,6 @@
 	if _, err := p.Store.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: keyPrefix + p.Self.Name, Data: data, Lease: lease}}}); err != nil {
 		return err
 	}
-	p.lease = lease
-	return nil
-}
-
-func (p *Peers) refresh(ctx context.Context) error {
-	items, _, err := p.Store.Range(ctx, keyPrefix)
-	if err != nil {
-		return err
-	}
-	others := make([]Peer, 0, len(items))
-	for _, item := range items {
-		peer := Peer{Name: strings.TrimPrefix(item.Key, keyPrefix)}
-		if err := json.Unmarshal(item.Data, &peer); err != nil {
-			p.Log.Emit(event.RecordBad, event.Fields{"key": item.Key, "error": err.Error()})
-			continue
-		}
-		if peer.Name != p.Self.Name {
-			others = append(others, peer)
-		}
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.others = append(others, p.missing(others)...)
+	p.setEntryLease(lease)
 	return nil
 }
-
-// missing returns the instances that are not among those of the latest read and don't count as gone yet. The caller holds p.mu.
-func (p *Peers) missing(listed []Peer) []Peer {
-	missed := make(map[string]int)
-	var kept []Peer
-	for _, o := range p.others {
-		if slices.ContainsFunc(listed, func(l Peer) bool { return l.Name == o.Name }) || p.missed[o.Name] >= maxMissed {
-			continue
-		}
-		missed[o.Name] = p.missed[o.Name] + 1
-		kept = append(kept, o)
-	}
-	p.missed = missed
-	return kept
-}
--- a/internal/place/group/quota.go
+++ b/internal/place/group/quota.go
@@ -260,14 +260,16 @@
 	if !total.within(a.Cap) || !g.Job.withinGuarantee && wasted > maxWasteRatio*g.step().Estimate.Seconds()*g.totalNeed().Cores() {
 		return
 	}
+	stopped := false
 	for _, v := range chosen {
 		if v.endsByItself {
 			continue
 		}
+		stopped = true
 		e.preemptRun(g, v.run, "preempted by "+g.Job.ID()+" below the cap of their workspace", now)
 		a.stopping = a.stopping.Add(v.run.Group.taskNeed().Times(v.run.aliveMembers))
 	}
-	if len(chosen) > 0 {
+	if stopped {
 		until := now.Add(e.cfg.StopTimeout + reservationSlack)
 		a.claims = append(slices.DeleteFunc(a.claims, func(c claim) bool { return c.group == g }), claim{group: g, until: until})
 		g.nextYieldAt = until
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -82,6 +82,8 @@
 	// UnservableReason returns why no worker of the service could ever run the job, or an empty string; nil skips
 	// the check.
 	UnservableReason func(ctx context.Context, service string, spec *work.Spec) string
+	// Ping is a cheap call that learns whether the store responds; nil stands for a read of one key.
+	Ping func(ctx context.Context) error
 	// Relay forwards requests to other instances; it may be nil.
 	Relay Relay
 	// Ends is asked for the ends of jobs while their records can't be read; it may be nil.
@@ -185,6 +187,7 @@
 
 // submitLocally creates the job in the key-value store. If an attempt may have created it, the job is tried again until ctx ends.
 func (s *Service) submitLocally(ctx context.Context, caller Caller, spec *work.Spec, a *attempts) Reply {
+	ctx = store.From(ctx, store.Submit)
 	for {
 		reply, done := s.trySubmit(ctx, caller, spec, a)
 		if done {
@@ -285,8 +288,11 @@
 	if answered, took := s.Policy.LastRead(); took > slowResponse && s.Now().Sub(answered) < recentResponse {
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, firstTryTimeout)
+	callCtx, cancel := context.WithTimeout(store.From(ctx, store.Check), firstTryTimeout)
 	defer cancel()
+	if s.Ping != nil {
+		return s.Ping(callCtx)
+	}
 	_, err := s.Store.Item(callCtx, work.OwnerKey)
 	return err
 }
@@ -319,6 +325,7 @@
 // cancelLocally records the cancellation in the key-value store. A repeated cancel has no further effect, so it is tried until ctx
 // ends.
 func (s *Service) cancelLocally(ctx context.Context, caller Caller, a *attempts) Reply {
+	ctx = store.From(ctx, store.Cancel)
 	for {
 		reply, done := s.tryCancel(ctx, caller, a)
 		if done || !pause.For(ctx, retryPause) {
@@ -376,6 +383,7 @@
 }
 
 func (s *Service) stateLocally(ctx context.Context, caller Caller) Reply {
+	ctx = store.From(ctx, store.State)
 	t, refusal := s.resolve(caller, s.Now())
 	if refusal != nil {
 		return *refusal
