limit: one budget for bodies in flight, bounded connections, early refusals

Cause: an instance kept every body before it was checked, any number of connections, and connections whose client never read a response. Change: internal/edge/limit. The platform's listeners stream bodies; room is taken from one budget (a sixth of limits.memoryMb) before a buffer is allocated and returned on every path. Bodies above 16 KiB may use three quarters of it. Bodies that have been arriving for 1 s give way while there is no room. Refusals are 413, 503 with Retry-After, or 408, and close the connection after reading a bounded rest. Each listener has its own number of connections, from limits.maxFds and limits.memoryMb; the oldest without a request in progress gives way. Responses have a deadline of 5 s; header and body have 5 s each. Lists of steps are decoded up to their limit. clientsRefused is logged at most every 10 s per listener and reason; metrics clientsRefused and bodyBytes.

--- a/internal/kern/event/event.go
+++ b/internal/kern/event/event.go
@@ -27,6 +27,7 @@
 	Stopped          = define(102, "stopped", log.InfoLevel, "All requests in progress have ended and the owner lease was released.")
 	PartFailed       = define(103, "partFailed", log.ErrorLevel, "A component of the process ended with an error.")
 	AcceptFailed     = define(105, "acceptFailed", log.WarnLevel, "A caller's connection could not be accepted, for lack of file descriptors or because the caller closed it first; accepting is retried. Logged once until a connection is accepted again.")
+	ClientsRefused   = define(106, "clientsRefused", log.WarnLevel, "Requests of clients were refused, or connections closed, to keep the process within its memory and descriptors; `listener` and `reason` tell which and why, `count` how many since the last line for both, `total` in all. Logged at most once in ten seconds for both.")
 	Routed           = define(200, "routed", log.DebugLevel, "A quick request was sent to a backend server; `why` gives the rule that chose it.")
 	NotRouted        = define(201, "notRouted", log.InfoLevel, "A quick request got no complete response; `error` says whether it may have run.")
 	ServerSilent     = define(202, "serverSilent", log.WarnLevel, "A backend server did not answer a ping; its idle connections were closed and new ones will be opened.")
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/lentildeck/lentildeck/internal/edge/agent"
+	"github.com/lentildeck/lentildeck/internal/edge/limit"
 	"github.com/lentildeck/lentildeck/internal/kern/abort"
 	"github.com/lentildeck/lentildeck/internal/kern/build"
 	"github.com/lentildeck/lentildeck/internal/kern/clock"
@@ -63,7 +65,9 @@
 	Cores float64
 	// PeerAddress is the address for other instances; if it is empty, there are no calls between instances.
 	PeerAddress string
-	Log         *event.Log
+	// Clients bounds what clients of all listeners can make the process hold; the zero value stands for limits of an unknown machine.
+	Clients limit.Limits
+	Log     *event.Log
 	// Serve opens the listeners and returns after stop is closed or when a listener fails.
 	Serve func(node *Server, stop <-chan struct{}) error
 	// Check reads the settings again and returns what is wrong with them.
@@ -79,8 +83,10 @@
 // Server is one running instance.
 type Server struct {
 	Options
-	Jobs        *admit.Service
-	Meter       *meter.Metrics
+	Jobs  *admit.Service
+	Meter *meter.Metrics
+	// Guard bounds what the clients of each listener can make the process hold.
+	Guard       *limit.Guard
 	policy      *policy.Holder
 	peers       *relay.Peers
 	workerSizes *workerSizes
@@ -96,7 +102,8 @@
 // New returns an instance that is not yet running.
 func New(options Options) *Server {
 	log := options.Log
-	s := &Server{Options: options, Meter: meter.New(options.Instance)}
+	clients := cmp.Or(options.Clients, limit.Derive(limit.Machine{}, 0))
+	s := &Server{Options: options, Meter: meter.New(options.Instance), Guard: limit.NewGuard(clients, log, clock.Now)}
 	s.policy = policy.NewHolder(options.Source, clock.Now, s.logActivePolicy)
 	s.Jobs = &admit.Service{
 		Store: options.Store, Policy: s.policy, MaxPolicyAge: options.KeyAge, MaxValueBytes: options.Limits.MaxValueBytes, Log: log, Meter: s.Meter, Now: clock.Now, WallNow: time.Now,
@@ -122,6 +129,8 @@
 			s.notifier.Notify(&notify.Job{ID: job, Spec: spec, Revision: revision})
 		}
 	}
+	s.Meter.Publish("clientsRefused", s.Guard.Refusals)
+	s.Meter.Publish("bodyBytes", s.Guard.BodyBytes)
 	s.Meter.Publish("owner", func() any { return s.elector.Owns() })
 	return s
 }
@@ -203,7 +212,7 @@
 	if err == nil {
 		var listener net.Listener
 		if listener, err = net.Listen("tcp4", s.PeerAddress); err == nil {
-			err = server.Serve(ctx, listener)
+			err = server.Serve(ctx, s.Guard.Streams("peers", listener))
 		}
 	}
 	if err != nil && ctx.Err() == nil {
