--- a/internal/edge/limit/budget_test.go
+++ b/internal/edge/limit/budget_test.go
@@ -101,7 +101,7 @@
 // Guards against defaults that a client within the limits reaches on the smallest machine, and against limits above the machine's.
 func TestLimitsOfMachines(t *testing.T) {
 	smallest := Derive(Machine{MemoryMB: 144, Descriptors: 3075}, 2<<20)
-	assert.Equal(t, smallest, Limits{BodyBytes: 24 << 20, LargeBytes: 18 << 20, Callers: 1152, Others: 192})
+	assert.Equal(t, smallest, Limits{BodyBytes: 24 << 20, LargeBytes: 18 << 20, Callers: 1152, Streams: 768, Others: 96})
 	for _, m := range []Machine{{}, {MemoryMB: minMemoryMB, Descriptors: minDescriptors}, {MemoryMB: 1 << 20, Descriptors: 1 << 20}} {
 		assert.NilError(t, m.Check())
 		l := Derive(m, 1<<20)
--- a/internal/edge/limit/conn_test.go
+++ b/internal/edge/limit/conn_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"crypto/tls"
 	"net"
 	"testing"
 	"time"
@@ -63,6 +64,17 @@
 	assert.Equal(t, tb.open, 1)
 }
 
+// Guards against operators' connections, which use TLS, whose requests are not known to be in progress.
+func TestConnectionIsFoundBelowTLS(t *testing.T) {
+	c := testConn(t, &table{limit: 1})
+	for _, outer := range []net.Conn{c, tls.Server(c, &tls.Config{})} {
+		found, ok := accepted(outer)
+		assert.Assert(t, ok && found == c)
+	}
+	_, ok := accepted(c.Conn)
+	assert.Assert(t, !ok)
+}
+
 // Guards against a deadline that makes an interrupted connection readable again.
 func TestInterruptOutlastsDeadlines(t *testing.T) {
 	c := testConn(t, &table{limit: 1})
--- a/internal/edge/limit/guard.go
+++ b/internal/edge/limit/guard.go
@@ -36,10 +36,10 @@
 	return func(l net.Listener) net.Listener { return g.listener(name, l, g.limits.Others, false) }
 }
 
-// Streams returns a bounded listener like Others, whose connections carry any number of concurrent calls: a connection counts as quiet
+// Streams returns a bounded listener for other instances, whose connections carry any number of calls: a connection counts as quiet
 // since it was last read.
-func (g *Guard) Streams(name string, l net.Listener) net.Listener {
-	return g.listener(name, l, g.limits.Others, true)
+func (g *Guard) Streams(l net.Listener) net.Listener {
+	return g.listener("peers", l, g.limits.Streams, true)
 }
 
 func (g *Guard) listener(name string, l net.Listener, limit int, touch bool) net.Listener {
--- a/internal/edge/limit/http.go
+++ b/internal/edge/limit/http.go
@@ -20,8 +20,10 @@
 	MaxBody func() int
 	// Copies is how often the handler holds a body at the same time.
 	Copies int
-	// Timeout bounds the time in which a body arrives after its header.
-	Timeout time.Duration
+	// BodyTimeout bounds the time in which a body arrives after its header, WriteTimeout that in which the client reads the response.
+	BodyTimeout, WriteTimeout time.Duration
+	// Decodes means that compressed bodies are decoded, to at most MaxBody bytes.
+	Decodes bool
 	// Refuse writes the body of a refusal, whose status is set; it may be nil.
 	Refuse func(ctx *fasthttp.RequestCtx, reason Reason)
 }
@@ -41,12 +43,20 @@
 	s.StreamRequestBody, s.MaxRequestBodySize, s.DisablePreParseMultipartForm = true, prefetchBytes, true
 	// Without it each connection keeps a buffer for responses while it waits for a request.
 	s.ReduceMemoryUsage = true
-	s.WriteTimeout = h.Timeout
+	s.WriteTimeout = h.WriteTimeout
 	s.HeaderReceived = func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-		return fasthttp.RequestConfig{ReadTimeout: h.Timeout}
+		return fasthttp.RequestConfig{ReadTimeout: h.BodyTimeout}
 	}
 	s.ConnState = h.connState
 	s.ExpectHandler = h.expect
+	answer := s.ErrorHandler
+	if answer == nil {
+		answer = answerFailed
+	}
+	s.ErrorHandler = func(ctx *fasthttp.RequestCtx, err error) {
+		h.Guard.counts.add(h.Listener, BadHeader, h.Guard.now())
+		answer(ctx, err)
+	}
 }
 
 // expect answers clients that ask whether to send a body.
@@ -59,7 +69,7 @@
 }
 
 func (h *HTTP) connState(c net.Conn, state fasthttp.ConnState) {
-	conn, ok := c.(*Conn)
+	conn, ok := accepted(c)
 	if !ok {
 		return
 	}
@@ -72,9 +82,8 @@
 	}
 }
 
-// Failed counts a request that the HTTP library could not read, and answers as the library does by default.
-func (h *HTTP) Failed(ctx *fasthttp.RequestCtx, err error) {
-	h.Guard.counts.add(h.Listener, BadHeader, h.Guard.now())
+// answerFailed answers a request that the HTTP library could not read as the library does by default.
+func answerFailed(ctx *fasthttp.RequestCtx, err error) {
 	var tooLarge *fasthttp.ErrSmallBuffer
 	var network net.Error
 	switch {
@@ -98,11 +107,14 @@
 	}()
 	if stream := ctx.RequestBodyStream(); stream != nil {
 		body, refusal := h.receive(claim, stream, ctx.Request.Header.ContentLength())
+		if refusal == nil {
+			ctx.Request.SetBodyRaw(body)
+			refusal = h.decode(ctx, claim)
+		}
 		if refusal != nil {
 			h.refuse(ctx, conn, *refusal)
 			return
 		}
-		ctx.Request.SetBodyRaw(body)
 	}
 	if !claim.Arrived() || !conn.enter(serving, h.Guard.now()) {
 		h.refuse(ctx, conn, BodyDisplaced)
@@ -114,12 +126,21 @@
 
 // conn returns the request's connection. One that no Guard has accepted, as in tests without a network, is in no table of others.
 func (h *HTTP) conn(ctx *fasthttp.RequestCtx) *Conn {
-	if conn, ok := ctx.Conn().(*Conn); ok {
+	if conn, ok := accepted(ctx.Conn()); ok {
 		return conn
 	}
 	return &Conn{Conn: ctx.Conn(), table: &table{}, now: h.Guard.now}
 }
 
+// accepted returns the connection as a Guard has accepted it, also from below TLS.
+func accepted(c net.Conn) (*Conn, bool) {
+	if secure, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = secure.NetConn()
+	}
+	conn, ok := c.(*Conn)
+	return conn, ok
+}
+
 // receive reads a body, for which it takes room before each allocation. A negative length means that it is not announced.
 func (h *HTTP) receive(claim *Claim, stream io.Reader, length int) ([]byte, *Reason) {
 	limit := h.MaxBody()
@@ -211,7 +232,7 @@
 // statusCodes are the responses to the requests that are refused.
 var statusCodes = map[Reason]int{
 	BodyTooLarge: http.StatusRequestEntityTooLarge, NoRoom: http.StatusServiceUnavailable, BodyDisplaced: http.StatusServiceUnavailable,
-	BodyTimeout: http.StatusRequestTimeout,
+	BodyTimeout: http.StatusRequestTimeout, BadEncoding: http.StatusUnsupportedMediaType,
 }
 
 // refuse answers a request that did not run. The connection is closed, as the rest of the body would have to be read.
--- a/internal/edge/limit/http_test.go
+++ b/internal/edge/limit/http_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,9 +24,18 @@
 
 // site is a server on loopback whose handler answers with the length of the body.
 type site struct {
-	guard   *Guard
-	address string
-	served  chan int
+	guard    *Guard
+	listener *listener
+	address  string
+	served   chan int
+	requests atomic.Int64
+}
+
+// open returns the number of open connections.
+func (s *site) open() int {
+	s.listener.table.mu.Lock()
+	defer s.listener.table.mu.Unlock()
+	return s.listener.table.open
 }
 
 func serve(t *testing.T, limits Limits, timeout time.Duration, handler fasthttp.RequestHandler) *site {
@@ -37,17 +47,18 @@
 			fmt.Fprint(ctx, len(ctx.PostBody()))
 		}
 	}
-	h := &HTTP{Guard: s.guard, Listener: "test", MaxBody: func() int { return maxBody }, Copies: 1, Timeout: timeout}
+	h := &HTTP{Guard: s.guard, Listener: "test", MaxBody: func() int { return maxBody }, Copies: 1, BodyTimeout: timeout, WriteTimeout: timeout, Decodes: true}
 	server := &fasthttp.Server{
-		Handler: func(ctx *fasthttp.RequestCtx) { h.Serve(ctx, func() { handler(ctx) }) }, ReadTimeout: timeout, ErrorHandler: h.Failed,
+		Handler: func(ctx *fasthttp.RequestCtx) { h.Serve(ctx, func() { s.requests.Add(1); handler(ctx) }) }, ReadTimeout: patience,
 		CloseOnShutdown: true,
 	}
 	h.Configure(server)
 	raw, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.address = raw.Addr().String()
+	s.listener = s.guard.Callers(raw).(*listener)
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(s.guard.Callers(raw)) }()
+	go func() { ended <- server.Serve(s.listener) }()
 	t.Cleanup(func() {
 		assert.Check(t, raw.Close())
 		<-ended
@@ -180,15 +191,36 @@
 	s.awaitReturn(t)
 }
 
+// Guards against bodies within the limit that are far larger once they are decoded.
+func TestCompressedBodyIsDecodedUpToTheLimit(t *testing.T) {
+	s := serve(t, roomy, patience, nil)
+	zeros := func(n int) []byte { return fasthttp.AppendGzipBytes(nil, make([]byte, n)) }
+	for _, c := range []struct {
+		encoding string
+		body     []byte
+		status   int
+	}{
+		{"gzip", zeros(maxBody), 200}, {"gzip", zeros(50 * maxBody), 413}, {"gzip", []byte("no gzip"), 415}, {"gzip, br", zeros(1), 415}, {"own", zeros(1), 200},
+	} {
+		conn := s.dial(t)
+		write(t, conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Encoding: %s\r\nContent-Length: %d\r\n\r\n%s", c.encoding, len(c.body), c.body))
+		status, _, _ := read(t, bufio.NewReader(conn))
+		assert.Equal(t, status, c.status, "%s, %d bytes", c.encoding, len(c.body))
+	}
+	assert.Equal(t, <-s.served, maxBody)
+	assert.Equal(t, <-s.served, len(zeros(1)))
+	s.awaitReturn(t)
+}
+
 // Guards against clients that hold a connection for ever by not reading a response.
 func TestUnreadResponseEndsTheConnection(t *testing.T) {
 	large := bytes.Repeat([]byte("x"), 64<<20)
 	s := serve(t, roomy, 100*time.Millisecond, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(large) })
 	conn := s.dial(t)
 	write(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	time.Sleep(300 * time.Millisecond)
-	n, err := io.Copy(io.Discard, conn)
-	assert.Assert(t, n < 64<<20, "the whole response was sent: %v", err)
+	for begin := time.Now(); s.requests.Load() == 0 || s.open() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(begin) < patience, "the connection stays open")
+	}
 }
 
 // Guards against a crowd at one listener that closes another, such as that for readiness checks.
--- a/internal/edge/limit/limits.go
+++ b/internal/edge/limit/limits.go
@@ -11,10 +11,14 @@
 	Descriptors int
 }
 
+// DefaultMemoryMB and DefaultDescriptors stand for what is not known. With them a product's instance accepts 4,096 connections, and 42
+// bodies of 4 MiB at once.
+const (
+	DefaultMemoryMB    = 4096
+	DefaultDescriptors = 8192
+)
+
 const (
-	// defaultMemoryMB and defaultDescriptors stand for what is not known: a small server, and the usual limit of a service.
-	defaultMemoryMB    = 1024
-	defaultDescriptors = 8192
 	// minMemoryMB and minDescriptors are the least with which the process itself runs: 14 MB were measured without clients.
 	minMemoryMB    = 32
 	minDescriptors = 128
@@ -27,10 +31,13 @@
 	connectionBytes = 32 << 10
 	// descriptorShare is the part of the descriptors for callers; workers, the store and files need the rest.
 	descriptorShare = 2
-	// smallListenerShare is the part of the descriptors for each listener that no callers use, between the two bounds below.
-	smallListenerShare = 16
-	minSmallListener   = 16
-	maxSmallListener   = 256
+	// streamShare is the part of the descriptors for instances, at most maxStreams: four connections from each of 256 others.
+	streamShare = 4
+	maxStreams  = 1024
+	// otherShare is the part of the descriptors for each further listener, between the two bounds below.
+	otherShare = 32
+	minOthers  = 16
+	maxOthers  = 256
 	// minBodies is how many bodies of the largest size the budget holds at least, so that one of them is served without overload.
 	minBodies = 4
 )
@@ -62,8 +69,8 @@
 	// BodyBytes is the budget for bodies in flight; LargeBytes is the part of it that bodies above SmallBody may use, so that a crowd
 	// with large bodies leaves the rest to small ones.
 	BodyBytes, LargeBytes int
-	// Callers is the number of connections of callers, Others that of each other listener.
-	Callers, Others int
+	// Callers is the number of connections of callers, Streams that of other instances, Others that of each further listener.
+	Callers, Streams, Others int
 }
 
 // SmallBody is the size of a body up to which it may use the whole budget. A job of 200 steps without long lists is smaller.
@@ -72,16 +79,17 @@
 // Derive returns the limits for a machine whose listeners accept bodies of up to maxBody bytes.
 func Derive(m Machine, maxBody int) Limits {
 	if m.MemoryMB == 0 {
-		m.MemoryMB = defaultMemoryMB
+		m.MemoryMB = DefaultMemoryMB
 	}
 	if m.Descriptors == 0 {
-		m.Descriptors = defaultDescriptors
+		m.Descriptors = DefaultDescriptors
 	}
 	memory := int(m.MemoryMB) << 20
 	l := Limits{
 		BodyBytes: max(memory/bodyShare, minBodies*maxBody),
 		Callers:   min(m.Descriptors/descriptorShare, memory/connectionShare/connectionBytes),
-		Others:    min(max(m.Descriptors/smallListenerShare, minSmallListener), maxSmallListener),
+		Streams:   min(m.Descriptors/streamShare, maxStreams),
+		Others:    min(max(m.Descriptors/otherShare, minOthers), maxOthers),
 	}
 	l.LargeBytes = l.BodyBytes - l.BodyBytes/4
 	return l
--- a/internal/edge/limit/reason.go
+++ b/internal/edge/limit/reason.go
@@ -5,7 +5,7 @@
 // Reason is why a request was refused or a connection closed.
 type Reason int
 
-// The reasons. The first four are answered: 413, 503, 503 and 408.
+// The reasons. The first five are answered: 413, 503, 503, 408 and 415.
 const (
 	// BodyTooLarge is a body above the limit for one.
 	BodyTooLarge Reason = iota
@@ -15,6 +15,8 @@
 	BodyDisplaced
 	// BodyTimeout is a body that did not arrive in time or not completely.
 	BodyTimeout
+	// BadEncoding is a compressed body that can't be decoded.
+	BadEncoding
 	// BadHeader is a header that did not arrive in time, is too large or can't be read.
 	BadHeader
 	// ConnectionDisplaced is a connection without a complete request that gave way to a new one.
--- a/internal/edge/limit/reason_enumer.go
+++ b/internal/edge/limit/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "bodyTooLargenoRoombodyDisplacedbodyTimeoutbadHeaderconnectionDisplacedconnectionRefused"
+const _ReasonName = "bodyTooLargenoRoombodyDisplacedbodyTimeoutbadEncodingbadHeaderconnectionDisplacedconnectionRefused"
 
-var _ReasonIndex = [...]uint8{0, 12, 18, 31, 42, 51, 70, 87}
+var _ReasonIndex = [...]uint8{0, 12, 18, 31, 42, 53, 62, 81, 98}
 
-const _ReasonLowerName = "bodytoolargenoroombodydisplacedbodytimeoutbadheaderconnectiondisplacedconnectionrefused"
+const _ReasonLowerName = "bodytoolargenoroombodydisplacedbodytimeoutbadencodingbadheaderconnectiondisplacedconnectionrefused"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -28,12 +28,13 @@
 	_ = x[NoRoom-(1)]
 	_ = x[BodyDisplaced-(2)]
 	_ = x[BodyTimeout-(3)]
-	_ = x[BadHeader-(4)]
-	_ = x[ConnectionDisplaced-(5)]
-	_ = x[ConnectionRefused-(6)]
+	_ = x[BadEncoding-(4)]
+	_ = x[BadHeader-(5)]
+	_ = x[ConnectionDisplaced-(6)]
+	_ = x[ConnectionRefused-(7)]
 }
 
-var _ReasonValues = []Reason{BodyTooLarge, NoRoom, BodyDisplaced, BodyTimeout, BadHeader, ConnectionDisplaced, ConnectionRefused}
+var _ReasonValues = []Reason{BodyTooLarge, NoRoom, BodyDisplaced, BodyTimeout, BadEncoding, BadHeader, ConnectionDisplaced, ConnectionRefused}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:12]:       BodyTooLarge,
@@ -44,12 +45,14 @@
 	_ReasonLowerName[18:31]: BodyDisplaced,
 	_ReasonName[31:42]:      BodyTimeout,
 	_ReasonLowerName[31:42]: BodyTimeout,
-	_ReasonName[42:51]:      BadHeader,
-	_ReasonLowerName[42:51]: BadHeader,
-	_ReasonName[51:70]:      ConnectionDisplaced,
-	_ReasonLowerName[51:70]: ConnectionDisplaced,
-	_ReasonName[70:87]:      ConnectionRefused,
-	_ReasonLowerName[70:87]: ConnectionRefused,
+	_ReasonName[42:53]:      BadEncoding,
+	_ReasonLowerName[42:53]: BadEncoding,
+	_ReasonName[53:62]:      BadHeader,
+	_ReasonLowerName[53:62]: BadHeader,
+	_ReasonName[62:81]:      ConnectionDisplaced,
+	_ReasonLowerName[62:81]: ConnectionDisplaced,
+	_ReasonName[81:98]:      ConnectionRefused,
+	_ReasonLowerName[81:98]: ConnectionRefused,
 }
 
 var _ReasonNames = []string{
@@ -57,9 +60,10 @@
 	_ReasonName[12:18],
 	_ReasonName[18:31],
 	_ReasonName[31:42],
-	_ReasonName[42:51],
-	_ReasonName[51:70],
-	_ReasonName[70:87],
+	_ReasonName[42:53],
+	_ReasonName[53:62],
+	_ReasonName[62:81],
+	_ReasonName[81:98],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/node/daemon/callers.go
+++ b/internal/node/daemon/callers.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strconv"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/google/uuid"
+	"github.com/lentildeck/lentildeck/internal/edge/limit"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/place/queue"
 	"github.com/lentildeck/lentildeck/internal/route/quick"
+	"github.com/valyala/fasthttp"
 )
 
 // The headers of callers' requests.
@@ -30,6 +33,11 @@
 	maxConnections = 4096
 	// maxHeaderBytes bounds the headers of a request.
 	maxHeaderBytes = 16 << 10
+	// writeTimeout bounds the time in which a client reads a response, of up to the backend servers' largest; a response used to be held
+	// for a client that never read it.
+	writeTimeout = 60 * time.Second
+	// bodyCopies is how often a body is in memory: as received, as a copy that outlives the request, and in the call of a backend server.
+	bodyCopies = 3
 	// maxNameLength bounds IDs and names, in bytes.
 	maxNameLength = 128
 )
@@ -50,6 +58,31 @@
 	})
 }
 
+// bound makes the app receive bodies of up to maxBody bytes within the process's limits. It comes before all handlers that use a body.
+func (d *Daemon) bound(app *fiber.App, listener string, maxBody int) {
+	bounds := &limit.HTTP{
+		Guard: d.guard, Listener: listener, MaxBody: func() int { return maxBody }, Copies: bodyCopies, BodyTimeout: readTimeout,
+		WriteTimeout: writeTimeout, Decodes: true, Refuse: writeLimitRefusal,
+	}
+	bounds.Configure(app.Server())
+	app.Use(func(c *fiber.Ctx) error {
+		var err error
+		bounds.Serve(c.Context(), func() { err = c.Next() })
+		return err
+	})
+}
+
+// writeLimitRefusal writes the problem of a request that was refused to keep the process within its limits; it has not run.
+func writeLimitRefusal(ctx *fasthttp.RequestCtx, reason limit.Reason) {
+	data, err := json.Marshal(Problem{Code: reason.String(), Message: "the body of the request was not accepted: " + reason.String(), NotRun: true})
+	if err != nil {
+		// A struct of strings can always be encoded.
+		panic(err)
+	}
+	ctx.SetContentType(fiber.MIMEApplicationJSON)
+	ctx.SetBody(data)
+}
+
 // handleError responds to errors of the HTTP library; client errors occur before the request had any effect.
 func handleError(c *fiber.Ctx, err error) error {
 	status := fiber.StatusInternalServerError
@@ -67,6 +100,7 @@
 // callerApp serves quick requests and jobs.
 func (d *Daemon) callerApp() *fiber.App {
 	app := newApp(d.settings.Quick.MaxBodyBytes)
+	d.bound(app, "callers", d.settings.Quick.MaxBodyBytes)
 	app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok") })
 	app.Get("/readyz", d.readiness)
 	app.Use(func(c *fiber.Ctx) error {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 	"github.com/lentildeck/lentildeck/internal/edge/back"
+	"github.com/lentildeck/lentildeck/internal/edge/limit"
 	"github.com/lentildeck/lentildeck/internal/edge/worker"
 	"github.com/lentildeck/lentildeck/internal/kern/event"
 	"github.com/lentildeck/lentildeck/internal/kern/pause"
@@ -36,6 +37,7 @@
 	log      *event.Log
 	now      func() time.Time
 	meters   *meter.Metrics
+	guard    *limit.Guard
 
 	store         *store.Client
 	conf          *config.Holder
@@ -64,6 +66,7 @@
 		return nil, err
 	}
 	d := &Daemon{settings: settings, policy: policy, log: log, now: now, meters: meter.New(settings.Instance), done: make(chan struct{})}
+	d.guard = limit.NewGuard(limit.Derive(settings.Limits.Machine(), bodyCopies*max(settings.Quick.MaxBodyBytes, maxOperatorBodyBytes)), log, now)
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -77,14 +80,16 @@
 	for _, port := range []struct {
 		listener *net.Listener
 		address  string
+		bound    func(net.Listener) net.Listener
 	}{
-		{&d.callerListener, d.settings.Listen.Callers}, {&d.operatorListener, d.settings.Listen.Operators}, {&d.peerListener, d.settings.Listen.Peers},
+		{&d.callerListener, d.settings.Listen.Callers, d.guard.Callers}, {&d.operatorListener, d.settings.Listen.Operators, d.guard.Others("operators")},
+		{&d.peerListener, d.settings.Listen.Peers, d.guard.Streams},
 	} {
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			return errors.Join(fmt.Errorf("listen on %s: %w", port.address, err), d.closeListeners())
 		}
-		*port.listener = listener
+		*port.listener = port.bound(listener)
 	}
 	return nil
 }
--- a/internal/node/daemon/operators.go
+++ b/internal/node/daemon/operators.go
@@ -35,7 +35,9 @@
 func (d *Daemon) operatorApp() *fiber.App {
 	app := newApp(maxOperatorBodyBytes)
 	app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok") })
+	// The token is checked before any of the body is received.
 	app.Use(d.authenticate)
+	d.bound(app, "operators", maxOperatorBodyBytes)
 	app.Post("/v1/operator", d.runLine)
 	app.Get("/v1/config", d.showConfig)
 	app.Post("/v1/config", d.applyConfig)
@@ -50,6 +52,8 @@
 
 // publish adds the metrics that are computed when they are read.
 func (d *Daemon) publish() {
+	d.meters.Publish("clientsRefused", d.guard.Refusals)
+	d.meters.Publish("bodyBytes", d.guard.BodyBytes)
 	d.meters.Publish("storeCalls", func() any { return d.storeCalls() })
 	d.meters.Publish("quickWaiting", func() any { return d.pool.Waiting() })
 	d.meters.Publish("epoch", func() any { return d.owner.Epoch() })
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -212,7 +212,7 @@
 	if err == nil {
 		var listener net.Listener
 		if listener, err = net.Listen("tcp4", s.PeerAddress); err == nil {
-			err = server.Serve(ctx, s.Guard.Streams("peers", listener))
+			err = server.Serve(ctx, s.Guard.Streams(listener))
 		}
 	}
 	if err != nil && ctx.Err() == nil {
--- a/internal/node/setup/settings.go
+++ b/internal/node/setup/settings.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/lentildeck/lentildeck/internal/edge/limit"
 	"github.com/lentildeck/lentildeck/internal/edge/worker"
 	"github.com/lentildeck/lentildeck/internal/kern/span"
 	"github.com/lentildeck/lentildeck/internal/peer/list"
@@ -60,6 +61,17 @@
 	MaxBodyBytes   int           `json:"maxBodyBytes"`
 }
 
+// Limits holds what the instance may use of its machine, from which the limits for all clients together are derived.
+type Limits struct {
+	MemoryMB int64 `json:"memoryMb"`
+	MaxFiles int   `json:"maxFds"`
+}
+
+// Machine returns the limits as package limit needs them.
+func (l *Limits) Machine() limit.Machine {
+	return limit.Machine{MemoryMB: l.MemoryMB, Descriptors: l.MaxFiles}
+}
+
 // Operators holds the token that operators authenticate with.
 type Operators struct {
 	Token string `json:"token"`
@@ -88,6 +100,7 @@
 	List       List      `json:"list"`
 	Workers    Workers   `json:"workers"`
 	Quick      Quick     `json:"quick"`
+	Limits     Limits    `json:"limits"`
 	Operators  Operators `json:"operators"`
 	Keys       Keys      `json:"keys"`
 	Log        Log       `json:"log"`
@@ -109,6 +122,7 @@
 			Slots: 8, Connections: 64, QueueLimit: 512, Timeout: span.Of(10 * time.Second),
 			AttemptTimeout: span.Of(4 * time.Second), PingInterval: span.Of(time.Second), MaxBodyBytes: 4 << 20,
 		},
+		Limits:      Limits{MemoryMB: limit.DefaultMemoryMB, MaxFiles: limit.DefaultDescriptors},
 		Log:         Log{Level: "info", Format: "json"},
 		BalancerLag: span.Of(2 * time.Second),
 	}
@@ -150,6 +164,7 @@
 	s.List.validate(v)
 	s.Workers.validate(v)
 	s.Quick.validate(v)
+	v.Check(s.Limits.Machine().Check() == nil, "limits", s.Limits, "memoryMb of 32 or more and maxFds of 128 or more, or 0 for the defaults")
 	v.Check(len(s.Operators.Token) >= minTokenLength, "operators.token", redacted(s.Operators.Token), "16 or more characters")
 	s.Keys.validate(v)
 	v.Check(s.Log.Level == "debug" || s.Log.Level == "info" || s.Log.Level == "warn" || s.Log.Level == "error", "log.level", s.Log.Level, "debug, info, warn or error")
