--- a/internal/node/setup/settings_test.go
+++ b/internal/node/setup/settings_test.go
@@ -37,6 +37,8 @@
 		assert.ErrorContains(t, err, path)
 	}
 	assert.Equal(t, strings.Contains(err.Error(), `"short"`), false)
+	_, err = setup.Parse([]byte(`{"limits": {"memoryMb": -1}}`))
+	assert.ErrorContains(t, err, "limits:")
 	_, err = setup.Parse([]byte(`{"instanse": "x"}`))
 	assert.ErrorContains(t, err, "instanse")
 }
