limit: refusals are errors of their own; the page of operations has every reason

Cause: reasons were passed as pointers; nothing kept the table of reasons complete. Change: refusedError; TestPageOfOperationsHasEveryReason.

--- a/internal/edge/limit/counter_test.go
+++ b/internal/edge/limit/counter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/apex/log"
@@ -27,3 +29,12 @@
 	})
 	assert.DeepEqual(t, c.snapshot(), map[string]map[string]int64{"callers": {"noRoom": 1001, "bodyTooLarge": 1}})
 }
+
+// Guards against reasons in logs and metrics that operators do not find on their page.
+func TestPageOfOperationsHasEveryReason(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	for _, reason := range ReasonValues() {
+		assert.Assert(t, strings.Contains(string(page), "| `"+reason.String()+"` |"), reason.String())
+	}
+}
--- a/internal/edge/limit/http.go
+++ b/internal/edge/limit/http.go
@@ -106,18 +106,13 @@
 		claim.Return()
 	}()
 	if stream := ctx.RequestBodyStream(); stream != nil {
-		body, refusal := h.receive(claim, stream, ctx.Request.Header.ContentLength())
-		if refusal == nil {
-			ctx.Request.SetBodyRaw(body)
-			refusal = h.decode(ctx, claim)
-		}
-		if refusal != nil {
-			h.refuse(ctx, conn, *refusal)
+		if err := h.receive(ctx, claim, stream); err != nil {
+			h.refuse(ctx, conn, err)
 			return
 		}
 	}
 	if !claim.Arrived() || !conn.enter(serving, h.Guard.now()) {
-		h.refuse(ctx, conn, BodyDisplaced)
+		h.refuse(ctx, conn, &refusedError{reason: BodyDisplaced})
 		return
 	}
 	defer func() { conn.enter(arriving, h.Guard.now()) }()
@@ -141,52 +136,62 @@
 	return conn, ok
 }
 
-// receive reads a body, for which it takes room before each allocation. A negative length means that it is not announced.
-func (h *HTTP) receive(claim *Claim, stream io.Reader, length int) ([]byte, *Reason) {
+// receive puts the whole body into the request, decoded if need be, or returns a *refusedError.
+func (h *HTTP) receive(ctx *fasthttp.RequestCtx, claim *Claim, stream io.Reader) error {
+	body, err := h.read(claim, stream, ctx.Request.Header.ContentLength())
+	if err != nil {
+		return err
+	}
+	ctx.Request.SetBodyRaw(body)
+	return h.decode(ctx, claim)
+}
+
+// read reads a body, for which it takes room before each allocation. A negative length means that it is not announced.
+func (h *HTTP) read(claim *Claim, stream io.Reader, length int) ([]byte, error) {
 	limit := h.MaxBody()
 	if length > limit {
-		return nil, reasonOf(BodyTooLarge)
+		return nil, &refusedError{reason: BodyTooLarge}
 	}
 	if length >= 0 {
-		body, refusal := h.fill(claim, stream, nil, length)
-		if refusal == nil && len(body) < length {
-			return nil, reasonOf(BodyTimeout)
+		body, err := h.fill(claim, stream, nil, length)
+		if err == nil && len(body) < length {
+			return nil, &refusedError{reason: BodyTimeout}
 		}
-		return body, refusal
+		return body, err
 	}
 	var body []byte
 	for size := min(firstChunk, limit); ; size = min(2*size, limit) {
-		var refusal *Reason
-		if body, refusal = h.fill(claim, stream, body, size); refusal != nil || len(body) < size {
-			return body, refusal
+		var err error
+		if body, err = h.fill(claim, stream, body, size); err != nil || len(body) < size {
+			return body, err
 		}
 		if size == limit {
-			return body, ended(stream)
+			return body, checkEnd(stream)
 		}
 	}
 }
 
-// ended returns why a body that has reached the limit is refused, or nil if it ends there.
-func ended(stream io.Reader) *Reason {
+// checkEnd returns a *refusedError unless a body that has reached the limit ends there.
+func checkEnd(stream io.Reader) error {
 	var one [1]byte
 	for {
 		n, err := stream.Read(one[:])
 		switch {
 		case n > 0:
-			return reasonOf(BodyTooLarge)
+			return &refusedError{reason: BodyTooLarge}
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
-			return reasonOf(BodyTimeout)
+			return &refusedError{reason: BodyTimeout}
 		}
 	}
 }
 
 // fill continues the body until it has the size or the stream ends.
-func (h *HTTP) fill(claim *Claim, stream io.Reader, body []byte, size int) ([]byte, *Reason) {
+func (h *HTTP) fill(claim *Claim, stream io.Reader, body []byte, size int) ([]byte, error) {
 	// The smaller buffer is there until its bytes are copied.
-	if refusal := h.take(claim, h.Copies*size+len(body)); refusal != nil {
-		return nil, refusal
+	if err := h.take(claim, h.Copies*size+len(body)); err != nil {
+		return nil, err
 	}
 	next := make([]byte, size)
 	at := copy(next, body)
@@ -200,15 +205,15 @@
 			continue
 		}
 		if claim.Displaced() {
-			return nil, reasonOf(BodyDisplaced)
+			return nil, &refusedError{reason: BodyDisplaced}
 		}
-		return nil, reasonOf(BodyTimeout)
+		return nil, &refusedError{reason: BodyTimeout}
 	}
 	return next[:at], nil
 }
 
-// take takes room for a body, and waits for it for a while.
-func (h *HTTP) take(claim *Claim, bytes int) *Reason {
+// take takes room for a body, for which it waits for a while, or returns a *refusedError.
+func (h *HTTP) take(claim *Claim, bytes int) error {
 	end := time.NewTimer(waitForRoom)
 	defer end.Stop()
 	for {
@@ -217,17 +222,21 @@
 		case ok:
 			return nil
 		case returned == nil:
-			return reasonOf(BodyDisplaced)
+			return &refusedError{reason: BodyDisplaced}
 		}
 		select {
 		case <-returned:
 		case <-end.C:
-			return reasonOf(NoRoom)
+			return &refusedError{reason: NoRoom}
 		}
 	}
 }
 
-func reasonOf(r Reason) *Reason { return &r }
+// refusedError means that a request is refused before it has run.
+type refusedError struct{ reason Reason }
+
+// Error names the reason.
+func (e *refusedError) Error() string { return "request refused: " + e.reason.String() }
 
 // statusCodes are the responses to the requests that are refused.
 var statusCodes = map[Reason]int{
@@ -236,7 +245,12 @@
 }
 
 // refuse answers a request that did not run. The connection is closed, as the rest of the body would have to be read.
-func (h *HTTP) refuse(ctx *fasthttp.RequestCtx, conn *Conn, reason Reason) {
+func (h *HTTP) refuse(ctx *fasthttp.RequestCtx, conn *Conn, cause error) {
+	reason := NoRoom
+	var refused *refusedError
+	if errors.As(cause, &refused) {
+		reason = refused.reason
+	}
 	h.Guard.counts.add(h.Listener, reason, h.Guard.now())
 	conn.unread.Store(true)
 	ctx.SetStatusCode(statusCodes[reason])
