--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -35,7 +35,11 @@
 )
 
 const (
-	// maxReadyAge is how long ago the store may have responded for the instance to be ready: two failed calls. It is well below
+	// refreshInterval is how often the configuration is read: several times within its maximum age.
+	refreshInterval = 400 * time.Millisecond
+	// refreshTimeout limits one read; a store that is slower by a factor of 100 still answers within it.
+	refreshTimeout = 600 * time.Millisecond
+	// maxReadyAge is the maximum age of the configuration for the instance to be ready: two failed reads. It is well below
 	// KeyAge, as the balancer takes two more seconds to notice.
 	maxReadyAge = 1200 * time.Millisecond
 	// resignTimeout limits the wait, after the listeners have closed, for the owner's lease to be revoked.
@@ -96,18 +100,13 @@
 	now            func() time.Time
 	stopping       atomic.Bool
 	refreshFailing bool
-	// termBegan asks for a read of the configuration at once; steadyFrom is when the last failure is long enough ago for pings.
-	termBegan  chan struct{}
-	steadyFrom time.Time
 }
 
 // New returns an instance that is not yet running.
 func New(options Options) *Server {
 	log := options.Log
 	clients := cmp.Or(options.Clients, limit.Derive(limit.Machine{}, 0))
-	s := &Server{
-		Options: options, Meter: meter.New(options.Instance), Guard: limit.NewGuard(clients, log, clock.Now), now: clock.Now, termBegan: make(chan struct{}, 1),
-	}
+	s := &Server{Options: options, Meter: meter.New(options.Instance), Guard: limit.NewGuard(clients, log, clock.Now), now: clock.Now}
 	s.policy = policy.NewHolder(options.Source, s.now, s.logActivePolicy)
 	s.Jobs = &admit.Service{
 		Store: options.Store, Policy: s.policy, MaxPolicyAge: options.KeyAge, MaxValueBytes: options.Limits.MaxValueBytes, Log: log, Meter: s.Meter, Now: clock.Now, WallNow: time.Now,
@@ -138,7 +137,6 @@
 			s.notifier.Notify(&notify.Job{ID: job, Spec: spec, Revision: revision})
 		}
 	}
-	s.elector.OnTerm, s.elector.Instances = s.requestRefresh, s.peers.Count
 	s.Meter.Publish("clientsRefused", s.Guard.Refusals)
 	s.Meter.Publish("bodyBytes", s.Guard.BodyBytes)
 	s.Meter.Publish("owner", func() any { return s.elector.Owns() })
@@ -158,8 +156,7 @@
 // Ready reports whether the balancer should send callers to this instance.
 func (s *Server) Ready() bool {
 	snapshot, confirmedAt := s.policy.Current()
-	now := s.now()
-	return !s.Stopping() && snapshot.Policy != nil && now.Sub(confirmedAt) < s.KeyAge && now.Sub(s.policy.ContactAt()) < min(s.KeyAge, maxReadyAge)
+	return !s.Stopping() && snapshot.Policy != nil && s.now().Sub(confirmedAt) < min(s.KeyAge, maxReadyAge)
 }
 
 // Signals returns a channel of the signals that Run handles.
@@ -184,7 +181,6 @@
 	components.Go("owner", func() { s.elector.Run(store.From(owning, store.Election), electorDone) })
 	if s.PeerAddress != "" {
 		components.Go("instances", func() { s.peers.Run(store.From(ctx, store.Instances)) })
-		components.Go("list", func() { s.peers.Follow(store.From(ctx, store.Instances)) })
 		components.Go("peers", func() { s.servePeers(ctx) })
 		components.Go("substitute", func() { s.leaseProxy.Run(ctx) })
 		components.Go("teller", func() { s.notifier.Run(ctx) })
@@ -240,3 +236,25 @@
 	}
 	s.Log.Emit(event.Reloaded, fields)
 }
+
+// refresh reads the configuration repeatedly until ctx ends, at twice the rate after a failure.
+func (s *Server) refresh(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, done := context.WithTimeout(ctx, refreshTimeout)
+		err := s.policy.Refresh(call)
+		done()
+		if failed := err != nil; failed != s.refreshFailing {
+			s.refreshFailing = failed
+			if failed {
+				s.Log.Emit(event.StoreLost, event.Fields{"call": "configuration", "error": err.Error()})
+			} else {
+				s.Log.Emit(event.StoreBack, event.Fields{"call": "configuration"})
+			}
+		}
+		wait := refreshInterval
+		if err != nil {
+			wait = refreshInterval / 2
+		}
+		pause.For(ctx, wait)
+	}
+}
--- a/internal/node/term/decision_log.go
+++ b/internal/node/term/decision_log.go
@@ -25,7 +25,7 @@
 			fields[name] = duration.String()
 		}
 	}
-	for name, number := range map[string]int{"run": d.Run, "tasks": d.Tasks, "preemptions": d.Preemptions} {
+	for name, number := range map[string]int{"run": d.Run, "tasks": d.Tasks} {
 		if number != 0 {
 			fields[name] = number
 		}
--- a/internal/node/term/elect.go
+++ b/internal/node/term/elect.go
@@ -35,10 +35,10 @@
 	storeTimeout = time.Second
 	// acquireTimeout limits the creation of the owner's key, so that time is left to read it if there is no answer.
 	acquireTimeout = leaseTTL / 3
-	// watchWait is how long one watch waits for the owner's key to change; that of each of many instances waits longer.
+	// watchWait is how long one watch waits for the owner's key to change.
 	watchWait = time.Second
-	// rereadAfter is how long watches may wait without a change until the key is read again: a watch can miss one.
-	rereadAfter = 4 * watchWait
+	// watchesPerRead is how many watches in a row may return no change before the key is read again: a watch can miss one.
+	watchesPerRead = 4
 	// storeRetryDelay is the mean delay after a failed call to the key-value store.
 	storeRetryDelay = 100 * time.Millisecond
 	// deferDelay is how long an instance leaves a free key to larger instances. They need three calls to the store, which
@@ -119,10 +119,6 @@
 	// Now is the monotonic clock, WallNow the time of day.
 	Now     func() time.Time
 	WallNow func() time.Time
-	// Instances returns the number of instances that are known, this one included; nil stands for one.
-	Instances func() int
-	// OnTerm is called as a term of this instance begins; it must not block. It may be nil.
-	OnTerm func()
 	// Jitter returns a delay with the given mean before something is tried again; if it is nil, the delays are random.
 	Jitter func(mean time.Duration) time.Duration
 
@@ -174,9 +170,6 @@
 		t.sightings = slices.Clone(e.sightings)
 		e.current = t
 		e.mu.Unlock()
-		if e.OnTerm != nil {
-			e.OnTerm()
-		}
 		cause := t.run(ctx)
 		past := t.close()
 		if ctx.Err() == nil {
@@ -317,28 +310,14 @@
 	return cooledDown && now.Sub(startedAt) > handOverAfter && e.largerPeerUp()
 }
 
-// nextWait returns how long the next watch waits. Among many instances the times differ, so that one of them soon notices that watches
-// are silent: the shortest is watchWait, as among few.
-func (e *Elector) nextWait() time.Duration {
-	if e.Instances == nil {
-		return watchWait
-	}
-	longer := store.Pace(watchWait, e.Instances()) - watchWait
-	if longer <= 0 {
-		return watchWait
-	}
-	return watchWait + rand.N(2*longer)
-}
-
-// awaitRelease returns once the owner's key has changed or may have, and after watches of rereadAfter in any case.
+// awaitRelease returns once the owner's key has changed or may have, and after watchesPerRead watches in any case.
 //
 // The owner limits leases, or not, as its record in the key says. Each watch starts from the revision of the read or of the watch before:
 // the key's own revision is soon older than the history that the store keeps.
 func (e *Elector) awaitRelease(ctx context.Context, after int64, limits bool) error {
-	for waited, wait := time.Duration(0), time.Duration(0); waited < rereadAfter; waited += wait {
-		wait = e.nextWait()
-		call, cancel := context.WithTimeout(ctx, wait+storeTimeout)
-		changes, upTo, err := e.Store.Changes(call, work.OwnerKey, after, wait)
+	for range watchesPerRead {
+		call, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
+		changes, upTo, err := e.Store.Changes(call, work.OwnerKey, after, watchWait)
 		cancel()
 		var historyGone *store.HistoryError
 		if errors.As(err, &historyGone) {
--- a/internal/peer/relay/peers.go
+++ b/internal/peer/relay/peers.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,7 +20,7 @@
 	keyPrefix = "node/"
 	// leaseTTL is how long an instance stays listed after it has stopped; a call to a stopped peer costs one attempt.
 	leaseTTL = 8 * time.Second
-	// refreshEvery is how often an instance renews its own entry, and the minimum time between two calls for those of the others.
+	// refreshEvery is how often an instance renews its own entry and reads those of the others.
 	refreshEvery = 2 * time.Second
 	// refreshTimeout limits one such refresh.
 	refreshTimeout = time.Second
@@ -47,8 +48,6 @@
 	mu     sync.Mutex
 	others []Peer
 	lease  int64
-	// cancelWatch ends the watch of the entries, if one waits.
-	cancelWatch context.CancelFunc
 }
 
 // Others returns the other instances as of the last successful read.
@@ -107,19 +106,16 @@
 	return ""
 }
 
-// Run keeps the entry until ctx ends.
+// Run renews the entry and reads the list until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
-	reads := event.ListReads(p.Log, "entry")
+	reads := event.ListReads(p.Log, "instances")
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, refreshTimeout)
-		err := p.register(callCtx)
+		err := errors.Join(p.register(callCtx), p.refresh(callCtx))
 		cancel()
 		if ctx.Err() == nil {
 			reads.Report(err)
 		}
-		if err != nil {
-			p.interruptWatch()
-		}
 		pause.For(ctx, refreshEvery)
 	}
 }
@@ -144,10 +140,9 @@
 	}
 	err := p.Store.Renew(ctx, lease)
 	var lapsedErr *store.LapsedError
-	if err == nil || errors.As(err, &lapsedErr) {
+	if errors.As(err, &lapsedErr) {
 		return nil
 	}
-	p.interruptWatch()
 	return err
 }
 
@@ -187,3 +182,25 @@
 	p.setEntryLease(lease)
 	return nil
 }
+
+func (p *Peers) refresh(ctx context.Context) error {
+	items, _, err := p.Store.Range(ctx, keyPrefix)
+	if err != nil {
+		return err
+	}
+	others := make([]Peer, 0, len(items))
+	for _, item := range items {
+		peer := Peer{Name: strings.TrimPrefix(item.Key, keyPrefix)}
+		if err := json.Unmarshal(item.Data, &peer); err != nil {
+			p.Log.Emit(event.RecordBad, event.Fields{"key": item.Key, "error": err.Error()})
+			continue
+		}
+		if peer.Name != p.Self.Name {
+			others = append(others, peer)
+		}
+	}
+	p.mu.Lock()
+	p.others = others
+	p.mu.Unlock()
+	return nil
+}
--- a/internal/place/group/action.go
+++ b/internal/place/group/action.go
@@ -119,8 +119,6 @@
 	// Crashes is how many workers have crashed under the task, Suspected how many of these crashes it may have caused.
 	Crashes   int
 	Suspected int
-	// Preemptions is how many runs of the task group this owner has stopped for others.
-	Preemptions int
 	// CoreSeconds is the work that was discarded.
 	CoreSeconds float64
 	Text        string
--- a/internal/place/group/decide.go
+++ b/internal/place/group/decide.go
@@ -271,8 +271,17 @@
 		occ.lateness, occ.rank = onTime, -now.Sub(occ.due).Seconds()
 		return
 	}
-	occ.lateness = occ.latenessAt(now.Add(occ.remaining()))
-	occ.rank = -now.Sub(occ.due.Add(occ.objective())).Seconds()
+	q := &occ.job.queue
+	objective := time.Duration(q.Stretch*float64(occ.job.criticalPath)) + q.Target
+	completion := now.Add(occ.remaining())
+	occ.lateness = expired
+	switch {
+	case !completion.After(occ.due.Add(objective)):
+		occ.lateness = onTime
+	case !completion.After(occ.due.Add(expiryFactor * objective)):
+		occ.lateness = late
+	}
+	occ.rank = -now.Sub(occ.due.Add(objective)).Seconds()
 }
 
 // remaining estimates the time of the longest chain of steps that are not done.
--- a/internal/place/group/events.go
+++ b/internal/place/group/events.go
@@ -424,12 +424,13 @@
 	if run.stopReason == "" {
 		run.stopReason = why
 		discarded := 0.0
-		if !run.Group.record().Done {
-			discarded = run.unsavedCoreSeconds(now)
+		for _, m := range run.Members {
+			if !run.Group.record().Done {
+				discarded += m.unsavedCoreSeconds(now)
+			}
 		}
 		e.emit(Decision{
-			Kind: RunStopped, Job: run.Group.Job.ID(), Task: run.Group.taskName(0), Run: run.Number, Cause: cause, For: job, CoreSeconds: discarded,
-			Preemptions: run.Group.preemptions, Text: why,
+			Kind: RunStopped, Job: run.Group.Job.ID(), Task: run.Group.taskName(0), Run: run.Number, Cause: cause, For: job, CoreSeconds: discarded, Text: why,
 		})
 	}
 	for _, m := range run.Members {
@@ -444,6 +445,18 @@
 	}
 }
 
+// unsavedCoreSeconds is the work of a started member that is discarded if it ends now without success.
+func (m *Member) unsavedCoreSeconds(now time.Time) float64 {
+	if m.startAckedAt.IsZero() || m.State == Ended {
+		return 0
+	}
+	unsaved := now.Sub(m.startAckedAt).Seconds()
+	if m.Run.Group.step().Checkpoints {
+		unsaved = min(unsaved, checkpointStopSeconds)
+	}
+	return unsaved * m.Run.Group.taskNeed().Cores()
+}
+
 // silentAfter is the time between two answers of a worker from which it counts as silent; a poll of an idle one may wait 1.5 s.
 const silentAfter = 2500 * time.Millisecond
 
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -140,9 +140,6 @@
 	nextYieldAt time.Time
 	// slowWorkerMoves counts the runs that were stopped because a worker had become slow.
 	slowWorkerMoves int
-	// preemptions counts the runs that this owner has stopped for others, preemptedWork is the work in core-seconds that was discarded.
-	preemptions   int
-	preemptedWork float64
 	// retryFailedAt is from when on the group returns to workers on which a run of it failed, if there is no room elsewhere.
 	retryFailedAt time.Time
 }
--- a/internal/place/group/preempt.go
+++ b/internal/place/group/preempt.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -11,9 +12,6 @@
 	until   time.Time
 	// backfill is true if no run was stopped for the reservation: the room becomes free as runs end.
 	backfill bool
-	// awaited are the runs that are expected to end by themselves until awaitedUntil; those that have not are stopped then.
-	awaited      []*Run
-	awaitedUntil time.Time
 }
 
 // reservationSlack is added to the time a stop may take before a reservation is dropped.
@@ -56,12 +54,6 @@
 	// wastePerCore is wastedCoreSeconds for each core that the stop frees.
 	wastedCoreSeconds float64
 	wastePerCore      float64
-	// lossPerCore is what its caller has lost through stops for others, including this one, for each core.
-	lossPerCore float64
-	// harm is what the stop does to the objective of the run's occurrence.
-	harm harm
-	// endsByItself is true if the run is expected to have ended before its stop would take effect, so that it is not stopped.
-	endsByItself bool
 }
 
 // requester is what determines which runs may be stopped for a task group, apart from the runs of its own job.
@@ -69,10 +61,9 @@
 	priority        int
 	withinGuarantee bool
 	service         string
-	awaitLimit      time.Duration
 }
 
-// candidates are the runs that may be stopped, in the order of compareVictims.
+// candidates are the runs that may be stopped: those of quick jobs last, otherwise in ascending order of wastePerCore.
 type candidates struct {
 	all    []victim
 	byRack map[*rack][]victim
@@ -95,25 +86,24 @@
 	if best == nil || !g.Job.withinGuarantee && best.wastedCoreSeconds > maxWasteRatio*g.step().Estimate.Seconds()*g.totalNeed().Cores() {
 		return false
 	}
-	r := &reservation{workers: best.chooseWorkers(g, f), until: now.Add(e.cfg.StopTimeout + reservationSlack)}
-	e.stopVictims(g, r, best.victims, now)
-	e.addReservation(g, r)
+	for _, v := range best.victims {
+		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID(), now)
+	}
+	e.addReservation(g, &reservation{workers: best.chooseWorkers(g, f), until: now.Add(e.cfg.StopTimeout + reservationSlack)})
 	g.Job.Waiting = "waits until preempted runs have stopped"
 	e.emit(Decision{Kind: JobWaits, Job: g.Job.ID(), Task: g.taskName(0), Cause: StopAwaited, CoreSeconds: best.wastedCoreSeconds, Text: g.Job.Waiting})
 	return true
 }
 
-// mayPreempt reports whether other runs may be stopped for the task group: for quick jobs that can meet their objective or are
-// within their guarantee, for waiting gangs that can, and for any waiting gang while much is free, as stopped runs then
+// mayPreempt reports whether other runs may be stopped for the task group: for quick jobs that are not expired or are within
+// their guarantee, for waiting gangs that are not expired, and for any waiting gang while much is free, as stopped runs then
 // find room elsewhere.
 func (e *Engine) mayPreempt(g *Group, now time.Time) bool {
-	quick := g.Job.queue.Priority == 0
-	gangWaits := g.Count > 1 && now.Sub(g.readyAt) > gangPreemptionDelay
-	if !quick && !gangWaits {
-		return false
+	stillUseful := g.occ.lateness != expired
+	if g.Job.queue.Priority == 0 && (stillUseful || g.Job.withinGuarantee) {
+		return true
 	}
-	stillUseful := g.occ.lateness != expired && !e.missesObjective(g, now)
-	return quick && (stillUseful || g.Job.withinGuarantee) || gangWaits && (stillUseful || e.fragmented(g))
+	return g.Count > 1 && (stillUseful || e.fragmented(g)) && now.Sub(g.readyAt) > gangPreemptionDelay
 }
 
 // preemption is a plan to make room: the runs to stop, and the slots once they have stopped.
@@ -197,7 +187,7 @@
 
 // candidates returns the runs that may be stopped for the task group; they are listed once for each requester in a pass.
 func (e *Engine) candidates(g *Group, p *pass, now time.Time) *candidates {
-	key := requester{priority: g.Job.queue.Priority, withinGuarantee: g.Job.withinGuarantee, service: g.Job.queue.Service, awaitLimit: e.awaitLimit(g, now)}
+	key := requester{priority: g.Job.queue.Priority, withinGuarantee: g.Job.withinGuarantee, service: g.Job.queue.Service}
 	if cand := p.candidates[key]; cand != nil {
 		return cand
 	}
@@ -227,12 +217,13 @@
 				continue
 			}
 			if run := other.Run; run != nil && run.stopReason == "" && !run.broken() && run.complete() {
-				list = append(list, e.newVictim(g, run, now))
+				wasted := wastedCoreSeconds(run, now)
+				list = append(list, victim{run: run, priority: j.queue.Priority, wastedCoreSeconds: wasted, wastePerCore: wasted / other.totalNeed().Cores()})
 			}
 		}
 	}
 	slices.SortStableFunc(list, func(a, b victim) int {
-		return compareVictims(&a, &b)
+		return cmp.Or(cmp.Compare(min(b.priority, 1), min(a.priority, 1)), cmp.Compare(a.wastePerCore, b.wastePerCore))
 	})
 	return list
 }
@@ -258,6 +249,18 @@
 	return j.queue.Priority > 0 || requesting.withinGuarantee
 }
 
+// checkpointStopSeconds is how many seconds of work a stop costs a run with checkpoints; its progress is saved.
+const checkpointStopSeconds = 0.5
+
+// wastedCoreSeconds is the work that stopping the run discards, in core-seconds.
+func wastedCoreSeconds(run *Run, now time.Time) float64 {
+	cores := run.Group.totalNeed().Cores()
+	if run.Group.step().Checkpoints {
+		return checkpointStopSeconds * cores
+	}
+	return now.Sub(run.PlannedAt).Seconds() * cores
+}
+
 func (e *Engine) addReservation(g *Group, r *reservation) {
 	g.reservation = r
 	g.Job.account.reserved = g.Job.account.reserved.Add(g.totalNeed())
@@ -314,7 +317,6 @@
 			e.planRun(g, workers, ReservedRoom, "reserved room is free", now)
 		default:
 			e.retryElsewhere(g, p, now)
-			e.stopAwaited(g, now)
 		}
 	}
 }
--- a/internal/place/group/quota.go
+++ b/internal/place/group/quota.go
@@ -260,16 +260,11 @@
 	if !total.within(a.Cap) || !g.Job.withinGuarantee && wasted > maxWasteRatio*g.step().Estimate.Seconds()*g.totalNeed().Cores() {
 		return
 	}
-	stopped := false
 	for _, v := range chosen {
-		if v.endsByItself {
-			continue
-		}
-		stopped = true
-		e.preemptRun(g, v.run, "preempted by "+g.Job.ID()+" below the cap of their workspace", now)
+		e.stopRunFor(g.Job.ID(), v.run, Preempted, "preempted by "+g.Job.ID()+" below the cap of their workspace", now)
 		a.stopping = a.stopping.Add(v.run.Group.taskNeed().Times(v.run.aliveMembers))
 	}
-	if stopped {
+	if len(chosen) > 0 {
 		until := now.Add(e.cfg.StopTimeout + reservationSlack)
 		a.claims = append(slices.DeleteFunc(a.claims, func(c claim) bool { return c.group == g }), claim{group: g, until: until})
 		g.nextYieldAt = until
--- a/internal/state/policy/holder.go
+++ b/internal/state/policy/holder.go
@@ -13,11 +13,10 @@
 	now         func() time.Time
 	snapshot    Snapshot
 	confirmedAt time.Time
-	// lastReadAt is when the last successful read or ping returned, lastReadDuration how long it took, contactAt when it was sent.
+	// lastReadAt is when the last successful read returned, lastReadDuration how long it took.
 	lastReadAt       time.Time
 	lastReadDuration time.Duration
-	contactAt        time.Time
-	// failing is true if the last read failed, or a ping since.
+	// failing is true if the last read failed.
 	failing      bool
 	onNewVersion func(Snapshot)
 }
@@ -39,7 +38,8 @@
 		h.mu.Unlock()
 		return err
 	}
-	h.answered(sentAt)
+	h.lastReadAt = h.now()
+	h.lastReadDuration = h.lastReadAt.Sub(sentAt)
 	if sentAt.Before(h.confirmedAt) {
 		h.mu.Unlock()
 		return nil
@@ -56,37 +56,6 @@
 	return nil
 }
 
-// Ping makes a cheaper call to the source's store than a read, to learn whether it responds. It confirms no policy, and only a read ends
-// what a failed ping or read has begun.
-func (h *Holder) Ping(ctx context.Context, ping func(context.Context) error) error {
-	sentAt := h.now()
-	err := ping(ctx)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if err != nil {
-		h.failing = true
-		return err
-	}
-	h.answered(sentAt)
-	return nil
-}
-
-// answered records a response to a call that was sent at sentAt. The caller holds h.mu.
-func (h *Holder) answered(sentAt time.Time) {
-	h.lastReadAt = h.now()
-	h.lastReadDuration = h.lastReadAt.Sub(sentAt)
-	if sentAt.After(h.contactAt) {
-		h.contactAt = sentAt
-	}
-}
-
-// ContactAt returns when the last call was sent to which the store has responded.
-func (h *Holder) ContactAt() time.Time {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.contactAt
-}
-
 // Current returns the active snapshot and the time at which it was last confirmed to be the newest.
 func (h *Holder) Current() (snapshot Snapshot, confirmedAt time.Time) {
 	h.mu.Lock()
@@ -94,14 +63,14 @@
 	return h.snapshot, h.confirmedAt
 }
 
-// LastRead returns when the last successful read or ping returned and how long it took.
+// LastRead returns when the last successful read returned and how long it took.
 func (h *Holder) LastRead() (readAt time.Time, duration time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.lastReadAt, h.lastReadDuration
 }
 
-// Failing reports whether the last read of the source failed, or a ping since; a peer that reaches the store can then serve a call better.
+// Failing reports whether the last read of the source failed; a peer that reaches the store can then serve a call better.
 func (h *Holder) Failing() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
