group: plain names for preemption below a cap; metric of workspaces in camel case

yieldToQuick and helps named no term of the field; the amounts in the metric `workspaces` had Go's field names.

--- a/internal/edge/limit/budget_test.go
+++ b/internal/edge/limit/budget_test.go
@@ -9,8 +9,8 @@
 )
 
 var (
-	start  = time.Unix(1_000_000, 0)
-	testby = Limits{BodyBytes: 400_000, LargeBytes: 300_000, Callers: 3, Others: 3}
+	start      = time.Unix(1_000_000, 0)
+	testLimits = Limits{BodyBytes: 400_000, LargeBytes: 300_000, Callers: 3, Others: 3}
 )
 
 func ignore() {}
@@ -22,7 +22,7 @@
 
 // Guards against a crowd with large bodies that leaves no room for the small ones of ordinary callers.
 func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
-	b := NewBudget(testby)
+	b := NewBudget(testLimits)
 	for range 3 {
 		assert.Assert(t, grow(b.Claim(ignore, start), 100_000, start))
 	}
@@ -35,7 +35,7 @@
 
 // Guards against slow bodies that hold the whole budget, and against displacing more of them than necessary or any that arrive fast.
 func TestOldestSlowBodyGivesWay(t *testing.T) {
-	b := NewBudget(testby)
+	b := NewBudget(testLimits)
 	var claims []*Claim
 	interrupted := make([]int, 3)
 	for n := range 3 {
@@ -58,7 +58,7 @@
 
 // Guards against bodies that are displaced although they are complete and their request may have an effect.
 func TestCompleteBodyDoesNotGiveWay(t *testing.T) {
-	b := NewBudget(testby)
+	b := NewBudget(testLimits)
 	c := b.Claim(func() { t.Error("interrupted") }, start)
 	assert.Assert(t, grow(c, 300_000, start))
 	assert.Assert(t, c.Arrived())
@@ -68,7 +68,7 @@
 // Guards against budgets that shrink or grow over time, on any order of calls.
 func TestBudgetIsWholeAfterAnyCalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := NewBudget(testby)
+		b := NewBudget(testLimits)
 		now := start
 		var claims []*Claim
 		for range rapid.IntRange(1, 60).Draw(t, "calls") {
@@ -85,7 +85,7 @@
 			default:
 				grow(c, c.bytes+rapid.IntRange(0, 200_000).Draw(t, "bytes"), now)
 			}
-			if b.small < 0 || b.large < 0 || b.large > testby.LargeBytes || b.small+b.large > testby.BodyBytes {
+			if b.small < 0 || b.large < 0 || b.large > testLimits.LargeBytes || b.small+b.large > testLimits.BodyBytes {
 				t.Fatalf("small %d, large %d", b.small, b.large)
 			}
 		}
--- a/internal/place/group/job.go
+++ b/internal/place/group/job.go
@@ -136,8 +136,8 @@
 	nextReservationAt time.Time
 	nextPreemptionAt  time.Time
 	nextBackfillAt    time.Time
-	// nextYieldAt is when other runs of the workspace may be stopped for the group again, as the workspace is at its cap.
-	nextYieldAt time.Time
+	// nextCapPreemptionAt is when other runs of the workspace may be stopped for the group again, as the workspace is at its cap.
+	nextCapPreemptionAt time.Time
 	// slowWorkerMoves counts the runs that were stopped because a worker had become slow.
 	slowWorkerMoves int
 	// retryFailedAt is from when on the group returns to workers on which a run of it failed, if there is no room elsewhere.
--- a/internal/place/group/quota.go
+++ b/internal/place/group/quota.go
@@ -205,9 +205,9 @@
 	if a.Cap == (Resources{}) || a.allows(g) {
 		return false
 	}
-	if g.Job.queue.Priority == 0 && e.mayPreempt(g, now) && !now.Before(g.nextYieldAt) && !now.Before(g.nextPreemptionAt) {
+	if g.Job.queue.Priority == 0 && e.mayPreempt(g, now) && !now.Before(g.nextCapPreemptionAt) && !now.Before(g.nextPreemptionAt) {
 		g.nextPreemptionAt = now.Add(g.preemptionRetryDelay())
-		e.yieldToQuick(g, p, now)
+		e.preemptBelowCap(g, p, now)
 	}
 	if now.Sub(g.readyAt) > backfillDelay {
 		a.claimRoom(g)
@@ -233,9 +233,9 @@
 	}
 }
 
-// yieldToQuick stops runs of the quick task group's own workspace until it fits below the cap, if the work that is lost is worth it. Runs
+// preemptBelowCap stops runs of the quick task group's own workspace until it fits below the cap, if the work that is lost is worth it. Runs
 // of other workspaces would not help.
-func (e *Engine) yieldToQuick(g *Group, p *pass, now time.Time) {
+func (e *Engine) preemptBelowCap(g *Group, p *pass, now time.Time) {
 	a := g.Job.account
 	// Room that is being freed already counts as free, unless runs were stopped for another task group.
 	total := a.promised().Sub(a.stopping).Add(g.totalNeed())
@@ -250,7 +250,7 @@
 		if total.within(a.Cap) {
 			break
 		}
-		if v.run.Group.Job.account != a || v.run.Group.Job == g.Job || v.run.stopReason != "" || !helps(v.run.Group.taskNeed(), total, a.Cap) {
+		if v.run.Group.Job.account != a || v.run.Group.Job == g.Job || v.run.stopReason != "" || !reduces(v.run.Group.taskNeed(), total, a.Cap) {
 			continue
 		}
 		chosen = append(chosen, v)
@@ -267,12 +267,12 @@
 	if len(chosen) > 0 {
 		until := now.Add(e.cfg.StopTimeout + reservationSlack)
 		a.claims = append(slices.DeleteFunc(a.claims, func(c claim) bool { return c.group == g }), claim{group: g, until: until})
-		g.nextYieldAt = until
+		g.nextCapPreemptionAt = until
 	}
 }
 
-// helps reports whether less of need would bring the total closer to the cap.
-func helps(need, total, limit Resources) bool {
+// reduces reports whether an end of a task with the need would reduce an excess of the total over the cap.
+func reduces(need, total, limit Resources) bool {
 	return limit.MilliCores > 0 && total.MilliCores > limit.MilliCores && need.MilliCores > 0 ||
 		limit.MemoryMB > 0 && total.MemoryMB > limit.MemoryMB && need.MemoryMB > 0 ||
 		limit.Accelerators > 0 && total.Accelerators > limit.Accelerators && need.Accelerators > 0
--- a/internal/place/group/room.go
+++ b/internal/place/group/room.go
@@ -2,9 +2,9 @@
 
 // Resources is an amount of cores, memory and accelerators: what a task needs or a worker has.
 type Resources struct {
-	MilliCores   int
-	MemoryMB     int
-	Accelerators int
+	MilliCores   int `json:"milliCores"`
+	MemoryMB     int `json:"memoryMB"`
+	Accelerators int `json:"accelerators"`
 }
 
 // Add returns the sum of both.
