--- a/internal/node/term/predecessor_test.go
+++ b/internal/node/term/predecessor_test.go
@@ -36,7 +36,9 @@
 	d.mu.Lock()
 	delay := d.delay
 	d.mu.Unlock()
-	pause.For(ctx, delay)
+	if delay > 0 {
+		pause.For(ctx, delay)
+	}
 }
 
 func (d *directory) Grants(ctx context.Context, instance string, request *grants.Request) (*grants.Reply, error) {
