--- a/internal/node/term/unrecorded_end.go
+++ b/internal/node/term/unrecorded_end.go
@@ -10,8 +10,8 @@
 	"github.com/lentildeck/lentildeck/internal/state/work"
 )
 
-// End returns the final phase of a job if this instance is the owner and no later owner will contradict it: it is on record, or it is
-// completed and enough other instances keep the ends that are not on record, so that the next owner learns of them.
+// End returns the final phase of a job if this instance is the owner and the job is completed, and enough other instances keep the ends that
+// are not on record for the next owner to learn of them.
 func (e *Elector) End(_ context.Context, request *ends.Request) (*ends.Reply, error) {
 	e.mu.Lock()
 	t := e.current
