--- a/review/standin-3/crash.go
+++ b/review/standin-3/crash.go
@@ -38,7 +38,7 @@
 func crashes() bool {
 	w, special := rack(func(string, int) (time.Duration, bool, bool) { return 8500 * time.Millisecond, false, false })
 	left := 4
-	special.onStart = func(r *runner, name string, run int, _ int64) {
+	special.onStart = func(r *runner, _ string, _ int, _ int64) {
 		if !w.trouble || left == 0 {
 			return
 		}
@@ -80,7 +80,7 @@
 func lasting() bool {
 	w, special := rack(func(string, int) (time.Duration, bool, bool) { return 500 * time.Millisecond, false, true })
 	left := 7
-	special.onStart = func(r *runner, name string, run int, _ int64) {
+	special.onStart = func(r *runner, _ string, _ int, _ int64) {
 		if !w.trouble || left == 0 {
 			return
 		}
--- a/review/standin-3/regress.go
+++ b/review/standin-3/regress.go
@@ -32,7 +32,7 @@
 	for i := range 8 {
 		r := w.addRunner(i, w.zones[i%3], []string{"a", fmt.Sprintf("r%d-1", i%3+1)})
 		r.workOf = func(string, int) (time.Duration, bool, bool) { return 300 * time.Millisecond, false, false }
-		r.onStart = func(r *runner, name string, run int, token int64) {
+		r.onStart = func(_ *runner, name string, _ int, token int64) {
 			mu.Lock()
 			defer mu.Unlock()
 			queue := name[:4]
